--- /dev/null
+++ b/internal/transport/once/once.go
@@ -0,0 +1,99 @@
+// Package once sends HTTP requests that must reach the peer at most once.
+//
+// The transport of net/http repeats a request by itself when a kept-alive
+// connection breaks and the request looks replayable: its method is GET, HEAD,
+// OPTIONS or TRACE, or it carries an Idempotency-Key header, or nothing was
+// written yet and the body can be rewound. A request whose body is set, of
+// unknown type and cannot be rewound is never repeated, so this package gives
+// every request such a body, an empty one included. Redirects are not followed.
+//
+// # Usage
+//
+//	client := once.NewClient(once.NewTransport())
+//	response, err := client.Do(ctx, request)
+//	switch {
+//	case errors.Is(err, once.ErrNotSent): // no byte left this process
+//	case err != nil:                      // the peer may have acted
+//	}
+package once
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNotSent is returned when no connection was had, so that the peer has
+// received nothing of the request.
+var ErrNotSent = eris.New("request not sent")
+
+// ErrNoAnswer is returned when a connection was had and no answer came over it.
+// The peer may have acted on the request.
+var ErrNoAnswer = eris.New("no answer to the request")
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+	idleConnsAHost  = 256
+)
+
+// Client sends requests at most once. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewTransport returns a transport for one peer: without proxies, compression
+// or HTTP/2.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsAHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// NewClient returns a client over the transport.
+func NewClient(transport *http.Transport) *Client {
+	keepRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: keepRedirect}}
+}
+
+// Do sends the request, which it changes, and returns the response. The error
+// is ErrNotSent or ErrNoAnswer.
+func (c *Client) Do(ctx context.Context, r *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	forbidReplay(r)
+	response, err := c.http.Do(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		return response, nil
+	}
+	if !connected.Load() {
+		return nil, eris.Wrapf(ErrNotSent, "%v", err)
+	}
+	return nil, eris.Wrapf(ErrNoAnswer, "%v", err)
+}
+
+// forbidReplay sets a body that cannot be rewound.
+func forbidReplay(r *http.Request) {
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	r.Body = body{r.Body}
+	r.GetBody = nil
+}
+
+// body hides the concrete type, http.NoBody above all, from the transport.
+type body struct {
+	io.ReadCloser
+}
