--- /dev/null
+++ b/internal/coordination/membership/view.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/primrosetally/primrosetally/internal/state/member"
+)
+
+// Reach tells how far a peer is suspected.
+type Reach int
+
+// The degrees of suspicion.
+const (
+	// ReachGood is a peer that nobody suspects.
+	ReachGood Reach = iota
+	// ReachDoubtful is a peer that few suspect: others are preferred to it.
+	ReachDoubtful
+	// ReachNone is a peer that several independent observers suspect: it gets no
+	// new work.
+	ReachNone
+)
+
+// Peer is one member as this process sees it. It is immutable.
+type Peer struct {
+	member       member.Member
+	reach        Reach
+	ownSuspicion bool
+	listed       bool
+	hash         uint64
+}
+
+// Member returns the member with the newest incarnation and state known.
+func (p Peer) Member() member.Member { return p.member }
+
+// Name returns the name of the member.
+func (p Peer) Name() string { return p.member.Name() }
+
+// Reach returns how far the member is suspected.
+func (p Peer) Reach() Reach { return p.reach }
+
+// Listed reports whether the platform's last list names the member.
+func (p Peer) Listed() bool { return p.listed }
+
+// Leaving reports whether the member must get no new work.
+func (p Peer) Leaving() bool { return p.member.State() == member.StateLeaving }
+
+// TakesNewWork reports whether new work may be given to the member.
+func (p Peer) TakesNewWork() bool { return !p.Leaving() && p.reach != ReachNone }
+
+// Rank returns the member's rendezvous hash under a seed. All processes compute
+// the same one from the name alone.
+func (p Peer) Rank(seed uint64) uint64 { return mix(p.hash ^ mix(seed)) }
+
+// View is the members at one moment, sorted by name. It is immutable.
+type View struct {
+	number  uint64
+	peers   []Peer
+	domains []Domain
+	byName  map[string]int
+}
+
+// Domain is the members of one failure domain, sorted by name.
+type Domain struct {
+	region string
+	name   string
+	peers  []Peer
+}
+
+// Region returns the region that the failure domain is in.
+func (d Domain) Region() string { return d.region }
+
+// Name returns the name of the failure domain.
+func (d Domain) Name() string { return d.name }
+
+// Peers returns the members; the caller must not change the slice.
+func (d Domain) Peers() []Peer { return d.peers }
+
+// Number grows with each view that a tracker publishes.
+func (v *View) Number() uint64 { return v.number }
+
+// Peers returns the members sorted by name; the caller must not change the slice.
+func (v *View) Peers() []Peer { return v.peers }
+
+// Len returns the number of members.
+func (v *View) Len() int { return len(v.peers) }
+
+// Domains returns the failure domains sorted by region and name; the caller must
+// not change the slice.
+func (v *View) Domains() []Domain { return v.domains }
+
+// Get returns the member called name.
+func (v *View) Get(name string) (Peer, bool) {
+	i, ok := v.byName[name]
+	if !ok {
+		return Peer{}, false
+	}
+	return v.peers[i], true
+}
+
+// NewStaticView returns a view of a list that no evidence speaks against.
+func NewStaticView(members []member.Member) *View {
+	peers := make([]Peer, len(members))
+	for i, m := range members {
+		peers[i] = Peer{member: m, listed: true, hash: hashName(m.Name())}
+	}
+	return newView(1, peers)
+}
+
+func newView(number uint64, peers []Peer) *View {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name(), b.Name()) })
+	v := &View{number: number, peers: peers, byName: make(map[string]int, len(peers))}
+	for i, p := range peers {
+		v.byName[p.Name()] = i
+		v.addToDomain(p)
+	}
+	slices.SortFunc(v.domains, func(a, b Domain) int {
+		return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.name, b.name))
+	})
+	return v
+}
+
+func (v *View) addToDomain(p Peer) {
+	for i := range v.domains {
+		d := &v.domains[i]
+		if d.region == p.member.Region() && d.name == p.member.FailureDomain() {
+			d.peers = append(d.peers, p)
+			return
+		}
+	}
+	v.domains = append(v.domains, Domain{
+		region: p.member.Region(),
+		name:   p.member.FailureDomain(),
+		peers:  []Peer{p},
+	})
+}
+
+func newPeer(e *evidence, self string) Peer {
+	_, own := e.observers[self]
+	return Peer{
+		member:       e.member,
+		reach:        e.reach(),
+		ownSuspicion: own,
+		listed:       e.listed,
+		hash:         hashName(e.member.Name()),
+	}
+}
+
+// The constants of 64-bit FNV-1a.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+func hashName(name string) uint64 {
+	h := uint64(fnvOffset)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * fnvPrime
+	}
+	return mix(h)
+}
+
+// mix spreads every bit of x over the result (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// RankOf returns the rendezvous hash of the member called name under a seed; see
+// Peer.Rank.
+func RankOf(name string, seed uint64) uint64 { return mix(hashName(name) ^ mix(seed)) }
