--- a/internal/coordination/spread/snapshot.go
+++ b/internal/coordination/spread/snapshot.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -138,14 +138,12 @@
 	return changed
 }
 
+// digestOf returns SHA-256 over the names and digests of the sections, each
+// followed by a line feed, as the accepting process computes it.
 func digestOf(refs []Ref) digest.Digest {
 	h := sha256.New()
-	var length [8]byte
 	for _, r := range refs {
-		binary.BigEndian.PutUint64(length[:], uint64(len(r.name)))
-		h.Write(length[:])
-		h.Write([]byte(r.name))
-		h.Write(r.digest[:])
+		fmt.Fprintf(h, "%s\n%s\n", r.name, r.digest)
 	}
 	return digest.Digest(h.Sum(nil))
 }
