Serve a request from end to end, and bring weights onto replicas

Cause: nothing ran.

Ruled out: HTTP/2 between processes (chunks and live answers would share one connection's flow control); weights in the agent's memory (must stay flat).

Conclusion: the path is whole and thin. Choice of endpoint, claims, spread and the chunk exchange are still the simplest that work; the decision packages replace them next.

--- /dev/null
+++ b/internal/agent/attempt.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/serving"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/transport/engines"
+	"github.com/primrosetally/primrosetally/pkg/configtext"
+)
+
+// Times after which a refused attempt may be tried again here.
+const (
+	retryAfterBusy   = 100 * time.Millisecond
+	retryAfterSwitch = time.Second
+)
+
+// service returns the configuration of the endpoint's service.
+func (a *Agent) service() (configtext.Service, bool) {
+	s := a.node.Snapshot()
+	if s == nil {
+		return configtext.Service{}, false
+	}
+	return s.Config().Service(a.node.Self().Service())
+}
+
+// attemptStream writes the parts of one attempt's answer.
+type attemptStream struct {
+	request *nodev1.AttemptRequest
+	stream  *connect.ServerStream[nodev1.AttemptPart]
+}
+
+func (s attemptStream) send(p *nodev1.AttemptPart) error {
+	p.RequestId = s.request.GetRequestId()
+	p.Attempt = s.request.GetAttempt()
+	return s.stream.Send(p)
+}
+
+func (s attemptStream) notRun(reason string, retryAfter time.Duration, r *nodev1.EndpointReport) error {
+	return s.send(&nodev1.AttemptPart{Part: &nodev1.AttemptPart_NotRun{NotRun: &nodev1.AttemptNotRun{
+		Reason:       reason,
+		RetryAfterMs: uint32(retryAfter.Milliseconds()),
+		Report:       r,
+	}}})
+}
+
+func (s attemptStream) unknown(reason string, crashed bool) error {
+	return s.send(&nodev1.AttemptPart{Part: &nodev1.AttemptPart_Unknown{Unknown: &nodev1.AttemptUnknown{
+		Reason:          reason,
+		EndpointCrashed: crashed,
+	}}})
+}
+
+// Attempt runs one attempt of a caller's request, or refuses it.
+func (h handler) Attempt(ctx context.Context, r *connect.Request[nodev1.AttemptRequest], stream *connect.ServerStream[nodev1.AttemptPart]) error {
+	a := h.agent
+	out := attemptStream{request: r.Msg, stream: stream}
+	if _, ok := a.service(); !ok || r.Msg.GetService() != a.node.Self().Service() {
+		return out.notRun("endpoint does not serve "+r.Msg.GetService(), retryAfterSwitch, a.report())
+	}
+	pinned, err := digest.FromBytes(r.Msg.GetPinnedDigest())
+	if err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	admission, err := a.gate.Admit(pinned)
+	if err != nil {
+		return out.notRun(err.Error(), retryAfter(err), a.report())
+	}
+	defer admission.Done()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Msg.GetTimeLeftMs())*time.Millisecond)
+	defer cancel()
+	return a.run(ctx, out, admission)
+}
+
+func retryAfter(err error) time.Duration {
+	if errors.Is(err, serving.ErrBusy) {
+		return retryAfterBusy
+	}
+	return retryAfterSwitch
+}
+
+// run sends the request to the endpoint once and streams the answer back.
+func (a *Agent) run(ctx context.Context, out attemptStream, admission *serving.Admission) error {
+	answer, err := a.engine.Do(ctx, engineRequest(out.request))
+	if errors.Is(err, engines.ErrUnavailable) {
+		return out.notRun("endpoint does not accept connections", retryAfterSwitch, a.report())
+	}
+	if err != nil {
+		return out.unknown("endpoint gave no answer", a.crashed(ctx))
+	}
+	defer answer.Body().Close()
+	if answer.Digest() != admission.Digest() {
+		a.gate.Down()
+		a.setFault("endpoint answered from other weights than admitted")
+		return out.unknown("endpoint answered from other weights", false)
+	}
+	if err := out.send(started(answer, admission.Digest())); err != nil {
+		return err
+	}
+	return a.copyBody(ctx, out, answer)
+}
+
+// copyBody streams the body of the answer. Only a body that the endpoint ended
+// itself is followed by the part finished.
+func (a *Agent) copyBody(ctx context.Context, out attemptStream, answer *engines.Response) error {
+	buf := make([]byte, answerMessage)
+	for {
+		n, err := answer.Body().Read(buf)
+		if n > 0 {
+			part := &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Data{Data: buf[:n]}}
+			if err := out.send(part); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return out.send(&nodev1.AttemptPart{Part: &nodev1.AttemptPart_Finished{
+				Finished: &nodev1.AttemptFinished{Report: a.report()},
+			}})
+		}
+		if err != nil {
+			return out.unknown("answer of the endpoint ended early", a.crashed(ctx))
+		}
+	}
+}
+
+// crashed asks the endpoint for its incarnation after a broken answer. A caller
+// that went away or a deadline is no sign of a crash.
+func (a *Agent) crashed(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	before := a.incarnation.Load()
+	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), engineTimeout)
+	defer cancel()
+	state, err := a.engine.State(probeCtx)
+	return err != nil || state.Incarnation() != before
+}
+
+func engineRequest(r *nodev1.AttemptRequest) engines.Request {
+	options := []engines.RequestOption{engines.WithBody(r.GetBody())}
+	for _, h := range r.GetHeaders() {
+		options = append(options, engines.WithHeader(h.GetName(), h.GetValue()))
+	}
+	return engines.NewRequest(r.GetMethod(), r.GetPath(), options...)
+}
+
+func started(answer *engines.Response, served digest.Digest) *nodev1.AttemptPart {
+	start := &nodev1.AttemptStarted{Status: uint32(answer.Status()), Digest: served.Bytes()}
+	for name, values := range answer.Header() {
+		for _, v := range values {
+			start.Headers = append(start.Headers, &nodev1.Header{Name: name, Value: v})
+		}
+	}
+	return &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Started{Started: start}}
+}
--- /dev/null
+++ b/internal/agent/report.go
@@ -0,0 +1,61 @@
+package agent
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/serving"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+)
+
+// handler implements nodev1connect.AgentServiceHandler.
+type handler struct {
+	agent *Agent
+}
+
+// Report returns what the agent knows of its endpoint.
+func (h handler) Report(context.Context, *connect.Request[nodev1.ReportRequest]) (*connect.Response[nodev1.EndpointReport], error) {
+	return connect.NewResponse(h.agent.report()), nil
+}
+
+// Leave starts the graceful stop of the endpoint.
+func (h handler) Leave(context.Context, *connect.Request[nodev1.LeaveRequest]) (*connect.Response[nodev1.LeaveResponse], error) {
+	h.agent.Leave()
+	return connect.NewResponse(&nodev1.LeaveResponse{InFlight: uint32(h.agent.gate.InFlight())}), nil
+}
+
+func (a *Agent) report() *nodev1.EndpointReport {
+	phase, served := a.gate.Phase()
+	r := &nodev1.EndpointReport{
+		Name:        a.node.Self().Name(),
+		Incarnation: a.node.Self().Incarnation(),
+		Service:     a.node.Self().Service(),
+		State:       stateOf(phase),
+		Digest:      served.Bytes(),
+		InFlight:    uint32(a.gate.InFlight()),
+		Limit:       uint32(a.gate.Limit()),
+		Revision:    a.node.Revision(),
+		Fencing:     a.gate.Fencing(),
+		Fault:       a.faultText(),
+	}
+	a.weights.describe(r)
+	return r
+}
+
+func stateOf(p serving.Phase) nodev1.EndpointState {
+	switch p {
+	case serving.PhaseServing:
+		return nodev1.EndpointState_ENDPOINT_STATE_SERVING
+	case serving.PhaseDraining:
+		return nodev1.EndpointState_ENDPOINT_STATE_DRAINING
+	case serving.PhaseLoading:
+		return nodev1.EndpointState_ENDPOINT_STATE_LOADING
+	case serving.PhaseLeaving:
+		return nodev1.EndpointState_ENDPOINT_STATE_LEAVING
+	case serving.PhaseDown:
+		return nodev1.EndpointState_ENDPOINT_STATE_DOWN
+	default:
+		return nodev1.EndpointState_ENDPOINT_STATE_EMPTY
+	}
+}
--- /dev/null
+++ b/internal/command/caller.go
@@ -0,0 +1,65 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/primrosetally/primrosetally/internal/entry"
+)
+
+type callFlags struct {
+	address, account, service, method, path, key, body string
+}
+
+func callCommand() *command {
+	f := &callFlags{method: http.MethodPost, path: "/v1/completions"}
+	return &command{
+		name:        "call",
+		description: "Send one request as a caller would and print the answer.",
+		flags: func(sub *flaggy.Subcommand) {
+			sub.AddPositionalValue(&f.service, "SERVICE", 1, true, "the service to call")
+			sub.String(&f.address, "e", "entry", "caller address of an entry")
+			sub.String(&f.account, "a", "account", "client account")
+			sub.String(&f.method, "m", "method", "HTTP method")
+			sub.String(&f.path, "p", "path", "path of the call")
+			sub.String(&f.key, "k", "key", "idempotency key, <unixMillis>-<random>")
+			sub.String(&f.body, "d", "data", "body; - reads standard input")
+		},
+		run: f.run,
+	}
+}
+
+func (f *callFlags) run(ctx context.Context, e env) int {
+	body := io.Reader(bytes.NewReader([]byte(f.body)))
+	if f.body == "-" {
+		body = os.Stdin
+	}
+	r, err := http.NewRequestWithContext(ctx, f.method, "http://"+f.address+"/s/"+f.service+f.path, body)
+	if err != nil {
+		return e.fail(statusUsage, err)
+	}
+	r.Header.Set(entry.HeaderAccount, f.account)
+	if f.key != "" {
+		r.Header.Set(entry.HeaderIdempotencyKey, f.key)
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return e.fail(statusFailed, err)
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(e.stdout, answer.Body); err != nil {
+		return e.fail(statusFailed, fmt.Errorf("answer is not whole: %w", err))
+	}
+	outcome := answer.Header.Get(entry.HeaderOutcome) + answer.Trailer.Get(entry.HeaderOutcome)
+	fmt.Fprintf(e.stderr, "outcome %s, status %d\n", outcome, answer.StatusCode)
+	if outcome != entry.OutcomeAnswered {
+		return statusFailed
+	}
+	return statusOK
+}
--- a/internal/state/member/member.go
+++ b/internal/state/member/member.go
@@ -57,6 +57,11 @@
 	return func(w *wireMember) { w.Service = service }
 }
 
+// WithCallerAddress sets the IP number and port that an entry serves callers at.
+func WithCallerAddress(address string) Option {
+	return func(w *wireMember) { w.CallerAddress = address }
+}
+
 // WithIncarnation sets the number that tells a restarted process from the one
 // before it; it grows with every start.
 func WithIncarnation(n uint64) Option {
@@ -85,6 +90,9 @@
 // Address returns the IP number and port for the system's own processes.
 func (m Member) Address() string { return m.wire.Address }
 
+// CallerAddress returns the IP number and port for callers, empty for agents.
+func (m Member) CallerAddress() string { return m.wire.CallerAddress }
+
 // Region returns the region.
 func (m Member) Region() string { return m.wire.Region }
 
@@ -110,6 +118,7 @@
 	Name          string `json:"name"`
 	Role          Role   `json:"role"`
 	Address       string `json:"address"`
+	CallerAddress string `json:"callerAddress,omitempty"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failureDomain"`
 	Service       string `json:"service,omitempty"`
