Spread configurations by the decisions of the spread package

Now the node runs the decision core: pollers by rendezvous hash, a fan-out tree, comparisons with fixed neighbours, changed sections only, and a view of the members that merges the platform's list with first-hand evidence.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -84,7 +84,7 @@
 		return
 	}
 	s := e.node.Snapshot()
-	if s == nil {
+	if s == nil || !e.node.Ready() {
 		out.notRun(http.StatusServiceUnavailable, "no configuration yet", time.Second)
 		return
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -93,7 +93,7 @@
 // attempt sends the request to one agent and passes the answer on.
 func (e *Entry) attempt(ctx context.Context, q *request, p endpoint, number uint32, out *answerWriter) result {
 	message := &nodev1.AttemptRequest{
-		From:           &nodev1.Origin{Name: e.node.Self().Name(), Incarnation: e.node.Self().Incarnation()},
+		From:           e.node.From(),
 		RequestId:      q.id,
 		Attempt:        number,
 		Service:        q.service.Name(),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,5 +85,5 @@
 
 // Ready reports whether the entry has a configuration and accepts requests.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.node.Snapshot() != nil
+	return !e.leaving.Load() && e.node.Ready()
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -63,18 +63,24 @@
 	}
 	answer, head := o.entry.accept(ctx, c, r.Msg.GetChangeId(), r.Msg.GetBaseRevision())
 	if answer.GetOutcome() == adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED {
-		o.entry.spread(ctx, head)
+		o.entry.spread(head, c)
 	}
 	return connect.NewResponse(answer), nil
 }
 
 // spread puts an accepted configuration in force here and pushes it at once.
-func (e *Entry) spread(ctx context.Context, head snapshot.Head) {
-	if err := e.node.Adopt(ctx, head, nil); err != nil {
-		e.node.Logger().Warn("configuration not adopted", "revision", head.Revision, "error", err)
-		return
+func (e *Entry) spread(head snapshot.Head, c *configtext.Config) {
+	texts := make(map[digest.Digest][]byte)
+	for _, s := range c.Sections() {
+		texts[s.Digest()] = s.Text()
+	}
+	text := func(d digest.Digest) ([]byte, bool) {
+		data, ok := texts[d]
+		return data, ok
+	}
+	if err := e.node.Accepted(head, text); err != nil {
+		e.node.Logger().Error("accepted configuration not spread", "revision", head.Revision, "error", err)
 	}
-	e.node.PushToAll(context.WithoutCancel(ctx))
 }
 
 func (e *Entry) accept(ctx context.Context, c *configtext.Config, changeID string, base uint64) (*adminv1.SubmitResponse, snapshot.Head) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,24 +1,28 @@
 // Package node is the part that every process of the system has in common: its
 // view of the members, the configuration in force and the exchange of both with
-// other processes.
+// other processes. What is exchanged when is decided by the packages membership
+// and spread; this package does the I/O that they ask for.
 //
 // # Usage
 //
 //	n := node.New(self, platform, node.WithLogger(logger))
 //	n.Register(mux)          // serves NodeService
 //	done := n.Start(ctx)     // runs until ctx ends
-//	s := n.Snapshot()        // nil until a configuration is known
+//	s := n.Snapshot()        // nil until a configuration is in force
 package node
 
 import (
 	"context"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/membership"
+	"github.com/primrosetally/primrosetally/internal/coordination/spread"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
@@ -30,12 +34,14 @@
 
 // Intervals of the background work.
 const (
-	membersInterval = time.Second
-	pollInterval    = 500 * time.Millisecond
-	compareInterval = time.Second
-	callTimeout     = 2 * time.Second
+	membersInterval = 2 * time.Second
+	expireInterval  = time.Second
+	listTimeout     = 2 * time.Second
 )
 
+// maxCalls bounds the calls to other processes that are open at a time.
+const maxCalls = 64
+
 // Platform holds the clients of the platform's services.
 type Platform struct {
 	tables  *tables.Client
@@ -69,9 +75,16 @@
 	platform *Platform
 	pool     *nodes.Pool
 	logger   *slog.Logger
+	tracker  *membership.Tracker
+	spread   *spread.Node
 	holder   snapshot.Holder
-	view     atomic.Pointer[[]member.Member]
 	applied  chan struct{}
+	slots    chan struct{}
+	context  context.Context // of the calls; ends with Start's
+	calls    conc.WaitGroup
+
+	callsMu sync.Mutex // guards stopped, so that no call starts during the last wait
+	stopped bool
 }
 
 // Option sets a property of a node.
@@ -93,7 +106,10 @@
 		self:     self,
 		platform: platform,
 		logger:   slog.Default(),
+		tracker:  membership.New(self),
 		applied:  make(chan struct{}, 1),
+		slots:    make(chan struct{}, maxCalls),
+		context:  context.Background(),
 	}
 	for _, o := range options {
 		o(n)
@@ -101,7 +117,7 @@
 	if n.pool == nil {
 		n.pool = nodes.NewPool()
 	}
-	n.view.Store(&[]member.Member{})
+	n.spread = spread.New(self, n.tracker.View, spread.WithSuspicions(n.tracker.Suspicions))
 	return n
 }
 
@@ -117,7 +133,23 @@
 // Logger returns the logger of the process.
 func (n *Node) Logger() *slog.Logger { return n.logger }
 
-// Snapshot returns the configuration in force, or nil before the first.
+// View returns what is known of the members; it takes no lock.
+func (n *Node) View() *membership.View { return n.tracker.View() }
+
+// Members returns the members that may be given new work or that are leaving.
+func (n *Node) Members() []member.Member {
+	peers := n.View().Peers()
+	list := make([]member.Member, 0, len(peers))
+	for _, p := range peers {
+		if p.Reach() != membership.ReachNone {
+			list = append(list, p.Member())
+		}
+	}
+	return list
+}
+
+// Snapshot returns the configuration in force, or nil before the first. It takes
+// no lock.
 func (n *Node) Snapshot() *snapshot.Snapshot { return n.holder.Load() }
 
 // Revision returns the revision in force, 0 before the first.
@@ -129,8 +161,14 @@
 	return s.Revision()
 }
 
-// Members returns the current view. The caller must not change it.
-func (n *Node) Members() []member.Member { return *n.view.Load() }
+// Ready reports whether the process may take work: it has a configuration, and
+// the table or its neighbours had the chance to name a newer one.
+func (n *Node) Ready() bool {
+	return n.holder.Load() != nil && n.spread.Ready(time.Now())
+}
+
+// Applied delivers a value after a configuration came into force.
+func (n *Node) Applied() <-chan struct{} { return n.applied }
 
 // Register adds the NodeService handler to mux.
 func (n *Node) Register(mux *http.ServeMux) {
@@ -139,16 +177,21 @@
 }
 
 // Start runs the background work until ctx ends; the returned channel is closed
-// when all of it has ended.
+// when all of it has ended. It is called once, before the handlers are served.
 func (n *Node) Start(ctx context.Context) <-chan struct{} {
+	n.context = ctx
 	done := make(chan struct{})
 	var wg conc.WaitGroup
 	wg.Go(func() { every(ctx, membersInterval, n.refreshMembers) })
-	wg.Go(func() { every(ctx, pollInterval, n.pollHead) })
-	wg.Go(func() { every(ctx, compareInterval, n.compareNext) })
+	wg.Go(func() { every(ctx, expireInterval, func(context.Context) { n.tracker.Expire() }) })
+	wg.Go(func() { every(ctx, spread.TickInterval, func(context.Context) { n.do(n.spread.Tick(time.Now())) }) })
 	go func() {
 		defer close(done)
 		wg.Wait()
+		n.callsMu.Lock()
+		n.stopped = true
+		n.callsMu.Unlock()
+		n.calls.Wait()
 	}()
 	return done
 }
@@ -168,12 +211,22 @@
 }
 
 func (n *Node) refreshMembers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := n.platform.members.List(ctx)
 	if err != nil {
 		n.logger.Debug("membership list not available", "error", err)
 		return
 	}
-	n.view.Store(&list)
+	n.tracker.ListReceived(list)
+}
+
+// From returns what identifies this process in its messages.
+func (n *Node) From() *nodev1.Origin {
+	return &nodev1.Origin{Name: n.self.Name(), Incarnation: n.self.Incarnation()}
+}
+
+// Heard notes a message from another process.
+func (n *Node) Heard(from *nodev1.Origin) {
+	n.tracker.Heard(from.GetName(), from.GetIncarnation())
 }
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc/pool"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/spread"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
-	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
 )
 
@@ -21,224 +20,172 @@
 	SectionPrefix = "sections/"
 )
 
-// maxPushes bounds the pushes that one process has open at a time.
-const maxPushes = 32
-
-// pollHead reads the head from the table. Agents poll only until they have a
-// configuration; later revisions reach them by push and compare.
-func (n *Node) pollHead(ctx context.Context) {
-	if n.self.Role() == member.RoleAgent && n.Snapshot() != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	row, err := n.platform.tables.Get(ctx, HeadKey)
-	if err != nil || row.Version() == 0 {
-		return
-	}
-	var head snapshot.Head
-	if err := json.Unmarshal(row.Value(), &head); err != nil {
-		n.logger.Error("head row does not parse", "error", err)
-		return
+// Accepted puts a change that this process wrote to the table in force and
+// spreads it. Sections that text does not have are read from the snapshot in
+// force.
+func (n *Node) Accepted(head snapshot.Head, text func(digest.Digest) ([]byte, bool)) error {
+	sections := make([]spread.Section, 0, len(head.Sections))
+	for _, r := range head.Sections {
+		if data, ok := text(r.Digest); ok {
+			sections = append(sections, spread.NewSection(data))
+		}
 	}
-	if head.Revision > n.Revision() {
-		n.adoptAndPush(ctx, head, nil)
+	s, err := spread.NewSnapshot(spreadHead(head), sections)
+	if err != nil {
+		return err
 	}
+	n.do(n.spread.Accepted(time.Now(), s))
+	return nil
 }
 
-// compareNext exchanges revisions with a member chosen at random.
-func (n *Node) compareNext(ctx context.Context) {
-	peers := n.peers()
-	if len(peers) == 0 {
-		return
+// do carries out the actions that the decisions ask for. Calls run on goroutines
+// of their own and report back as further inputs.
+func (n *Node) do(a spread.Actions) {
+	if a.Applied != nil {
+		n.apply(a.Applied)
 	}
-	p := peers[rand.IntN(len(peers))]
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request := &nodev1.CompareRequest{From: n.from(), Revision: n.Revision()}
-	answer, err := n.pool.Node(p.Address()).Compare(ctx, connect.NewRequest(request))
-	if err != nil || answer.Msg.GetHead() == nil {
-		return
+	if a.Divergence != nil {
+		n.logger.Error("two configurations at one revision", "peer", a.Divergence.Peer, "revision", a.Divergence.Revision)
 	}
-	head, err := headFromMessage(answer.Msg.GetHead())
-	if err != nil {
-		n.logger.Error("head from peer does not parse", "peer", p.Name(), "error", err)
-		return
+	if a.Poll {
+		n.call(n.poll)
+	}
+	for _, p := range a.Pushes {
+		n.call(func(ctx context.Context) spread.Actions { return n.push(ctx, p) })
 	}
-	if err := n.Adopt(ctx, head, nil); err != nil {
-		n.logger.Warn("configuration not adopted", "revision", head.Revision, "error", err)
+	for _, c := range a.Compares {
+		n.call(func(ctx context.Context) spread.Actions { return n.compare(ctx, c) })
+	}
+	for _, f := range a.Fetches {
+		n.call(func(ctx context.Context) spread.Actions { return n.fetch(ctx, f) })
 	}
 }
 
-// Adopt puts the configuration that head names in force if it is newer than the
-// one in force. Sections that neither given nor the current snapshot has are
-// read from the object store.
-func (n *Node) Adopt(ctx context.Context, head snapshot.Head, given map[digest.Digest][]byte) error {
-	current := n.Snapshot()
-	if current != nil && current.Revision() >= head.Revision {
-		return nil
+// call runs work with a timeout and does what its answer asks for.
+func (n *Node) call(work func(context.Context) spread.Actions) {
+	n.callsMu.Lock()
+	defer n.callsMu.Unlock()
+	if n.stopped {
+		return
 	}
-	texts := make(map[digest.Digest][]byte, len(head.Sections))
-	for _, r := range head.Sections {
-		data, err := n.sectionText(ctx, current, given, r.Digest)
-		if err != nil {
-			return eris.Wrapf(err, "section %s", r.Name)
+	n.calls.Go(func() {
+		select {
+		case n.slots <- struct{}{}:
+		case <-n.context.Done():
+			return
 		}
-		texts[r.Digest] = data
-	}
-	s, err := snapshot.New(head, func(d digest.Digest) ([]byte, bool) {
-		data, ok := texts[d]
-		return data, ok
+		ctx, cancel := context.WithTimeout(n.context, spread.CallTimeout)
+		answer := work(ctx)
+		cancel()
+		<-n.slots
+		n.do(answer)
+	})
+}
+
+// apply publishes the configuration that came in force. Two of them may come
+// close together; the holder keeps the newer one.
+func (n *Node) apply(s *spread.Snapshot) {
+	compiled, err := snapshot.New(stateHead(s.Head()), func(d digest.Digest) ([]byte, bool) {
+		section, ok := s.Section(d)
+		return section.Text(), ok
 	})
 	if err != nil {
-		return err
+		n.logger.Error("accepted configuration does not compile", "revision", s.Head().Revision(), "error", err)
+		return
 	}
-	if n.holder.Apply(s) {
-		n.logger.Info("configuration in force", "revision", s.Revision(), "changeId", head.ChangeID)
-		n.notifyApplied()
+	if !n.holder.Apply(compiled) {
+		return
 	}
-	return nil
-}
-
-// Applied delivers a value after a configuration came into force.
-func (n *Node) Applied() <-chan struct{} { return n.applied }
-
-func (n *Node) notifyApplied() {
+	n.logger.Info("configuration in force", "revision", compiled.Revision(), "changeId", compiled.Head().ChangeID)
 	select {
 	case n.applied <- struct{}{}:
 	default:
 	}
 }
 
-func (n *Node) sectionText(ctx context.Context, current *snapshot.Snapshot, given map[digest.Digest][]byte, d digest.Digest) ([]byte, error) {
-	if data, ok := given[d]; ok {
-		return data, nil
-	}
-	if current != nil {
-		if data, ok := current.Section(d); ok {
-			return data, nil
-		}
-	}
-	return n.platform.objects.Get(ctx, SectionPrefix+d.String())
+func (n *Node) poll(ctx context.Context) spread.Actions {
+	head, err := n.readHead(ctx)
+	return n.spread.PollAnswered(time.Now(), head, err)
 }
 
-func (n *Node) adoptAndPush(ctx context.Context, head snapshot.Head, given map[digest.Digest][]byte) {
-	if err := n.Adopt(ctx, head, given); err != nil {
-		n.logger.Warn("configuration not adopted", "revision", head.Revision, "error", err)
-		return
+func (n *Node) readHead(ctx context.Context) (spread.Head, error) {
+	row, err := n.platform.tables.Get(ctx, HeadKey)
+	if err != nil || row.Version() == 0 {
+		return spread.Head{}, err
 	}
-	n.PushToAll(ctx)
-}
-
-// PushToAll sends the configuration in force to every member of the view.
-func (n *Node) PushToAll(ctx context.Context) {
-	current := n.Snapshot()
-	if current == nil {
-		return
+	var head snapshot.Head
+	if err := json.Unmarshal(row.Value(), &head); err != nil {
+		return spread.Head{}, eris.Wrap(err, "head row")
 	}
-	message := &nodev1.PushRequest{From: n.from(), Head: headMessage(current.Head())}
-	for _, r := range current.Head().Sections {
-		text, _ := current.Section(r.Digest)
-		message.Sections = append(message.Sections, &nodev1.Section{Digest: r.Digest.Bytes(), Text: text})
-	}
-	pushes := pool.New().WithMaxGoroutines(maxPushes)
-	for _, p := range n.peers() {
-		pushes.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			if _, err := n.pool.Node(p.Address()).Push(ctx, connect.NewRequest(message)); err != nil {
-				n.logger.Debug("push failed", "peer", p.Name(), "error", err)
-			}
-		})
-	}
-	pushes.Wait()
+	checked := spreadHead(head)
+	return checked, checked.Check(head.Digest)
 }
 
-// peers returns the members of the view except this process.
-func (n *Node) peers() []member.Member {
-	var list []member.Member
-	for _, m := range n.Members() {
-		if m.Name() != n.self.Name() {
-			list = append(list, m)
-		}
+func (n *Node) push(ctx context.Context, p spread.PushTo) spread.Actions {
+	message := &nodev1.PushRequest{From: n.From(), Head: headMessage(p.Push.Head), Depth: p.Push.Depth}
+	for _, s := range p.Push.Sections {
+		message.Sections = append(message.Sections, sectionMessage(s))
 	}
-	return list
-}
-
-func (n *Node) from() *nodev1.Origin {
-	return &nodev1.Origin{Name: n.self.Name(), Incarnation: n.self.Incarnation()}
+	answer, err := n.pool.Node(p.To.Address()).Push(ctx, connect.NewRequest(message))
+	n.noteAnswer(p.To.Name(), p.To.Incarnation(), err)
+	revision := uint64(0)
+	if err == nil {
+		revision = answer.Msg.GetRevision()
+	}
+	return n.spread.PushAnswered(time.Now(), p.To.Name(), p.Push.Head.Revision(), revision, err)
 }
 
-// handler implements nodev1connect.NodeServiceHandler.
-type handler struct {
-	node *Node
+func (n *Node) compare(ctx context.Context, c spread.CompareTo) spread.Actions {
+	answer, err := n.pool.Node(c.To.Address()).Compare(ctx, connect.NewRequest(compareMessage(n.From(), c.Compare)))
+	n.noteAnswer(c.To.Name(), c.To.Incarnation(), err)
+	var reply spread.CompareReply
+	if err == nil {
+		reply, err = replyFromMessage(answer.Msg)
+	}
+	return n.spread.CompareAnswered(time.Now(), c.To, reply, err)
 }
 
-func (h handler) Compare(_ context.Context, r *connect.Request[nodev1.CompareRequest]) (*connect.Response[nodev1.CompareResponse], error) {
-	answer := &nodev1.CompareResponse{}
-	if s := h.node.Snapshot(); s != nil {
-		answer.Revision = s.Revision()
-		answer.Digest = s.Head().Digest.Bytes()
-		if s.Revision() > r.Msg.GetRevision() {
-			answer.Head = headMessage(s.Head())
-		}
-	}
-	return connect.NewResponse(answer), nil
+func (n *Node) fetch(ctx context.Context, f spread.Fetch) spread.Actions {
+	sections, err := n.fetchSections(ctx, f)
+	return n.spread.FetchAnswered(time.Now(), f, sections, err)
 }
 
-func (h handler) Push(ctx context.Context, r *connect.Request[nodev1.PushRequest]) (*connect.Response[nodev1.PushResponse], error) {
-	head, err := headFromMessage(r.Msg.GetHead())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+func (n *Node) fetchSections(ctx context.Context, f spread.Fetch) ([]spread.Section, error) {
+	if f.From == nil {
+		return n.readSections(ctx, f.Digests)
 	}
-	given := make(map[digest.Digest][]byte, len(r.Msg.GetSections()))
-	for _, s := range r.Msg.GetSections() {
-		given[digest.Of(s.GetText())] = s.GetText()
+	request := &nodev1.FetchSectionsRequest{}
+	for _, d := range f.Digests {
+		request.Digests = append(request.Digests, d.Bytes())
 	}
-	if err := h.node.Adopt(ctx, head, given); err != nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	answer, err := n.pool.Node(f.From.Address()).FetchSections(ctx, connect.NewRequest(request))
+	n.noteAnswer(f.From.Name(), f.From.Incarnation(), err)
+	if err != nil {
+		return nil, err
 	}
-	return connect.NewResponse(&nodev1.PushResponse{Revision: h.node.Revision()}), nil
+	return sectionsFromMessages(answer.Msg.GetSections()), nil
 }
 
-func (h handler) FetchSections(_ context.Context, r *connect.Request[nodev1.FetchSectionsRequest]) (*connect.Response[nodev1.FetchSectionsResponse], error) {
-	answer := &nodev1.FetchSectionsResponse{}
-	s := h.node.Snapshot()
-	if s == nil {
-		return connect.NewResponse(answer), nil
-	}
-	for _, b := range r.Msg.GetDigests() {
-		d, err := digest.FromBytes(b)
+// readSections reads sections from the object store, where the accepting process
+// wrote them before the change was accepted.
+func (n *Node) readSections(ctx context.Context, digests []digest.Digest) ([]spread.Section, error) {
+	var sections []spread.Section
+	for _, d := range digests {
+		data, err := n.platform.objects.Get(ctx, SectionPrefix+d.String())
 		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+			return sections, eris.Wrapf(err, "section %s", d.Short())
 		}
-		if text, ok := s.Section(d); ok {
-			answer.Sections = append(answer.Sections, &nodev1.Section{Digest: b, Text: text})
-		}
-	}
-	return connect.NewResponse(answer), nil
-}
-
-func headMessage(h snapshot.Head) *nodev1.Head {
-	m := &nodev1.Head{Revision: h.Revision, Digest: h.Digest.Bytes(), ChangeId: h.ChangeID}
-	for _, r := range h.Sections {
-		m.Sections = append(m.Sections, &nodev1.SectionRef{Name: r.Name, Digest: r.Digest.Bytes()})
+		sections = append(sections, spread.NewSection(data))
 	}
-	return m
+	return sections, nil
 }
 
-func headFromMessage(m *nodev1.Head) (snapshot.Head, error) {
-	h := snapshot.Head{Revision: m.GetRevision(), ChangeID: m.GetChangeId()}
-	var err error
-	if h.Digest, err = digest.FromBytes(m.GetDigest()); err != nil {
-		return snapshot.Head{}, eris.Wrap(err, "head")
-	}
-	for _, r := range m.GetSections() {
-		d, err := digest.FromBytes(r.GetDigest())
-		if err != nil {
-			return snapshot.Head{}, eris.Wrapf(err, "section %s", r.GetName())
-		}
-		h.Sections = append(h.Sections, snapshot.SectionRef{Name: r.GetName(), Digest: d})
+// noteAnswer is first-hand evidence for the view of the members.
+func (n *Node) noteAnswer(name string, incarnation uint64, err error) {
+	switch {
+	case err == nil:
+		n.tracker.Heard(name, incarnation)
+	case n.context.Err() == nil:
+		n.tracker.Failed(name)
 	}
-	return h, nil
 }
