--- a/internal/protocol/tomltext/parse.go
+++ b/internal/protocol/tomltext/parse.go
@@ -23,6 +23,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -31,8 +32,17 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// maxNesting bounds how deep arrays and inline tables are followed.
-const maxNesting = 16
+// Bounds that keep the work on a hostile text in proportion to its length.
+const (
+	// maxNesting bounds how deep arrays and inline tables are followed.
+	maxNesting = 16
+	// maxKeyParts bounds the parts of a dotted key.
+	maxKeyParts = 8
+	// maxKeyBytes bounds one part of a key.
+	maxKeyBytes = 128
+	// maxFaults bounds the faults that are kept; further ones are counted.
+	maxFaults = 1000
+)
 
 // Document is one text being read. It is not safe for concurrent use.
 type Document struct {
@@ -40,6 +50,7 @@
 	lines  []int
 	root   *Table
 	faults Faults
+	more   int
 }
 
 // Parse reads the syntax of text. It returns false where a fault of the
@@ -65,13 +76,23 @@
 // File returns the name given to Parse.
 func (d *Document) File() string { return d.file }
 
-// Fault adds a fault.
+// Fault adds a fault. Beyond 1,000 faults they are only counted.
 func (d *Document) Fault(line int, key, reason string) {
+	if len(d.faults) >= maxFaults {
+		d.more++
+		return
+	}
 	d.faults = append(d.faults, NewFault(d.file, line, key, reason))
 }
 
 // Err returns Faults with all faults found so far, or nil.
-func (d *Document) Err() error { return d.faults.Err() }
+func (d *Document) Err() error {
+	if d.more == 0 {
+		return d.faults.Err()
+	}
+	more := NewFault(d.file, 0, "", fmt.Sprintf("%d more faults are not listed", d.more))
+	return append(slices.Clone(d.faults), more).Err()
+}
 
 // RefuseUnknown adds a fault for each key that no reader asked for.
 func (d *Document) RefuseUnknown() { d.root.refuseUnknown() }
@@ -227,11 +248,24 @@
 		if line == 0 {
 			line = d.lineAt(it.Node().Raw.Offset)
 		}
-		keys = append(keys, string(it.Node().Data))
+		keys = append(keys, d.keyPart(it.Node().Data, line))
+	}
+	if len(keys) > maxKeyParts {
+		d.Fault(line, strings.Join(keys[:maxKeyParts], "."), fmt.Sprintf("%d parts in a key, at most %d", len(keys), maxKeyParts))
+		keys = keys[:maxKeyParts]
 	}
 	return keys, line
 }
 
+func (d *Document) keyPart(data []byte, line int) string {
+	if len(data) <= maxKeyBytes {
+		return string(data)
+	}
+	short := string(data[:maxKeyBytes])
+	d.Fault(line, short, fmt.Sprintf("%d bytes in a key, at most %d", len(data), maxKeyBytes))
+	return short
+}
+
 func (d *Document) valueOf(n *unstable.Node, key string, line, depth int) any {
 	if depth > maxNesting {
 		d.Fault(line, key, fmt.Sprintf("nested more than %d deep", maxNesting))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,12 @@
 // Tokens returns the secrets that the process presents.
 func (s *Settings) Tokens() Tokens { return s.tokens }
 
+// String returns the role and the name, and no secrets.
+func (s *Settings) String() string { return string(s.role) + " " + s.name }
+
+// GoString implements fmt.GoStringer without the secrets.
+func (s *Settings) GoString() string { return s.String() }
+
 func text(u *url.URL) string {
 	if u == nil {
 		return ""
--- a/pkg/configtext/configtext.go
+++ b/pkg/configtext/configtext.go
@@ -64,6 +64,7 @@
 	serviceIndex map[string]int
 	accountIndex map[string]int
 	teamIndex    map[string]int
+	lines        map[string]int
 	sections     []Section
 	head         digest.Digest
 }
--- a/pkg/configtext/read.go
+++ b/pkg/configtext/read.go
@@ -23,23 +23,25 @@
 }
 
 func (r reader) config() *Config {
-	c := &Config{file: r.doc.File()}
+	c := &Config{file: r.doc.File(), lines: map[string]int{}}
 	root := r.doc.Root()
 	if t := root.Table(deploymentTable); t != nil {
 		c.deployment = readDeployment(t)
+		c.lines[deploymentTable] = t.Line()
 	} else if !root.Has(deploymentTable) {
 		root.Fault(deploymentTable, "is required")
 	}
-	c.regions = readNamed(root, regionTable, MaxRegions, readRegion)
-	c.teams = readNamed(root, teamTable, MaxTeams, readTeam)
-	c.services = readNamed(root, serviceTable, MaxServices, readService)
-	c.accounts = readNamed(root, accountTable, MaxAccounts, readAccount)
+	c.regions = readNamed(c, root, regionTable, MaxRegions, readRegion)
+	c.teams = readNamed(c, root, teamTable, MaxTeams, readTeam)
+	c.services = readNamed(c, root, serviceTable, MaxServices, readService)
+	c.accounts = readNamed(c, root, accountTable, MaxAccounts, readAccount)
 	c.index()
 	return c
 }
 
-// readNamed reads the tables below root.key, sorted by name.
-func readNamed[T any](root *tomltext.Table, key string, most int, read func(string, *tomltext.Table) T) []T {
+// readNamed reads the tables below root.key, sorted by name, and notes their
+// lines in c.
+func readNamed[T any](c *Config, root *tomltext.Table, key string, most int, read func(string, *tomltext.Table) T) []T {
 	parent := root.Table(key)
 	if parent == nil {
 		return nil
@@ -56,6 +58,7 @@
 			parent.Fault(name, fmt.Sprintf("%.80q does not match %s", name, namePattern))
 		}
 		if t := parent.Table(name); t != nil {
+			c.lines[t.Path()] = t.Line()
 			values = append(values, read(name, t))
 		}
 	}
--- a/pkg/configtext/references.go
+++ b/pkg/configtext/references.go
@@ -95,6 +95,13 @@
 	r.doc.Root().Table(table).Table(name).Fault(key, reason)
 }
 
+// Bounds of what is printed of dependency cycles.
+const (
+	maxCycles      = 20
+	maxCycleNames  = 32
+	keptCycleNames = maxCycleNames / 2
+)
+
 // visit is the state of a service in the search for cycles.
 type visit byte
 
@@ -105,11 +112,12 @@
 )
 
 // cycleSearch walks the dependencies depth first. Each cycle is reported once,
-// at the service that closes it.
+// at the service that closes it, and the search ends after maxCycles.
 type cycleSearch struct {
 	config *Config
 	states []visit
 	path   []string
+	cycles int
 	found  func(closing string, cycle []string)
 }
 
@@ -118,7 +126,7 @@
 		config: c,
 		states: make([]visit, len(c.services)),
 		found: func(closing string, cycle []string) {
-			r.fault(serviceTable, closing, dependsOn.Name, "dependency cycle "+strings.Join(cycle, " -> "))
+			r.fault(serviceTable, closing, dependsOn.Name, "dependency cycle "+printCycle(cycle))
 		},
 	}
 	for i := range c.services {
@@ -138,13 +146,23 @@
 		if !known {
 			continue
 		}
-		if s.states[next] == onPath {
+		if s.states[next] == onPath && s.cycles < maxCycles {
+			s.cycles++
 			start := slices.Index(s.path, name)
 			s.found(service.name, append(slices.Clone(s.path[start:]), name))
-			continue
 		}
 		s.from(next)
 	}
 	s.path = s.path[:len(s.path)-1]
 	s.states[i] = finished
 }
+
+// printCycle leaves the middle out of a long cycle.
+func printCycle(cycle []string) string {
+	if len(cycle) <= maxCycleNames {
+		return strings.Join(cycle, " -> ")
+	}
+	head := strings.Join(cycle[:keptCycleNames], " -> ")
+	tail := strings.Join(cycle[len(cycle)-keptCycleNames:], " -> ")
+	return fmt.Sprintf("%s -> (%d more) -> %s", head, len(cycle)-maxCycleNames, tail)
+}
