Give the section list a text of its own

Cause: whoever reads an old revision needs its list of sections, and keeping the list in every revision's table row would grow the table by the length of the list with each change. The list is now a text whose digest is the head digest, so it can be kept in the object store by content.

Ruled out: deltas between revisions, which need all earlier ones to be read.

--- a/pkg/configtext/section.go
+++ b/pkg/configtext/section.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"fmt"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/tomltext"
@@ -57,14 +56,22 @@
 // over the ordered names and digests of its sections.
 func (c *Config) HeadDigest() digest.Digest { return c.head }
 
-// HeadDigestOf returns the digest over an ordered list of sections. Each
-// contributes its name, a line feed, its digest in hexadecimal and a line feed.
+// SectionList returns the text whose digest HeadDigest is.
+func (c *Config) SectionList() []byte { return sectionList(c.sections) }
+
+// HeadDigestOf returns the digest over an ordered list of sections.
 func HeadDigestOf(sections []Section) digest.Digest {
-	sum := sha256.New()
+	return digest.Of(sectionList(sections))
+}
+
+// sectionList writes, for each section, its name and its digest in hexadecimal,
+// each followed by a line feed.
+func sectionList(sections []Section) []byte {
+	var list bytes.Buffer
 	for _, s := range sections {
-		fmt.Fprintf(sum, "%s\n%s\n", s.name, s.digest)
+		fmt.Fprintf(&list, "%s\n%s\n", s.name, s.digest)
 	}
-	return digest.Digest(sum.Sum(nil))
+	return list.Bytes()
 }
 
 // FromSections rebuilds the Config that the sections were taken from. They are
