Accept changes by one transaction and settle lost answers

Cause: the thin path told an operator "refused" when the table service was down, and "unknown" with nothing to settle it by. accept reads the head, then the change row, and says conflict or refused only where no attempt with the same change ID can succeed any more, also not one that is still under way at another entry. Revisions and changes get rows of their own; an old revision's section list is an object named by the head digest.

Ruled out: - Reading the change before the head: a change accepted in between is then reported as a conflict with itself. The state machine finds it. - Refusing a text with a missing manifest without a record: another attempt may have seen the manifest and be accepted later. The refusal is now a change row, which every attempt expects to be absent. - The team's name in the change, resolved by the handler: an entry whose configuration is behind would resolve a token that was withdrawn. The token is resolved in the base of the change.

With the expectation on the head, the one on the change row, the record of refusals or the order of the reads taken out, TestMachine fails.

--- /dev/null
+++ b/internal/coordination/accept/history.go
@@ -0,0 +1,172 @@
+package accept
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/pkg/configtext"
+)
+
+// ErrNoRevision is returned for a revision that was never accepted.
+var ErrNoRevision = eris.New("no such revision")
+
+// MaxHistory bounds the entries that History returns.
+const MaxHistory = 1000
+
+// rowsRead is the number of revisions that share all digits of their key but
+// the last two, and so one list call.
+const rowsRead = 100
+
+// Entry is one accepted change.
+type Entry struct {
+	record record
+}
+
+// Revision returns the revision that the change became.
+func (e Entry) Revision() uint64 { return e.record.Revision }
+
+// Digest returns the digest of the configuration.
+func (e Entry) Digest() digest.Digest { return e.record.Digest }
+
+// ChangeID returns the operator's name of the change.
+func (e Entry) ChangeID() string { return e.record.ChangeID }
+
+// Accepted returns when an entry instance built the accepted transaction, by
+// its own clock.
+func (e Entry) Accepted() time.Time { return time.Unix(e.record.AcceptedUnix, 0) }
+
+// Team returns the team that made the change.
+func (e Entry) Team() string { return e.record.Team }
+
+// Changed returns the names of the sections that the change touched.
+func (e Entry) Changed() []string { return slices.Clone(e.record.Changed) }
+
+// History returns up to limit accepted changes, the latest first.
+func (a *Acceptor) History(ctx context.Context, limit int) ([]Entry, error) {
+	limit = min(limit, MaxHistory)
+	head, _, err := a.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var entries []Entry
+	for top := head.Revision; top > 0 && len(entries) < limit; {
+		key := revisionKey(top)
+		rows, err := a.list(ctx, key[:len(key)-2], rowsRead)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range slices.Backward(rows) {
+			r, err := decodeRecord(row.value)
+			if err != nil {
+				return nil, err
+			}
+			if r.Revision <= head.Revision && len(entries) < limit {
+				entries = append(entries, Entry{record: r})
+			}
+		}
+		top = top / rowsRead * rowsRead
+		if top > 0 {
+			top--
+		}
+	}
+	return entries, nil
+}
+
+// Show returns an accepted revision and its head; 0 stands for the latest.
+func (a *Acceptor) Show(ctx context.Context, revision uint64) (snapshot.Head, *configtext.Config, error) {
+	head, _, err := a.readHead(ctx)
+	if err != nil {
+		return snapshot.Head{}, nil, err
+	}
+	if revision != 0 && revision != head.Revision {
+		head, err = a.headAt(ctx, revision)
+		if err != nil {
+			return snapshot.Head{}, nil, err
+		}
+	}
+	if head.Revision == 0 {
+		return snapshot.Head{}, nil, eris.Wrap(ErrNoRevision, "nothing is accepted yet")
+	}
+	cfg, err := a.configOf(ctx, head)
+	return head, cfg, err
+}
+
+func (a *Acceptor) headAt(ctx context.Context, revision uint64) (snapshot.Head, error) {
+	row, err := a.get(ctx, revisionKey(revision))
+	if err != nil {
+		return snapshot.Head{}, err
+	}
+	if row.version == 0 {
+		return snapshot.Head{}, eris.Wrapf(ErrNoRevision, "revision %d", revision)
+	}
+	r, err := decodeRecord(row.value)
+	if err != nil {
+		return snapshot.Head{}, err
+	}
+	return a.headOf(ctx, r)
+}
+
+// headOf returns the head that r records, with the section list from the object
+// store.
+func (a *Acceptor) headOf(ctx context.Context, r record) (snapshot.Head, error) {
+	head := snapshot.Head{
+		Revision:     r.Revision,
+		Digest:       r.Digest,
+		ChangeID:     r.ChangeID,
+		AcceptedUnix: r.AcceptedUnix,
+	}
+	list, err := a.object(ctx, r.Digest)
+	if err != nil {
+		return head, err
+	}
+	head.Sections, err = parseSectionList(string(list))
+	return head, err
+}
+
+// parseSectionList reads a list of names and digests, each on a line.
+func parseSectionList(list string) ([]snapshot.SectionRef, error) {
+	lines := strings.Split(strings.TrimSuffix(list, "\n"), "\n")
+	if len(lines)%2 != 0 {
+		return nil, eris.Wrapf(ErrMalformed, "section list of %d lines", len(lines))
+	}
+	var refs []snapshot.SectionRef
+	for pair := range slices.Chunk(lines, 2) {
+		d, err := digest.Parse(pair[1])
+		if err != nil {
+			return nil, eris.Wrapf(ErrMalformed, "section %.80q: %v", pair[0], err)
+		}
+		refs = append(refs, snapshot.SectionRef{Name: pair[0], Digest: d})
+	}
+	return refs, nil
+}
+
+// load reads the sections from the object store and rebuilds the Config.
+func (a *Acceptor) load(ctx context.Context, refs []snapshot.SectionRef) (*configtext.Config, error) {
+	sections := make([]configtext.Section, len(refs))
+	for i, r := range refs {
+		text, err := a.object(ctx, r.Digest)
+		if err != nil {
+			return nil, eris.Wrapf(err, "section %s", r.Name)
+		}
+		sections[i] = configtext.NewSection(r.Name, text)
+	}
+	return configtext.FromSections(sections)
+}
+
+// object reads and verifies one object.
+func (a *Acceptor) object(ctx context.Context, d digest.Digest) ([]byte, error) {
+	data, err := a.getObject(ctx, SectionPrefix+d.String())
+	if err != nil {
+		return nil, err
+	}
+	if digest.Of(data) != d {
+		return nil, eris.Wrapf(ErrMalformed, "object %s has another digest", d.Short())
+	}
+	return data, nil
+}
