--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -233,6 +233,12 @@
 	return e.counts
 }
 
+// Admitted returns the IDs of the requests that were admitted to the batch last,
+// in their order.
+func (e *Engine) Admitted() []string {
+	return e.batch.admittedNames()
+}
+
 // Close cuts every connection for good and returns when all loads have ended.
 func (e *Engine) Close() {
 	e.stateMu.Lock()
--- a/internal/standin/engine_batch.go
+++ b/internal/standin/engine_batch.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// maxAdmittedNames bounds the record of admitted requests.
+const maxAdmittedNames = 256
+
 // batch admits a bounded number of requests and lets the rest wait in the order
 // of their priority and arrival.
 type batch struct {
@@ -18,9 +21,12 @@
 	queue   []*waiter
 	cancels map[string]context.CancelFunc
 	samples []loadSample // oldest first
+	// admitted holds the IDs of the requests admitted last, in order.
+	admitted []string
 }
 
 type waiter struct {
+	name     string
 	priority int
 	admitted chan struct{}
 }
@@ -55,7 +61,7 @@
 	if q.RequestID != "" {
 		b.cancels[q.RequestID] = cancel
 	}
-	w := &waiter{priority: q.Priority, admitted: make(chan struct{})}
+	w := &waiter{name: q.RequestID, priority: q.Priority, admitted: make(chan struct{})}
 	b.queue = append(b.queue, w)
 	b.fill()
 	return w
@@ -103,13 +109,27 @@
 				best = i
 			}
 		}
-		close(b.queue[best].admitted)
+		b.admit(b.queue[best])
 		b.queue = append(b.queue[:best], b.queue[best+1:]...)
 		b.running++
 	}
 	b.sample()
 }
 
+func (b *batch) admit(w *waiter) {
+	close(w.admitted)
+	b.admitted = append(b.admitted, w.name)
+	if len(b.admitted) > maxAdmittedNames {
+		b.admitted = b.admitted[1:]
+	}
+}
+
+func (b *batch) admittedNames() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.admitted...)
+}
+
 // sample records the load and forgets what is older than the lag needs.
 func (b *batch) sample() {
 	now := b.now()
--- a/internal/standin/members.go
+++ b/internal/standin/members.go
@@ -161,6 +161,17 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// MembersCounts are the counters of a membership list.
+type MembersCounts struct {
+	Members int `json:"members"`
+}
+
+func (m *Members) newest() []member.Member {
+	m.listMu.Lock()
+	defer m.listMu.Unlock()
+	return m.published[len(m.published)-1].members
+}
+
 // MembersControl is the JSON form of the faults of a membership list.
 type MembersControl struct {
 	Control
@@ -177,7 +188,7 @@
 	if c.LagMS != nil {
 		m.SetLag(time.Duration(*c.LagMS) * time.Millisecond)
 	}
-	w.WriteHeader(http.StatusNoContent)
+	answer(w, http.StatusOK, MembersCounts{Members: len(m.newest())})
 }
 
 func findMember(list []member.Member, name string) (int, bool) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -12,9 +12,9 @@
 //
 // # Usage
 //
-//	tables := standin.NewTables()
-//	server := httptest.NewServer(tables)
-//	tables.LoseAnswers(1) // the next write takes effect, its answer is lost
+//	service := standin.NewTables()
+//	server := httptest.NewServer(service)
+//	service.LoseAnswers(1) // the next write takes effect, its answer is lost
 //	client := tables.New(server.URL)
 package standin
 
