--- /dev/null
+++ b/internal/telemetry/catalogue.go
@@ -0,0 +1,99 @@
+package telemetry
+
+import (
+	"log/slog"
+	"slices"
+)
+
+// Events of a process.
+var (
+	ProcessStarted = Event{
+		100, "processStarted", slog.LevelInfo,
+		"The process listens and takes part. It is ready once /readyz says so.",
+	}
+	ProcessStopped = Event{
+		101, "processStopped", slog.LevelInfo,
+		"The process has ended. The attribute error is set when work in progress was cut off at the end of the stop timeout.",
+	}
+	ListenerFailed = Event{
+		102, "listenerFailed", slog.LevelError,
+		"A listener broke and the process ends. Look for an address in use or for exhausted file descriptors.",
+	}
+	SpansNotSent = Event{
+		103, "spansNotSent", slog.LevelWarn,
+		"Spans held back at the end of the process were not exported. Requests are not affected.",
+	}
+)
+
+// Events of the configuration.
+var (
+	ConfigurationInForce = Event{
+		200, "configurationInForce", slog.LevelInfo,
+		"The process now follows the revision.",
+	}
+	ConfigurationNotAdopted = Event{
+		201, "configurationNotAdopted", slog.LevelWarn,
+		"A newer revision is known but its sections could not be had or do not parse; the revision before stays in force. The process tries again by itself. Look at the object store if it goes on.",
+	}
+	HeadRowMalformed = Event{
+		202, "headRowMalformed", slog.LevelError,
+		"The row config/head of the table service does not parse. Nothing but the system should write it.",
+	}
+	PeerHeadMalformed = Event{
+		203, "peerHeadMalformed", slog.LevelError,
+		"A peer sent a head that does not parse. Compare the versions of both processes.",
+	}
+	PushFailed = Event{
+		204, "pushFailed", slog.LevelDebug,
+		"A revision could not be handed on to a peer; the comparison with neighbours repairs it.",
+	}
+)
+
+// Events of the membership.
+var (
+	MembershipUnavailable = Event{
+		300, "membershipUnavailable", slog.LevelDebug,
+		"The platform's membership list could not be read; the last one stays in use.",
+	}
+)
+
+// Events of weights and rollouts.
+var (
+	WeightsIncomplete = Event{
+		400, "weightsIncomplete", slog.LevelDebug,
+		"A pass over the wanted chunks ended before all were staged. The agent goes on by itself.",
+	}
+	WeightsInService = Event{
+		401, "weightsInService", slog.LevelInfo,
+		"The engine was read back and serves exactly the ordered weights; the agent admits requests.",
+	}
+	SwitchFailed = Event{
+		402, "switchFailed", slog.LevelError,
+		"The engine did not load what it was ordered to. The endpoint admits nothing until the next order succeeds. Look at the engine's own log.",
+	}
+	RolloutLeaseLost = Event{
+		500, "rolloutLeaseLost", slog.LevelWarn,
+		"Another entry has taken over the rollout of the service. It is harmless unless it happens often.",
+	}
+	OrderNotDelivered = Event{
+		501, "orderNotDelivered", slog.LevelWarn,
+		"An agent did not answer an order. It is given again; look at the instance if it goes on.",
+	}
+	OrderRefused = Event{
+		502, "orderRefused", slog.LevelInfo,
+		"An agent refused an order; the attribute reason says why. It is given again when the agent can take it.",
+	}
+)
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Event {
+	all := []Event{
+		ProcessStarted, ProcessStopped, ListenerFailed, SpansNotSent,
+		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed,
+		MembershipUnavailable,
+		WeightsIncomplete, WeightsInService, SwitchFailed,
+		RolloutLeaseLost, OrderNotDelivered, OrderRefused,
+	}
+	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
+	return all
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,77 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "primrosetally"
+
+// Buckets of durations, in seconds: from a hop on loopback to a long stream.
+var durationBuckets = []float64{
+	0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.37, 0.5, 1, 2, 5, 10, 30, 60, 300,
+}
+
+// Metrics are the metrics of one process. Labels are bounded by the
+// configuration: services, outcomes and sources, never callers' text.
+type Metrics struct {
+	registry *prometheus.Registry
+
+	// Requests counts callers' requests by service and final outcome.
+	Requests *prometheus.CounterVec
+	// RequestSeconds observes the time from a request's arrival to its final
+	// answer, by service.
+	RequestSeconds *prometheus.HistogramVec
+	// Attempts counts the attempts that an entry made, by service and result.
+	Attempts *prometheus.CounterVec
+	// Admissions counts an agent's decisions, by decision.
+	Admissions *prometheus.CounterVec
+	// DroppedParts counts parts of answers that fitted no open attempt.
+	DroppedParts prometheus.Counter
+	// ChunkBytes counts bytes of weights, by source: origin, peers or sent.
+	ChunkBytes *prometheus.CounterVec
+	// CorruptChunks counts chunks that failed verification.
+	CorruptChunks prometheus.Counter
+	// Revision is the configuration revision in force.
+	Revision prometheus.Gauge
+}
+
+func newMetrics() *Metrics {
+	m := &Metrics{
+		registry:       prometheus.NewRegistry(),
+		Requests:       counters("requests_total", "Callers' requests by final outcome.", "service", "outcome"),
+		RequestSeconds: durations("request_seconds", "Time to the final answer.", "service"),
+		Attempts:       counters("attempts_total", "Attempts by result.", "service", "result"),
+		Admissions:     counters("admissions_total", "Decisions on attempts.", "decision"),
+		DroppedParts:   counter("dropped_parts_total", "Parts of answers that fitted no open attempt."),
+		ChunkBytes:     counters("chunk_bytes_total", "Bytes of weights.", "source"),
+		CorruptChunks:  counter("corrupt_chunks_total", "Chunks that failed verification."),
+		Revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "revision", Help: "Configuration revision in force.",
+		}),
+	}
+	m.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.Requests, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
+		m.ChunkBytes, m.CorruptChunks, m.Revision,
+	)
+	return m
+}
+
+// Registry returns the registry, to which a package may add metrics of its own.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func durations(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: durationBuckets,
+	}, labels)
+}
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -69,21 +69,29 @@
 // Do sends the request, which it changes, and returns the response. The error
 // is ErrNotSent or ErrNoAnswer.
 func (c *Client) Do(ctx context.Context, r *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}
+	ctx, connected := Track(ctx)
 	forbidReplay(r)
-	response, err := c.http.Do(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	response, err := c.http.Do(r.WithContext(ctx))
 	if err == nil {
 		return response, nil
 	}
-	if !connected.Load() {
+	if !connected() {
 		return nil, eris.Wrapf(ErrNotSent, "%v", err)
 	}
 	return nil, eris.Wrapf(ErrNoAnswer, "%v", err)
 }
 
+// Track returns a context for one request of any client of net/http, and a
+// function that reports whether the request has had a connection. As long as it
+// reports false the peer has received nothing.
+func Track(ctx context.Context) (context.Context, func() bool) {
+	connected := new(atomic.Bool)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}
+	return httptrace.WithClientTrace(ctx, trace), connected.Load
+}
+
 // forbidReplay sets a body that cannot be rewound.
 func forbidReplay(r *http.Request) {
 	if r.Body == nil {
