Trace, count and number what entries and agents do

Cause: the entry and the agent logged free messages, made no spans and had no metrics.

One request now gives one trace: caller, entry, attempt, agent, endpoint; the context goes on in HTTP and connect headers. Each hop writes its own trace headers, so an entry no longer hands the caller's on to the endpoint.

Ruled out: spans for control traffic; a test checks that traces begin with a request only. A first form of that check compared trace IDs after a reset of the recorders and failed when the agent's span of the request before ended late; the check by roots is as strict and has no such order.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
@@ -24,6 +25,7 @@
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -87,7 +89,9 @@
 
 // Register adds the AgentService handler to mux.
 func (a *Agent) Register(mux *http.ServeMux) {
-	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a})
+	names := map[string]string{nodev1connect.AgentServiceAttemptProcedure: telemetry.SpanAgent}
+	spans := connect.WithInterceptors(a.node.Telemetry().Tracing().NewInterceptor(names))
+	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a}, spans)
 	mux.Handle(path, service)
 }
 
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,6 +12,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/serving"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -70,8 +72,10 @@
 	}
 	admission, err := a.gate.Admit(pinned)
 	if err != nil {
+		a.node.Telemetry().Metrics().Admissions.WithLabelValues(telemetry.DecisionRefused).Inc()
 		return out.notRun(err.Error(), retryAfter(err), a.report())
 	}
+	a.node.Telemetry().Metrics().Admissions.WithLabelValues(telemetry.DecisionAdmitted).Inc()
 	defer admission.Done()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Msg.GetTimeLeftMs())*time.Millisecond)
 	defer cancel()
@@ -87,7 +91,10 @@
 
 // run sends the request to the endpoint once and streams the answer back.
 func (a *Agent) run(ctx context.Context, out attemptStream, admission *serving.Admission) error {
-	answer, err := a.engine.Do(ctx, engineRequest(out.request))
+	traceHeader := http.Header{}
+	ctx, span := a.node.Telemetry().Tracing().StartClient(ctx, telemetry.SpanEngine, traceHeader)
+	defer span.End()
+	answer, err := a.engine.Do(ctx, engineRequest(out.request, traceHeader))
 	if errors.Is(err, engines.ErrUnavailable) {
 		return out.notRun("endpoint does not accept connections", retryAfterSwitch, a.report())
 	}
@@ -142,11 +149,14 @@
 	return err != nil || state.Incarnation() != before
 }
 
-func engineRequest(r *nodev1.AttemptRequest) engines.Request {
+func engineRequest(r *nodev1.AttemptRequest, traceHeader http.Header) engines.Request {
 	options := []engines.RequestOption{engines.WithBody(r.GetBody())}
 	for _, h := range r.GetHeaders() {
 		options = append(options, engines.WithHeader(h.GetName(), h.GetValue()))
 	}
+	for name := range traceHeader {
+		options = append(options, engines.WithHeader(name, traceHeader.Get(name)))
+	}
 	return engines.NewRequest(r.GetMethod(), r.GetPath(), options...)
 }
 
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -12,6 +12,7 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/model"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 )
 
@@ -122,12 +123,12 @@
 	if err := a.load(ctx, o); err != nil {
 		o.change.Fail()
 		a.setFault(err.Error())
-		log.Error("switch failed", "error", err)
+		telemetry.SwitchFailed.Log(ctx, log, "error", err)
 		return
 	}
 	o.change.Open(o.manifest.ID())
 	a.setFault("")
-	log.Info("weights in service")
+	telemetry.WeightsInService.Log(ctx, log)
 }
 
 // load orders the engine and reads back what it serves.
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/model"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -90,7 +91,7 @@
 func (a *Agent) weightsLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := a.stageWanted(ctx); err != nil {
-			a.node.Logger().Debug("weights not complete", "error", err)
+			telemetry.WeightsIncomplete.Log(ctx, a.node.Logger(), "error", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -187,6 +188,7 @@
 			err = a.engine.PutChunk(ctx, c.Digest(), data)
 		}
 		a.weights.record(c, fromOrigin, err)
+		a.countChunk(c, fromOrigin, err)
 		if err == nil {
 			return
 		}
@@ -197,6 +199,20 @@
 	}
 }
 
+// countChunk adds the outcome of one fetch to the metrics.
+func (a *Agent) countChunk(c model.Chunk, fromOrigin bool, err error) {
+	m := a.node.Telemetry().Metrics()
+	switch {
+	case eris.Is(err, errCorrupt):
+		m.CorruptChunks.Inc()
+	case err != nil:
+	case fromOrigin:
+		m.ChunkBytes.WithLabelValues(telemetry.SourceOrigin).Add(float64(c.Size()))
+	default:
+		m.ChunkBytes.WithLabelValues(telemetry.SourcePeers).Add(float64(c.Size()))
+	}
+}
+
 func (w *weights) record(c model.Chunk, fromOrigin bool, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -336,6 +352,7 @@
 				return err
 			}
 			a.weights.sent(n)
+			a.node.Telemetry().Metrics().ChunkBytes.WithLabelValues(telemetry.SourceSent).Add(float64(n))
 		}
 		if err == io.EOF || err == io.ErrUnexpectedEOF {
 			return nil
--- a/internal/command/caller.go
+++ b/internal/command/caller.go
@@ -11,10 +11,11 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/primrosetally/primrosetally/internal/entry"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 type callFlags struct {
-	address, account, service, method, path, key, body string
+	address, account, service, method, path, key, body, spans string
 }
 
 func callCommand() *command {
@@ -30,11 +31,24 @@
 			sub.String(&f.path, "p", "path", "path of the call")
 			sub.String(&f.key, "k", "key", "idempotency key, <unixMillis>-<random>")
 			sub.String(&f.body, "d", "data", "body; - reads standard input")
+			sub.String(&f.spans, "", "spans", "file to append the span of the call to")
 		},
 		run: f.run,
 	}
 }
 
+// telemetry returns where the span of the call goes.
+func (f *callFlags) telemetry() (*telemetry.Telemetry, error) {
+	if f.spans == "" {
+		return telemetry.New(), nil
+	}
+	tracing, err := telemetry.NewTracing("caller", telemetry.WithFile(f.spans))
+	if err != nil {
+		return nil, err
+	}
+	return telemetry.New(telemetry.WithTracing(tracing)), nil
+}
+
 func (f *callFlags) run(ctx context.Context, e env) int {
 	body := io.Reader(bytes.NewReader([]byte(f.body)))
 	if f.body == "-" {
@@ -48,6 +62,13 @@
 	if f.key != "" {
 		r.Header.Set(entry.HeaderIdempotencyKey, f.key)
 	}
+	shown, err := f.telemetry()
+	if err != nil {
+		return e.fail(statusUsage, err)
+	}
+	defer func() { _ = shown.Shutdown(context.WithoutCancel(ctx)) }()
+	_, span := shown.Tracing().StartClient(ctx, telemetry.SpanCaller, r.Header)
+	defer span.End()
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return e.fail(statusFailed, err)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -78,7 +79,10 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
-	out := &answerWriter{writer: w, requestID: e.nextRequestID()}
+	out := &answerWriter{writer: w, requestID: e.nextRequestID(), outcome: OutcomeUnknown}
+	ctx, span := e.node.Telemetry().Tracing().StartServer(r.Context(), telemetry.SpanEntry, r.Header)
+	defer span.End()
+	defer e.observe(out, time.Now())
 	if e.leaving.Load() {
 		out.notRun(http.StatusServiceUnavailable, "entry is leaving", time.Second)
 		return
@@ -93,6 +97,7 @@
 		out.notRun(http.StatusNotFound, "unknown service", 0)
 		return
 	}
+	out.service = service.Name()
 	if _, ok := s.Config().Account(r.Header.Get(HeaderAccount)); !ok {
 		out.notRun(http.StatusForbidden, "unknown client account", 0)
 		return
@@ -102,7 +107,15 @@
 		out.notRun(http.StatusBadRequest, "request body not read whole", 0)
 		return
 	}
-	e.dispatch(r.Context(), newRequest(out.requestID, service, r, p.ByName("path"), body), out)
+	e.dispatch(ctx, newRequest(out.requestID, service, r, p.ByName("path"), body), out)
+}
+
+// observe records the final answer of a request. The service is empty where the
+// configuration does not name it, so that callers cannot make up label values.
+func (e *Entry) observe(out *answerWriter, arrived time.Time) {
+	m := e.node.Telemetry().Metrics()
+	m.Requests.WithLabelValues(out.service, out.outcome).Inc()
+	m.RequestSeconds.WithLabelValues(out.service).Observe(time.Since(arrived).Seconds())
 }
 
 func (e *Entry) nextRequestID() string {
@@ -125,7 +138,7 @@
 		q.path += "?" + r.URL.RawQuery
 	}
 	for name, values := range r.Header {
-		if name == HeaderAccount || name == "Connection" || name == "Authorization" {
+		if name == HeaderAccount || name == "Connection" || name == "Authorization" || telemetry.IsTraceHeader(name) {
 			continue
 		}
 		for _, v := range values {
@@ -147,6 +160,8 @@
 type answerWriter struct {
 	writer    http.ResponseWriter
 	requestID string
+	service   string
+	outcome   string // unknown until another is final
 	started   bool
 }
 
@@ -165,6 +180,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	a.started = true
+	a.outcome = outcome
 	h := a.writer.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, outcome)
@@ -202,5 +218,6 @@
 }
 
 func (a *answerWriter) finish() {
+	a.outcome = OutcomeAnswered
 	a.writer.Header().Set(HeaderOutcome, OutcomeAnswered)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Bounds of the retries.
@@ -28,6 +29,20 @@
 	resultBroken // the head of the answer was passed on, but not the whole
 )
 
+// String returns the result as metrics and spans name it.
+func (r result) String() string {
+	switch r {
+	case resultAnswered:
+		return OutcomeAnswered
+	case resultNotRun:
+		return OutcomeNotRun
+	case resultUnknown:
+		return OutcomeUnknown
+	default:
+		return "broken"
+	}
+}
+
 // dispatch runs the request on an endpoint and gives the caller one final
 // answer. A non-idempotent request is tried again only after "not run".
 func (e *Entry) dispatch(ctx context.Context, q *request, out *answerWriter) {
@@ -39,7 +54,7 @@
 		if !ok {
 			break
 		}
-		switch e.attempt(ctx, q, target, attempt, out) {
+		switch e.observedAttempt(ctx, q, target, attempt, out) {
 		case resultAnswered:
 			return
 		case resultBroken:
@@ -90,6 +105,18 @@
 	return a, true
 }
 
+// observedAttempt makes one attempt within a span and counts its result.
+func (e *Entry) observedAttempt(ctx context.Context, q *request, p endpoint, number uint32, out *answerWriter) result {
+	ctx, span := e.node.Telemetry().Tracing().Start(ctx, telemetry.SpanAttempt,
+		telemetry.AttributeInstance.String(p.member.Name()),
+		telemetry.AttributeAttempt.Int(int(number)))
+	defer span.End()
+	r := e.attempt(ctx, q, p, number, out)
+	span.SetAttributes(telemetry.AttributeResult.String(r.String()))
+	e.node.Telemetry().Metrics().Attempts.WithLabelValues(q.service.Name(), r.String()).Inc()
+	return r
+}
+
 // attempt sends the request to one agent and passes the answer on.
 func (e *Entry) attempt(ctx context.Context, q *request, p endpoint, number uint32, out *answerWriter) result {
 	message := &nodev1.AttemptRequest{
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
@@ -71,7 +72,7 @@
 // spread puts an accepted configuration in force here and pushes it at once.
 func (e *Entry) spread(ctx context.Context, head snapshot.Head) {
 	if err := e.node.Adopt(ctx, head, nil); err != nil {
-		e.node.Logger().Warn("configuration not adopted", "revision", head.Revision, "error", err)
+		telemetry.ConfigurationNotAdopted.Log(ctx, e.node.Logger(), "revision", head.Revision, "error", err)
 		return
 	}
 	e.node.PushToAll(context.WithoutCancel(ctx))
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -12,6 +12,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/lease"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -65,7 +66,7 @@
 		h.stepped = now
 		stepCtx, cancel := context.WithTimeout(ctx, leaseStep)
 		if err := h.lease.Step(stepCtx); errors.Is(err, lease.ErrLost) {
-			e.node.Logger().Warn("rollout lease lost", "service", s.Name())
+			telemetry.RolloutLeaseLost.Log(ctx, e.node.Logger(), "service", s.Name())
 		}
 		cancel()
 	}
@@ -155,10 +156,10 @@
 	}
 	answer, err := e.node.Pool().Agent(p.member.Address()).Order(ctx, connect.NewRequest(message))
 	if err != nil {
-		e.node.Logger().Warn("order not delivered", "instance", p.member.Name(), "error", err)
+		telemetry.OrderNotDelivered.Log(ctx, e.node.Logger(), "instance", p.member.Name(), "error", err)
 		return
 	}
 	if !answer.Msg.GetAccepted() {
-		e.node.Logger().Info("order refused", "instance", p.member.Name(), "reason", answer.Msg.GetReason())
+		telemetry.OrderRefused.Log(ctx, e.node.Logger(), "instance", p.member.Name(), "reason", answer.Msg.GetReason())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,11 +17,13 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/members"
 	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 	"github.com/primrosetally/primrosetally/internal/transport/objects"
@@ -65,13 +67,14 @@
 
 // Node is the common part of one process. It is safe for concurrent use.
 type Node struct {
-	self     member.Member
-	platform *Platform
-	pool     *nodes.Pool
-	logger   *slog.Logger
-	holder   snapshot.Holder
-	view     atomic.Pointer[[]member.Member]
-	applied  chan struct{}
+	self      member.Member
+	platform  *Platform
+	pool      *nodes.Pool
+	logger    *slog.Logger
+	telemetry *telemetry.Telemetry
+	holder    snapshot.Holder
+	view      atomic.Pointer[[]member.Member]
+	applied   chan struct{}
 }
 
 // Option sets a property of a node.
@@ -82,6 +85,12 @@
 	return func(n *Node) { n.logger = l }
 }
 
+// WithTelemetry sets what the process shows of itself; the default exports no
+// spans.
+func WithTelemetry(t *telemetry.Telemetry) Option {
+	return func(n *Node) { n.telemetry = t }
+}
+
 // WithPool sets the clients of the other processes.
 func WithPool(p *nodes.Pool) Option {
 	return func(n *Node) { n.pool = p }
@@ -98,8 +107,12 @@
 	for _, o := range options {
 		o(n)
 	}
+	if n.telemetry == nil {
+		n.telemetry = telemetry.New()
+	}
 	if n.pool == nil {
-		n.pool = nodes.NewPool()
+		carry := connect.WithInterceptors(n.telemetry.Tracing().NewInterceptor(nil))
+		n.pool = nodes.NewPool(nodes.WithClientOptions(carry))
 	}
 	n.view.Store(&[]member.Member{})
 	return n
@@ -117,6 +130,9 @@
 // Logger returns the logger of the process.
 func (n *Node) Logger() *slog.Logger { return n.logger }
 
+// Telemetry returns what the process shows of itself.
+func (n *Node) Telemetry() *telemetry.Telemetry { return n.telemetry }
+
 // Snapshot returns the configuration in force, or nil before the first.
 func (n *Node) Snapshot() *snapshot.Snapshot { return n.holder.Load() }
 
@@ -172,7 +188,7 @@
 	defer cancel()
 	list, err := n.platform.members.List(ctx)
 	if err != nil {
-		n.logger.Debug("membership list not available", "error", err)
+		telemetry.MembershipUnavailable.Log(ctx, n.logger, "error", err)
 		return
 	}
 	n.view.Store(&list)
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -13,6 +13,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Table and object keys of the configuration.
@@ -38,7 +39,7 @@
 	}
 	var head snapshot.Head
 	if err := json.Unmarshal(row.Value(), &head); err != nil {
-		n.logger.Error("head row does not parse", "error", err)
+		telemetry.HeadRowMalformed.Log(ctx, n.logger, "error", err)
 		return
 	}
 	if head.Revision > n.Revision() {
@@ -62,11 +63,11 @@
 	}
 	head, err := headFromMessage(answer.Msg.GetHead())
 	if err != nil {
-		n.logger.Error("head from peer does not parse", "peer", p.Name(), "error", err)
+		telemetry.PeerHeadMalformed.Log(ctx, n.logger, "peer", p.Name(), "error", err)
 		return
 	}
 	if err := n.Adopt(ctx, head, nil); err != nil {
-		n.logger.Warn("configuration not adopted", "revision", head.Revision, "error", err)
+		telemetry.ConfigurationNotAdopted.Log(ctx, n.logger, "revision", head.Revision, "error", err)
 	}
 }
 
@@ -94,7 +95,8 @@
 		return err
 	}
 	if n.holder.Apply(s) {
-		n.logger.Info("configuration in force", "revision", s.Revision(), "changeId", head.ChangeID)
+		telemetry.ConfigurationInForce.Log(ctx, n.logger, "revision", s.Revision(), "changeId", head.ChangeID)
+		n.telemetry.Metrics().Revision.Set(float64(s.Revision()))
 		n.notifyApplied()
 	}
 	return nil
@@ -124,7 +126,7 @@
 
 func (n *Node) adoptAndPush(ctx context.Context, head snapshot.Head, given map[digest.Digest][]byte) {
 	if err := n.Adopt(ctx, head, given); err != nil {
-		n.logger.Warn("configuration not adopted", "revision", head.Revision, "error", err)
+		telemetry.ConfigurationNotAdopted.Log(ctx, n.logger, "revision", head.Revision, "error", err)
 		return
 	}
 	n.PushToAll(ctx)
@@ -147,7 +149,7 @@
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			if _, err := n.pool.Node(p.Address()).Push(ctx, connect.NewRequest(message)); err != nil {
-				n.logger.Debug("push failed", "peer", p.Name(), "error", err)
+				telemetry.PushFailed.Log(ctx, n.logger, "peer", p.Name(), "error", err)
 			}
 		})
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,7 @@
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/settings"
 	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 )
 
@@ -42,18 +44,20 @@
 
 // Process is one running process of the system.
 type Process struct {
-	self     member.Member
-	logger   *slog.Logger
-	node     *node.Node
-	role     role
-	servers  []*http.Server
-	cancel   context.CancelFunc
-	finished []<-chan struct{}
-	failed   chan error
+	self      member.Member
+	logger    *slog.Logger
+	telemetry *telemetry.Telemetry
+	node      *node.Node
+	role      role
+	servers   []*http.Server
+	cancel    context.CancelFunc
+	finished  []<-chan struct{}
+	failed    chan error
 }
 
 type config struct {
 	logger         *slog.Logger
+	telemetry      *telemetry.Telemetry
 	nodeListener   net.Listener
 	callerListener net.Listener
 	incarnation    uint64
@@ -67,6 +71,12 @@
 	return func(c *config) { c.logger = l }
 }
 
+// WithTelemetry sets what the process shows of itself instead of what its
+// settings ask for.
+func WithTelemetry(t *telemetry.Telemetry) Option {
+	return func(c *config) { c.telemetry = t }
+}
+
 // WithListeners hands over listeners that are already open. The caller listener
 // is nil for agents.
 func WithListeners(nodes, callers net.Listener) Option {
@@ -82,19 +92,20 @@
 	for _, o := range options {
 		o(&c)
 	}
-	if err := c.listen(s); err != nil {
+	if err := c.prepare(s); err != nil {
 		return nil, err
 	}
 	p := &Process{
-		self:   selfOf(s, c.incarnation),
-		logger: c.logger.With("process", s.Name()),
-		failed: make(chan error, 2),
+		self:      selfOf(s, c.incarnation),
+		logger:    c.logger.With("process", s.Name()),
+		telemetry: c.telemetry,
+		failed:    make(chan error, 2),
 	}
-	p.node = node.New(p.self, platformOf(s), node.WithLogger(p.logger))
+	p.node = node.New(p.self, platformOf(s), node.WithLogger(p.logger), node.WithTelemetry(p.telemetry))
 	nodeMux, callerMux := http.NewServeMux(), http.NewServeMux()
 	p.node.Register(nodeMux)
 	p.role = p.newRole(s, nodeMux, callerMux)
-	p.registerHealth(nodeMux)
+	p.telemetry.Register(nodeMux, p.role.Ready)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.finished = append(p.finished, p.node.Start(ctx), p.role.Start(ctx))
@@ -102,10 +113,35 @@
 	if c.callerListener != nil {
 		p.serve(c.callerListener, callerMux)
 	}
-	p.logger.Info("started", "role", p.self.Role(), "address", p.self.Address())
+	telemetry.ProcessStarted.Log(ctx, p.logger, "role", p.self.Role(), "address", p.self.Address())
 	return p, nil
 }
 
+// prepare sets up what may fail before anything is started.
+func (c *config) prepare(s *settings.Settings) error {
+	if c.telemetry == nil {
+		tracing, err := tracingOf(s)
+		if err != nil {
+			return err
+		}
+		c.telemetry = telemetry.New(telemetry.WithTracing(tracing))
+	}
+	return c.listen(s)
+}
+
+func tracingOf(s *settings.Settings) (*telemetry.Tracing, error) {
+	switch s.Trace().Exporter() {
+	case settings.ExporterStdout:
+		return telemetry.NewTracing(s.Name(), telemetry.WithWriter(os.Stdout))
+	case settings.ExporterFile:
+		return telemetry.NewTracing(s.Name(), telemetry.WithFile(s.Trace().File()))
+	case settings.ExporterOTLP:
+		return telemetry.NewTracing(s.Name(), telemetry.WithOTLP(s.Trace().Endpoint()))
+	default:
+		return telemetry.NewTracing(s.Name())
+	}
+}
+
 func (c *config) listen(s *settings.Settings) error {
 	var err error
 	if c.nodeListener == nil {
@@ -151,17 +187,6 @@
 	return e
 }
 
-func (p *Process) registerHealth(mux *http.ServeMux) {
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(http.StatusOK)
-	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.role.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-}
-
 func (p *Process) serve(l net.Listener, mux *http.ServeMux) {
 	server := &http.Server{
 		Handler:           mux,
@@ -172,6 +197,7 @@
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
+			telemetry.ListenerFailed.Log(context.Background(), p.logger, "address", l.Addr(), "error", err)
 			p.failed <- eris.Wrap(err, "serve")
 		}
 	}()
@@ -201,7 +227,10 @@
 		}
 	}
 	p.end()
-	p.logger.Info("stopped", "error", err)
+	if spans := p.telemetry.Shutdown(ctx); spans != nil {
+		telemetry.SpansNotSent.Log(ctx, p.logger, "error", spans)
+	}
+	telemetry.ProcessStopped.Log(ctx, p.logger, "error", err)
 	return err
 }
 
--- a/internal/telemetry/event_test.go
+++ b/internal/telemetry/event_test.go
@@ -75,6 +75,27 @@
 	require.Len(t, names, len(declared))
 }
 
+// Every event of the catalogue is logged somewhere.
+func TestEveryEventIsUsed(t *testing.T) {
+	_, files := sources(t)
+	used := map[string]bool{}
+	for _, file := range files {
+		ast.Inspect(file, func(n ast.Node) bool {
+			f, ok := n.(*ast.SelectorExpr)
+			if !ok || f.Sel.Name != "Log" {
+				return true
+			}
+			if event, ok := f.X.(*ast.SelectorExpr); ok {
+				used[event.Sel.Name] = true
+			}
+			return true
+		})
+	}
+	for _, e := range telemetry.Catalogue() {
+		require.True(t, used[strings.ToUpper(e.Name()[:1])+e.Name()[1:]], "%s is never logged", e.Name())
+	}
+}
+
 // Every log line is an event of the catalogue: no package logs by itself.
 func TestNothingIsLoggedWithoutNumber(t *testing.T) {
 	methods := map[string]bool{}
--- a/internal/telemetry/interceptor.go
+++ b/internal/telemetry/interceptor.go
@@ -10,8 +10,15 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
-// AttributeInstance names the instance that a span's call goes to or runs on.
-const AttributeInstance = attribute.Key("primrosetally.instance")
+// Attributes of spans.
+const (
+	// AttributeInstance names the instance that an attempt goes to.
+	AttributeInstance = attribute.Key("primrosetally.instance")
+	// AttributeAttempt is the number of an attempt, from 1.
+	AttributeAttempt = attribute.Key("primrosetally.attempt")
+	// AttributeResult tells how an attempt ended.
+	AttributeResult = attribute.Key("primrosetally.result")
+)
 
 // Interceptor carries trace context in the headers of connect calls between the
 // system's processes and spans the calls that belong to a trace. Control traffic
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -12,6 +12,19 @@
 	0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.37, 0.5, 1, 2, 5, 10, 30, 60, 300,
 }
 
+// Decisions of an agent on an attempt.
+const (
+	DecisionAdmitted = "admitted"
+	DecisionRefused  = "refused"
+)
+
+// Sources of chunk bytes; SourceSent counts what went out to peers.
+const (
+	SourceOrigin = "origin"
+	SourcePeers  = "peers"
+	SourceSent   = "sent"
+)
+
 // Metrics are the metrics of one process. Labels are bounded by the
 // configuration: services, outcomes and sources, never callers' text.
 type Metrics struct {
@@ -28,7 +41,7 @@
 	Admissions *prometheus.CounterVec
 	// DroppedParts counts parts of answers that fitted no open attempt.
 	DroppedParts prometheus.Counter
-	// ChunkBytes counts bytes of weights, by source: origin, peers or sent.
+	// ChunkBytes counts bytes of weights, by source.
 	ChunkBytes *prometheus.CounterVec
 	// CorruptChunks counts chunks that failed verification.
 	CorruptChunks prometheus.Counter
