--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
@@ -79,7 +80,7 @@
 		return data, ok
 	}
 	if err := e.node.Accepted(head, text); err != nil {
-		e.node.Logger().Error("accepted configuration not spread", "revision", head.Revision, "error", err)
+		telemetry.ConfigurationNotAdopted.Log(context.Background(), e.node.Logger(), "revision", head.Revision, "error", err)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/membership"
@@ -26,6 +27,7 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/members"
 	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 	"github.com/primrosetally/primrosetally/internal/transport/objects"
@@ -71,17 +73,18 @@
 
 // Node is the common part of one process. It is safe for concurrent use.
 type Node struct {
-	self     member.Member
-	platform *Platform
-	pool     *nodes.Pool
-	logger   *slog.Logger
-	tracker  *membership.Tracker
-	spread   *spread.Node
-	holder   snapshot.Holder
-	applied  chan struct{}
-	slots    chan struct{}
-	context  context.Context // of the calls; ends with Start's
-	calls    conc.WaitGroup
+	self      member.Member
+	platform  *Platform
+	pool      *nodes.Pool
+	logger    *slog.Logger
+	telemetry *telemetry.Telemetry
+	tracker   *membership.Tracker
+	spread    *spread.Node
+	holder    snapshot.Holder
+	applied   chan struct{}
+	slots     chan struct{}
+	context   context.Context // of the calls; ends with Start's
+	calls     conc.WaitGroup
 
 	callsMu sync.Mutex // guards stopped, so that no call starts during the last wait
 	stopped bool
@@ -95,6 +98,12 @@
 	return func(n *Node) { n.logger = l }
 }
 
+// WithTelemetry sets what the process shows of itself; the default exports no
+// spans.
+func WithTelemetry(t *telemetry.Telemetry) Option {
+	return func(n *Node) { n.telemetry = t }
+}
+
 // WithPool sets the clients of the other processes.
 func WithPool(p *nodes.Pool) Option {
 	return func(n *Node) { n.pool = p }
@@ -114,8 +123,12 @@
 	for _, o := range options {
 		o(n)
 	}
+	if n.telemetry == nil {
+		n.telemetry = telemetry.New()
+	}
 	if n.pool == nil {
-		n.pool = nodes.NewPool()
+		carry := connect.WithInterceptors(n.telemetry.Tracing().NewInterceptor(nil))
+		n.pool = nodes.NewPool(nodes.WithClientOptions(carry))
 	}
 	n.spread = spread.New(self, n.tracker.View, spread.WithSuspicions(n.tracker.Suspicions))
 	return n
@@ -133,6 +146,9 @@
 // Logger returns the logger of the process.
 func (n *Node) Logger() *slog.Logger { return n.logger }
 
+// Telemetry returns what the process shows of itself.
+func (n *Node) Telemetry() *telemetry.Telemetry { return n.telemetry }
+
 // View returns what is known of the members; it takes no lock.
 func (n *Node) View() *membership.View { return n.tracker.View() }
 
@@ -215,7 +231,7 @@
 	defer cancel()
 	list, err := n.platform.members.List(ctx)
 	if err != nil {
-		n.logger.Debug("membership list not available", "error", err)
+		telemetry.MembershipUnavailable.Log(ctx, n.logger, "error", err)
 		return
 	}
 	n.tracker.ListReceived(list)
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -12,6 +12,7 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Table and object keys of the configuration.
@@ -45,7 +46,7 @@
 		n.apply(a.Applied)
 	}
 	if a.Divergence != nil {
-		n.logger.Error("two configurations at one revision", "peer", a.Divergence.Peer, "revision", a.Divergence.Revision)
+		telemetry.ConfigurationDiverged.Log(n.context, n.logger, "peer", a.Divergence.Peer, "revision", a.Divergence.Revision)
 	}
 	if a.Poll {
 		n.call(n.poll)
@@ -90,13 +91,14 @@
 		return section.Text(), ok
 	})
 	if err != nil {
-		n.logger.Error("accepted configuration does not compile", "revision", s.Head().Revision(), "error", err)
+		telemetry.ConfigurationNotAdopted.Log(n.context, n.logger, "revision", s.Head().Revision(), "error", err)
 		return
 	}
 	if !n.holder.Apply(compiled) {
 		return
 	}
-	n.logger.Info("configuration in force", "revision", compiled.Revision(), "changeId", compiled.Head().ChangeID)
+	telemetry.ConfigurationInForce.Log(n.context, n.logger, "revision", compiled.Revision(), "changeId", compiled.Head().ChangeID)
+	n.telemetry.Metrics().Revision.Set(float64(compiled.Revision()))
 	select {
 	case n.applied <- struct{}{}:
 	default:
@@ -115,6 +117,7 @@
 	}
 	var head snapshot.Head
 	if err := json.Unmarshal(row.Value(), &head); err != nil {
+		telemetry.HeadRowMalformed.Log(ctx, n.logger, "error", err)
 		return spread.Head{}, eris.Wrap(err, "head row")
 	}
 	checked := spreadHead(head)
@@ -129,7 +132,9 @@
 	answer, err := n.pool.Node(p.To.Address()).Push(ctx, connect.NewRequest(message))
 	n.noteAnswer(p.To.Name(), p.To.Incarnation(), err)
 	revision := uint64(0)
-	if err == nil {
+	if err != nil {
+		telemetry.PushFailed.Log(ctx, n.logger, "peer", p.To.Name(), "error", err)
+	} else {
 		revision = answer.Msg.GetRevision()
 	}
 	return n.spread.PushAnswered(time.Now(), p.To.Name(), p.Push.Head.Revision(), revision, err)
@@ -140,11 +145,19 @@
 	n.noteAnswer(c.To.Name(), c.To.Incarnation(), err)
 	var reply spread.CompareReply
 	if err == nil {
-		reply, err = replyFromMessage(answer.Msg)
+		reply, err = n.checkedReply(ctx, c.To.Name(), answer.Msg)
 	}
 	return n.spread.CompareAnswered(time.Now(), c.To, reply, err)
 }
 
+func (n *Node) checkedReply(ctx context.Context, peer string, m *nodev1.CompareResponse) (spread.CompareReply, error) {
+	reply, err := replyFromMessage(m)
+	if err != nil {
+		telemetry.PeerHeadMalformed.Log(ctx, n.logger, "peer", peer, "error", err)
+	}
+	return reply, err
+}
+
 func (n *Node) fetch(ctx context.Context, f spread.Fetch) spread.Actions {
 	sections, err := n.fetchSections(ctx, f)
 	return n.spread.FetchAnswered(time.Now(), f, sections, err)
