--- /dev/null
+++ b/internal/coordination/limits/limits.go
@@ -0,0 +1,324 @@
+// Package limits decides which requests an entry takes, in which order, and how
+// many an agent admits at once.
+//
+// A Gate stands in the entry before each service. It has a number of slots, a
+// bounded queue for each client account, and weighted fairness between the
+// accounts by virtual time: a free slot goes to the account that has had the
+// least slot time for its weight. A request that cannot be reached in time is
+// refused at once and told when to come back, on arrival as well as while it
+// waits; none is held until its deadline.
+//
+// A Concurrency limits what one agent admits, by the gradient of the latency.
+//
+// # Usage
+//
+//	g := limits.NewGate(limits.WithSlots(88), limits.WithAccount("shop-1", limits.NewShare(2)))
+//	ticket := g.Offer(limits.NewRequest("shop-1", deadline))
+//	verdict := <-ticket.Verdict()            // admitted, or refused with RetryAfter
+//	if verdict.Admitted() {
+//		defer g.Release(ticket)
+//	}
+//	g.Reap()                                 // called every few milliseconds
+package limits
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	defaultSlots       = 64
+	defaultQueueLength = 128
+	defaultServiceTime = 100 * time.Millisecond
+	serviceTimeGain    = 0.1 // weight of a new sample in the moving average
+	minRetryAfter      = 50 * time.Millisecond
+	maxRetryAfter      = 30 * time.Second
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonRate     Reason = "account over its requests a second"
+	ReasonQueue    Reason = "account's queue full"
+	ReasonDeadline Reason = "cannot be reached before the deadline"
+	ReasonCanceled Reason = "given up by the caller"
+)
+
+// Gate admits requests to one service at one entry. It is safe for concurrent
+// use.
+type Gate struct {
+	now          func() time.Time
+	queueLength  int
+	defaultShare Share
+
+	mu          sync.Mutex
+	slots       int
+	busy        int
+	virtualTime float64 // seconds of slot time at weight 1
+	serviceTime float64 // seconds, moving average over all accounts
+	accounts    map[string]*account
+	waiting     int
+}
+
+// Option sets an optional property of a Gate.
+type Option func(*Gate)
+
+// WithSlots sets how many requests are in progress at once.
+func WithSlots(n int) Option {
+	return func(g *Gate) { g.slots = n }
+}
+
+// WithQueueLength sets how many requests of one account wait at most.
+func WithQueueLength(n int) Option {
+	return func(g *Gate) { g.queueLength = n }
+}
+
+// WithServiceTime sets the expected time of a request until one was measured.
+func WithServiceTime(d time.Duration) Option {
+	return func(g *Gate) { g.serviceTime = d.Seconds() }
+}
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(g *Gate) { g.now = now }
+}
+
+// WithAccount sets an account's share and limits.
+func WithAccount(name string, s Share) Option {
+	return func(g *Gate) { g.accounts[name] = newAccount(s) }
+}
+
+// WithDefaultShare sets the share of accounts that were not named.
+func WithDefaultShare(s Share) Option {
+	return func(g *Gate) { g.defaultShare = s }
+}
+
+// NewGate returns an idle gate.
+func NewGate(options ...Option) *Gate {
+	g := &Gate{
+		now:          time.Now,
+		queueLength:  defaultQueueLength,
+		defaultShare: NewShare(1),
+		slots:        defaultSlots,
+		serviceTime:  defaultServiceTime.Seconds(),
+		accounts:     map[string]*account{},
+	}
+	for _, o := range options {
+		o(g)
+	}
+	return g
+}
+
+// Offer takes a request in. The ticket's verdict is there at once if the
+// request is admitted or refused on arrival, later if it waits.
+func (g *Gate) Offer(r Request) *Ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	t := &Ticket{request: r, verdict: make(chan Verdict, 1)}
+	t.account = g.account(r.account)
+	if wait := t.account.takeToken(now); wait > 0 {
+		t.refuse(ReasonRate, wait)
+		return t
+	}
+	if len(t.account.queue) >= g.queueLength {
+		t.refuse(ReasonQueue, g.retryAfter(t.account))
+		return t
+	}
+	if g.late(t, len(t.account.queue), now) {
+		t.refuse(ReasonDeadline, g.retryAfter(t.account))
+		return t
+	}
+	t.account.push(t)
+	g.waiting++
+	g.dispatch(now)
+	return t
+}
+
+// Release gives the slot of an admitted ticket back and lets the next request
+// in.
+func (g *Gate) Release(t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != admitted {
+		return
+	}
+	t.state = finished
+	now := g.now()
+	held := now.Sub(t.admittedAt).Seconds()
+	t.account.charge(held - t.charged)
+	t.account.inFlight--
+	g.busy--
+	g.serviceTime += serviceTimeGain * (held - g.serviceTime)
+	g.dispatch(now)
+}
+
+// Cancel takes a waiting ticket out, or releases an admitted one.
+func (g *Gate) Cancel(t *Ticket) {
+	g.mu.Lock()
+	if t.state == queued {
+		t.account.remove(t)
+		g.waiting--
+		t.refuse(ReasonCanceled, minRetryAfter)
+	}
+	g.mu.Unlock()
+	g.Release(t)
+}
+
+// Reap refuses each waiting request that can no longer be reached in time.
+func (g *Gate) Reap() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, a := range g.accounts {
+		g.reapAccount(a, now)
+	}
+}
+
+func (g *Gate) reapAccount(a *account, now time.Time) {
+	kept := a.queue[:0]
+	for _, t := range a.queue {
+		if !g.late(t, len(kept), now) {
+			kept = append(kept, t)
+			continue
+		}
+		g.waiting--
+		t.refuse(ReasonDeadline, g.retryAfter(a))
+	}
+	clear(a.queue[len(kept):])
+	a.queue = kept
+}
+
+// SetSlots changes the number of slots, for instance when endpoints come or go.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots = n
+	g.dispatch(g.now())
+}
+
+// SetAccount changes an account's share and limits. Its queue stays.
+func (g *Gate) SetAccount(name string, s Share) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account(name).setShare(s)
+}
+
+// Waiting returns the number of requests in the queues.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting
+}
+
+// InFlight returns the number of slots in use.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.busy
+}
+
+func (g *Gate) account(name string) *account {
+	a := g.accounts[name]
+	if a == nil {
+		a = newAccount(g.defaultShare)
+		g.accounts[name] = a
+	}
+	return a
+}
+
+// dispatch hands free slots to the accounts that have had the least.
+func (g *Gate) dispatch(now time.Time) {
+	for g.busy < g.slots {
+		a := g.next()
+		if a == nil {
+			return
+		}
+		t := a.pop()
+		g.waiting--
+		if g.tooLate(t, now) {
+			t.refuse(ReasonDeadline, g.retryAfter(a))
+			continue
+		}
+		g.admit(t, now)
+	}
+}
+
+func (g *Gate) admit(t *Ticket, now time.Time) {
+	a := t.account
+	g.virtualTime = max(g.virtualTime, a.virtualTime)
+	t.charged = g.serviceTime
+	a.charge(t.charged)
+	a.inFlight++
+	g.busy++
+	t.admittedAt = now
+	t.state = admitted
+	t.verdict <- Verdict{admitted: true}
+}
+
+// next returns the account whose turn it is. An account that was idle starts at
+// the virtual time of now: it gets no credit for the time it did not use.
+func (g *Gate) next() *account {
+	var best *account
+	for _, a := range g.accounts {
+		if len(a.queue) == 0 || a.full() {
+			continue
+		}
+		if a.inFlight == 0 {
+			a.virtualTime = max(a.virtualTime, g.virtualTime)
+		}
+		if best == nil || a.before(best) {
+			best = a
+		}
+	}
+	return best
+}
+
+// late reports whether a request that has ahead requests of its account before
+// it will not finish by its deadline.
+func (g *Gate) late(t *Ticket, ahead int, now time.Time) bool {
+	wait := 0.0
+	if g.busy >= g.slots || t.account.full() {
+		wait = g.expectedWait(t.account, ahead)
+	}
+	left := t.request.deadline.Sub(now).Seconds()
+	return left < wait+g.serviceTime
+}
+
+// tooLate reports whether a request can no longer finish by its deadline even
+// if it starts now.
+func (g *Gate) tooLate(t *Ticket, now time.Time) bool {
+	return t.request.deadline.Sub(now).Seconds() < g.serviceTime
+}
+
+// expectedWait returns the seconds until the request behind ahead others of its
+// account gets a slot, with the slots shared by weight among the accounts that
+// use the gate now.
+func (g *Gate) expectedWait(a *account, ahead int) float64 {
+	if g.slots <= 0 {
+		return math.Inf(1)
+	}
+	weights := a.share.weight
+	for _, other := range g.accounts {
+		if other != a && (len(other.queue) > 0 || other.inFlight > 0) {
+			weights += other.share.weight
+		}
+	}
+	slots := max(float64(g.slots)*a.share.weight/weights, 1)
+	if a.share.inFlight > 0 {
+		slots = min(slots, float64(a.share.inFlight))
+	}
+	return float64(ahead+1) * g.serviceTime / slots
+}
+
+func (g *Gate) retryAfter(a *account) time.Duration {
+	wait := g.expectedWait(a, len(a.queue))
+	if math.IsInf(wait, 1) {
+		return maxRetryAfter
+	}
+	d := time.Duration(wait * float64(time.Second))
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/coordination/suspects/suspects.go
@@ -0,0 +1,292 @@
+// Package suspects finds the requests that crash endpoints and keeps them away.
+//
+// All requests in flight at an endpoint when it crashes are suspect, and most
+// are innocent. A suspect is tried again only where no other suspect runs, so
+// that the next crash tells them apart, and is cleared when it finishes. A
+// fingerprint that was in flight at two crashes is quarantined: every entry
+// refuses it until the quarantine expires, and it does not expire while the
+// request keeps coming.
+//
+// Entries share what they know in table rows suspect/<fingerprint>. Refresh
+// reads them at an interval; Confirm reads one before a known suspect is
+// dispatched. The view on the path of a request is an immutable map behind an
+// atomic pointer.
+//
+// # Usage
+//
+//	g := suspects.New(get, compareAndSet, list)
+//	switch verdict := g.Check(fp); verdict.Kind() {
+//	case suspects.Quarantined:
+//		refuse(verdict.RetryAfter())
+//	case suspects.Alone:
+//		verdict = g.Confirm(ctx, fp)     // and dispatch where Isolation allows
+//	}
+//	g.Crashed(ctx, suspects.NewCrash("writer-3", 7, servedDigest), inFlight)
+//	g.Finished(ctx, fp, servedDigest)
+//	err := g.Refresh(ctx)
+package suspects
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+)
+
+// ErrConflict is what the table seams return for a row with another version.
+var ErrConflict = eris.New("suspect row has another version")
+
+const (
+	defaultThreshold = 2 // crashes
+	defaultExpiry    = 10 * time.Minute
+	maxCrashes       = 8
+	maxWrites        = 5
+	maxRows          = 4096
+)
+
+// RowPrefix begins the keys of all suspect rows.
+const RowPrefix = "suspect/"
+
+// Get reads one row. An absent row has version 0 and no error.
+type Get func(ctx context.Context, key string) (value []byte, version uint64, err error)
+
+// CompareAndSet writes the row if it has the version.
+type CompareAndSet func(ctx context.Context, key string, version uint64, value []byte) error
+
+// List reads up to limit values of rows whose keys begin with prefix.
+type List func(ctx context.Context, prefix string, limit int) ([][]byte, error)
+
+// FingerprintOf names a request by what may make an endpoint crash.
+func FingerprintOf(service, method, path string, body []byte) digest.Digest {
+	sum := digest.Of(body)
+	return digest.Of([]byte(service + "\x00" + method + "\x00" + path + "\x00" + string(sum[:])))
+}
+
+// Crash names one crash of an endpoint.
+type Crash struct {
+	id     string
+	served string
+}
+
+// NewCrash returns the crash of one start of an endpoint. The digest is the
+// manifest that it served, empty for a plain service.
+func NewCrash(endpoint string, incarnation uint64, served string) Crash {
+	return Crash{id: endpoint + "/" + strconv.FormatUint(incarnation, 10), served: served}
+}
+
+// Kind tells how a request may be dispatched.
+type Kind int
+
+// The verdicts.
+const (
+	Allowed Kind = iota
+	// Alone lets the request run only where no other suspect runs.
+	Alone
+	// Quarantined refuses the request.
+	Quarantined
+)
+
+// Verdict is the decision on one request.
+type Verdict struct {
+	kind       Kind
+	retryAfter time.Duration
+}
+
+// Kind returns the decision.
+func (v Verdict) Kind() Kind { return v.kind }
+
+// RetryAfter returns when a quarantined request may come back.
+func (v Verdict) RetryAfter() time.Duration { return v.retryAfter }
+
+// Registry is what one entry knows of suspects. It is safe for concurrent use.
+type Registry struct {
+	get           Get
+	compareAndSet CompareAndSet
+	list          List
+	announce      func(context.Context, []*Suspect)
+	now           func() time.Time
+	threshold     int
+	expiry        time.Duration
+	proven        proven
+
+	mu      sync.Mutex // serialises writers of view and unsaved
+	unsaved map[digest.Digest][]string
+	view    atomic.Pointer[map[digest.Digest]*Suspect]
+}
+
+// Option sets an optional property of a Registry.
+type Option func(*Registry)
+
+// WithNow sets the clock.
+func WithNow(now func() time.Time) Option {
+	return func(g *Registry) { g.now = now }
+}
+
+// WithThreshold sets the crashes after which a fingerprint is quarantined.
+func WithThreshold(crashes int) Option {
+	return func(g *Registry) { g.threshold = crashes }
+}
+
+// WithExpiry sets for how long a fingerprint that no longer comes is kept.
+func WithExpiry(d time.Duration) Option {
+	return func(g *Registry) { g.expiry = d }
+}
+
+// WithAnnounce sets how other entries are told of suspects before the table
+// brings them round. They take them in with Learn.
+func WithAnnounce(announce func(context.Context, []*Suspect)) Option {
+	return func(g *Registry) { g.announce = announce }
+}
+
+// New returns a registry that knows no suspects.
+func New(get Get, compareAndSet CompareAndSet, list List, options ...Option) *Registry {
+	g := &Registry{
+		get:           get,
+		compareAndSet: compareAndSet,
+		list:          list,
+		announce:      func(context.Context, []*Suspect) {},
+		now:           time.Now,
+		threshold:     defaultThreshold,
+		expiry:        defaultExpiry,
+		unsaved:       map[digest.Digest][]string{},
+	}
+	for _, o := range options {
+		o(g)
+	}
+	g.proven.init(g.now())
+	g.view.Store(&map[digest.Digest]*Suspect{})
+	return g
+}
+
+// Check decides on a request from what the entry knows.
+func (g *Registry) Check(fp digest.Digest) Verdict {
+	s := (*g.view.Load())[fp]
+	if s == nil {
+		return Verdict{}
+	}
+	left := s.expires.Sub(g.now())
+	switch {
+	case left <= 0 || len(s.crashes) == 0:
+		return Verdict{}
+	case len(s.crashes) >= g.threshold:
+		s.asked.Store(true)
+		return Verdict{kind: Quarantined, retryAfter: left}
+	}
+	return Verdict{kind: Alone}
+}
+
+// Confirm decides on a known suspect by the table's row, and by what the entry
+// knows if the row cannot be read.
+func (g *Registry) Confirm(ctx context.Context, fp digest.Digest) Verdict {
+	s, _, err := g.read(ctx, fp)
+	switch {
+	case err != nil || s == nil:
+	case len(s.crashes) == 0:
+		g.forget(fp)
+	default:
+		g.merge([]*Suspect{s})
+	}
+	return g.Check(fp)
+}
+
+// Crashed records the requests that were in flight at a crash, and returns the
+// error of a row that could not be written; Refresh writes it later. Requests
+// that finished a short while ago on the same weights are not recorded.
+func (g *Registry) Crashed(ctx context.Context, crash Crash, inFlight []digest.Digest) error {
+	var suspected []*Suspect
+	for _, fp := range inFlight {
+		if !g.proven.has(fp, crash.served, g.now()) {
+			suspected = append(suspected, g.suspect(fp, crash.id))
+		}
+	}
+	if len(suspected) == 0 {
+		return nil
+	}
+	g.merge(suspected)
+	return g.share(ctx, suspected, crash.id)
+}
+
+// Finished clears a suspect that gave its whole answer.
+func (g *Registry) Finished(ctx context.Context, fp digest.Digest, served string) {
+	g.proven.add(fp, served, g.now())
+	if g.Check(fp).kind != Alone {
+		return
+	}
+	// A row that cannot be written stays until it expires; the request only
+	// goes on being tried apart from other suspects.
+	_, _ = g.Clear(ctx, fp)
+}
+
+// Learn takes in what another entry announced.
+func (g *Registry) Learn(suspects []*Suspect) {
+	g.merge(suspects)
+}
+
+// Suspects returns all that the entry knows, for operators.
+func (g *Registry) Suspects() []*Suspect {
+	all := slices.Collect(maps.Values(*g.view.Load()))
+	slices.SortFunc(all, func(a, b *Suspect) int {
+		return slices.Compare(a.fingerprint[:], b.fingerprint[:])
+	})
+	return all
+}
+
+func (g *Registry) suspect(fp digest.Digest, crashes ...string) *Suspect {
+	return &Suspect{fingerprint: fp, crashes: crashes, expires: g.now().Add(g.expiry)}
+}
+
+// merge adds crashes to the view.
+func (g *Registry) merge(suspects []*Suspect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	view := maps.Clone(*g.view.Load())
+	for _, s := range suspects {
+		view[s.fingerprint] = s.union(view[s.fingerprint], g.now())
+	}
+	g.view.Store(&view)
+}
+
+// forget drops a suspect that another entry cleared, unless a crash of it is not
+// yet in the table.
+func (g *Registry) forget(fp digest.Digest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.unsaved[fp]) > 0 {
+		return
+	}
+	view := maps.Clone(*g.view.Load())
+	delete(view, fp)
+	g.view.Store(&view)
+}
+
+// share writes the crash into the row of each suspect, and announces them.
+func (g *Registry) share(ctx context.Context, suspected []*Suspect, crash string) error {
+	var failed error
+	known := make([]*Suspect, 0, len(suspected))
+	for _, s := range suspected {
+		if err := g.addCrash(ctx, s.fingerprint, crash); err != nil {
+			g.keepUnsaved(s.fingerprint, crash)
+			failed = err
+		}
+		if now := (*g.view.Load())[s.fingerprint]; now != nil {
+			known = append(known, now)
+		}
+	}
+	g.announce(ctx, known)
+	return failed
+}
+
+func (g *Registry) keepUnsaved(fp digest.Digest, crash string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !slices.Contains(g.unsaved[fp], crash) && len(g.unsaved) < maxRows {
+		g.unsaved[fp] = append(g.unsaved[fp], crash)
+	}
+}
