--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -89,7 +89,7 @@
 	maxInline     int
 
 	mu      sync.Mutex
-	backlog map[string]unsettled
+	backlog []unsettled
 	dropped uint64
 }
 
@@ -140,7 +140,6 @@
 		takeoverAge:   defaultTakeoverAge,
 		retryAfter:    defaultRetryAfter,
 		maxInline:     defaultMaxInline,
-		backlog:       map[string]unsettled{},
 	}
 	for _, o := range options {
 		o(c)
--- a/internal/coordination/claims/settle.go
+++ b/internal/coordination/claims/settle.go
@@ -120,16 +120,13 @@
 		c.dropped++
 		return
 	}
-	c.backlog[u.request.id] = u
+	c.backlog = append(c.backlog, u)
 }
 
 func (c *Claims) takeBacklog() []unsettled {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	taken := make([]unsettled, 0, len(c.backlog))
-	for id, u := range c.backlog {
-		taken = append(taken, u)
-		delete(c.backlog, id)
-	}
+	taken := c.backlog
+	c.backlog = nil
 	return taken
 }
