Bound what one crashing request takes down

Cause: a caller that repeats a request that crashes its endpoint comes back by entries that have not heard of the crash yet. Ruled out: rows read at an interval alone.

--- a/internal/coordination/claims/history_test.go
+++ b/internal/coordination/claims/history_test.go
@@ -304,7 +304,7 @@
 				c := w.entries[entry]
 				w.start(entry, func(ctx context.Context, _ *actor) { c.Settle(ctx) })
 			},
-			"arrive": func(t *rapid.T) {
+			"arrive": func(_ *rapid.T) {
 				if len(w.delayed) == 0 {
 					return
 				}
--- a/internal/coordination/suspects/isolation.go
+++ b/internal/coordination/suspects/isolation.go
@@ -39,17 +39,6 @@
 	delete(i.occupied, endpoint)
 }
 
-// Occupied returns the endpoints on which a suspect runs.
-func (i *Isolation) Occupied() []string {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	names := make([]string, 0, len(i.occupied))
-	for name := range i.occupied {
-		names = append(names, name)
-	}
-	return names
-}
-
 const (
 	provenSlots  = 1 << 14
 	provenWindow = time.Minute
--- a/internal/coordination/suspects/suspects.go
+++ b/internal/coordination/suspects/suspects.go
@@ -8,21 +8,24 @@
 // request keeps coming.
 //
 // Entries share what they know in table rows suspect/<fingerprint>. Refresh
-// reads them at an interval; Confirm reads one before a known suspect is
-// dispatched. The view on the path of a request is an immutable map behind an
-// atomic pointer.
+// reads them at an interval; Admit reads one before it lets a known suspect or a
+// request that is not idempotent through. An idempotent request is tried again
+// only after SpreadTime, when the other entries know of it too: whichever entry
+// its caller comes back by, the row is then read. The view on the path of a
+// request is an immutable map behind an atomic pointer.
 //
 // # Usage
 //
 //	g := suspects.New(get, compareAndSet, list)
-//	switch verdict := g.Check(fp); verdict.Kind() {
+//	switch verdict := g.Admit(ctx, fp, idempotent); verdict.Kind() {
 //	case suspects.Quarantined:
 //		refuse(verdict.RetryAfter())
 //	case suspects.Alone:
-//		verdict = g.Confirm(ctx, fp)     // and dispatch where Isolation allows
+//		dispatch where Isolation allows, to the endpoint that ranks first for fp
 //	}
 //	g.Crashed(ctx, suspects.NewCrash("writer-3", 7, servedDigest), inFlight)
 //	g.Finished(ctx, fp, servedDigest)
+//	wait(g.SpreadTime())                 // before the next attempt
 //	err := g.Refresh(ctx)
 package suspects
 
@@ -44,11 +47,12 @@
 var ErrConflict = eris.New("suspect row has another version")
 
 const (
-	defaultThreshold = 2 // crashes
-	defaultExpiry    = 10 * time.Minute
-	maxCrashes       = 8
-	maxWrites        = 5
-	maxRows          = 4096
+	defaultThreshold  = 2 // crashes
+	defaultExpiry     = 10 * time.Minute
+	defaultSpreadTime = 500 * time.Millisecond
+	maxCrashes        = 8
+	maxWrites         = 5
+	maxRows           = 4096
 )
 
 // RowPrefix begins the keys of all suspect rows.
@@ -114,6 +118,7 @@
 	now           func() time.Time
 	threshold     int
 	expiry        time.Duration
+	spreadTime    time.Duration
 	proven        proven
 
 	mu      sync.Mutex // serialises writers of view and unsaved
@@ -139,6 +144,12 @@
 	return func(g *Registry) { g.expiry = d }
 }
 
+// WithSpreadTime sets the time within which the other entries know of a new
+// suspect: the interval of their calls of Refresh, or the delay of announcements.
+func WithSpreadTime(d time.Duration) Option {
+	return func(g *Registry) { g.spreadTime = d }
+}
+
 // WithAnnounce sets how other entries are told of suspects before the table
 // brings them round. They take them in with Learn.
 func WithAnnounce(announce func(context.Context, []*Suspect)) Option {
@@ -155,6 +166,7 @@
 		now:           time.Now,
 		threshold:     defaultThreshold,
 		expiry:        defaultExpiry,
+		spreadTime:    defaultSpreadTime,
 		unsaved:       map[digest.Digest][]string{},
 	}
 	for _, o := range options {
@@ -182,9 +194,24 @@
 	return Verdict{kind: Alone}
 }
 
-// Confirm decides on a known suspect by the table's row, and by what the entry
-// knows if the row cannot be read.
-func (g *Registry) Confirm(ctx context.Context, fp digest.Digest) Verdict {
+// SpreadTime returns how long a suspect waits before it is tried again.
+func (g *Registry) SpreadTime() time.Duration { return g.spreadTime }
+
+// Admit decides on a request before its dispatch. The table's row is read for a
+// known suspect, and for a request that is not idempotent: its caller gets the
+// final answer right after a crash, and may come back by another entry before
+// that one knows.
+func (g *Registry) Admit(ctx context.Context, fp digest.Digest, idempotent bool) Verdict {
+	verdict := g.Check(fp)
+	if verdict.kind == Alone || (verdict.kind == Allowed && !idempotent) {
+		return g.confirm(ctx, fp)
+	}
+	return verdict
+}
+
+// confirm decides by the table's row, and by what the entry knows if the row
+// cannot be read.
+func (g *Registry) confirm(ctx context.Context, fp digest.Digest) Verdict {
 	s, _, err := g.read(ctx, fp)
 	switch {
 	case err != nil || s == nil:
