--- a/internal/coordination/limits/concurrency.go
+++ b/internal/coordination/limits/concurrency.go
@@ -7,24 +7,30 @@
 )
 
 const (
-	defaultFloor   = 2
-	defaultCeiling = 256
+	defaultFloor        = 2
+	defaultCeiling      = 256
+	defaultInitialLimit = 8
 	// latencyTolerance is the factor over the baseline up to which the latency
-	// does not lower the limit.
+	// does not lower the limit. Times probeShare it stays below 1, so that a
+	// baseline that was measured under load cannot hold the limit up.
 	latencyTolerance = 1.5
-	// baselineDrift lets the baseline follow a service that became slower for
-	// good, by this share of the difference a sample.
-	baselineDrift = 0.001
+	probeShare       = 0.5
+	// windowSamples is the length of a window of the baseline.
+	windowSamples = 500
 	recentGain    = 0.1
 	limitGain     = 0.2
 	minGradient   = 0.5
+	// headroom times the square root of the limit is its growth per round.
+	headroom = 0.5
 	// busyShare of the limit has to be in use for it to grow.
 	busyShare = 0.5
 )
 
 // Concurrency is the adaptive limit on the attempts that one agent admits. The
-// limit falls as the recent latency leaves the lowest seen, and grows by its
-// square root while the latency stays near that. It is safe for concurrent use.
+// limit falls as the recent latency leaves the baseline, and grows while the
+// latency stays near that. The baseline is the lowest latency of two windows of
+// samples; each window begins with the limit cut to a share, so that the
+// baseline is measured with less in flight. It is safe for concurrent use.
 type Concurrency struct {
 	floor   float64
 	ceiling float64
@@ -32,8 +38,14 @@
 	mu       sync.Mutex
 	limit    float64
 	inFlight int
-	baseline float64 // seconds
 	recent   float64 // seconds
+	lowest   float64 // seconds, of this window
+	previous float64 // seconds, of the window before
+	samples  int     // of this window
+	// While probeLeft samples are awaited the limit is cut; afterwards it is
+	// restored.
+	probeLeft int
+	restored  float64
 }
 
 // ConcurrencyOption sets an optional property of a Concurrency.
@@ -54,7 +66,8 @@
 
 // NewConcurrency returns a limit with nothing in flight.
 func NewConcurrency(options ...ConcurrencyOption) *Concurrency {
-	c := &Concurrency{floor: defaultFloor, ceiling: defaultCeiling, limit: defaultSlots}
+	c := &Concurrency{floor: defaultFloor, ceiling: defaultCeiling, limit: defaultInitialLimit}
+	c.lowest, c.previous = math.Inf(1), math.Inf(1)
 	for _, o := range options {
 		o(c)
 	}
@@ -108,20 +121,50 @@
 }
 
 func (c *Concurrency) sample(seconds float64, inFlight int) {
-	if c.baseline == 0 {
-		c.baseline = seconds
+	if c.recent == 0 {
 		c.recent = seconds
 	}
-	c.baseline = min(c.baseline+baselineDrift*(seconds-c.baseline), seconds)
 	c.recent += recentGain * (seconds - c.recent)
-	gradient := c.baseline * latencyTolerance / c.recent
+	c.lowest = min(c.lowest, seconds)
+	c.samples++
+	switch {
+	case c.probeLeft > 0:
+		c.probe()
+	case c.samples >= windowSamples:
+		c.startWindow()
+	default:
+		c.follow(float64(inFlight))
+	}
+	c.limit = min(max(c.limit, c.floor), c.ceiling)
+}
+
+// follow moves the limit by one sample. A sample stands for one of the attempts
+// in flight, so that a whole round of them moves the limit by limitGain.
+func (c *Concurrency) follow(inFlight float64) {
+	baseline := min(c.lowest, c.previous)
+	gradient := baseline * latencyTolerance / c.recent
 	gradient = min(max(gradient, minGradient), 1)
-	if gradient == 1 && float64(inFlight) < busyShare*c.limit {
+	if gradient == 1 && inFlight < busyShare*c.limit {
 		return
 	}
-	target := c.limit*gradient + math.Sqrt(c.limit)
-	// A sample stands for one of the attempts in flight, so a whole round of
-	// them moves the limit by limitGain.
-	step := limitGain * (target - c.limit) / max(float64(inFlight), 1)
-	c.limit = min(max(c.limit+step, c.floor), c.ceiling)
+	target := c.limit*gradient + headroom*math.Sqrt(c.limit)
+	c.limit += limitGain * (target - c.limit) / max(inFlight, 1)
+}
+
+// startWindow cuts the limit for as many samples as it takes to drain what is
+// above it and to see the latency below it.
+func (c *Concurrency) startWindow() {
+	c.previous = c.lowest
+	c.lowest = math.Inf(1)
+	c.samples = 0
+	c.restored = c.limit
+	c.probeLeft = int(2 * c.limit)
+	c.limit *= probeShare
+}
+
+func (c *Concurrency) probe() {
+	c.probeLeft--
+	if c.probeLeft == 0 {
+		c.limit = c.restored
+	}
 }
