--- a/internal/coordination/spread/compare.go
+++ b/internal/coordination/spread/compare.go
@@ -31,9 +31,13 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if err != nil {
+		n.silent++
 		return n.compareInstead(now)
 	}
 	n.retries = 0
+	if to.FailureDomain() == n.self.FailureDomain() {
+		n.silent = 0
+	}
 	n.heard(now, to.Name())
 	if r.Revision > 0 {
 		n.peerAnswers++
@@ -117,17 +121,23 @@
 	return &Divergence{Peer: peer, Revision: revision}
 }
 
-// compareDue asks the next neighbour in turn, and a poller the next one of
-// another failure domain as well. A process without a configuration asks all.
+// compareDue asks the next neighbour in turn, and a poller in every other round
+// the next one of another failure domain as well. A process without a
+// configuration asks all.
 func (n *Node) compareDue(now time.Time) Actions {
 	n.retries = 0
 	if n.inForce.Load() == nil {
-		n.nextCompare = now.Add(PollInterval)
-		return n.compareAll(now)
+		n.nextCompare = now.Add(JoinCompareInterval)
+		a := n.compareAll(now)
+		a.add(n.compareElsewhere(now))
+		return a
 	}
 	n.nextCompare = now.Add(CompareInterval)
 	a := n.compareNear(now)
-	a.add(n.compareFar(now))
+	if n.nearTurn%farRounds == 0 {
+		a.add(n.compareFar(now))
+	}
+	a.add(n.compareElsewhere(now))
 	return a
 }
 
@@ -149,13 +159,32 @@
 	return n.compareWith(now, &far[n.farTurn%len(far)])
 }
 
+// compareElsewhere asks a peer of another failure domain if the near neighbours
+// are silent: the list may lag behind the replacement of a whole failure domain.
+func (n *Node) compareElsewhere(now time.Time) Actions {
+	around := n.neighbourhood()
+	if n.silent < silentToAskElsewhere && len(around.near) > 0 {
+		return Actions{}
+	}
+	others := around.elsewhere(n.self)
+	if len(others) == 0 {
+		return Actions{}
+	}
+	n.farTurn++
+	return n.compareWith(now, &others[n.farTurn%len(others)])
+}
+
 // compareInstead makes up for a comparison that got no answer.
 func (n *Node) compareInstead(now time.Time) Actions {
 	if n.retries >= compareRetries {
 		return Actions{}
 	}
 	n.retries++
-	return n.compareNear(now)
+	a := n.compareElsewhere(now)
+	if len(a.Compares) == 0 {
+		a = n.compareNear(now)
+	}
+	return a
 }
 
 // compareAll asks every neighbour at once: after a freeze, while joining, and
--- a/internal/coordination/spread/neighbours.go
+++ b/internal/coordination/spread/neighbours.go
@@ -14,6 +14,9 @@
 	PollersPerDomain = 3
 	// nearNeighbours is the number of neighbours in the own failure domain.
 	nearNeighbours = 3
+	// othersPerDomain is the number of peers in each other failure domain that a
+	// process asks when its near neighbours are silent.
+	othersPerDomain = 2
 	// pollerSeed and ringSeed separate the hashes for the two purposes.
 	pollerSeed = 0x706f6c6c
 	ringSeed   = 0x72696e67
@@ -27,20 +30,24 @@
 	// near are peers in the own failure domain, far are pollers of others.
 	near []member.Member
 	far  []member.Member
+	// others are peers of other failure domains, for when the near ones are silent;
+	// nil until they are needed.
+	others []member.Member
 }
 
 // neighbourhoodOf derives the neighbourhood of self.
 //
 // Neighbours stay the same from one revision to the next, so that together they
 // reach everybody whatever a revision's tree missed. Near neighbours are at fixed
-// distances on a ring by hash. Only pollers have far neighbours: they join the
-// failure domains when the table is down, and the links between regions carry few
-// comparisons.
+// distances on a ring by hash. Only pollers have far neighbours, each those with
+// its own number in the other failure domains: they join the failure domains when
+// the table is down, and the links between regions carry few comparisons.
 func neighbourhoodOf(view *membership.View, self member.Member) *neighbourhood {
 	n := &neighbourhood{view: view}
 	own := domainPeers(view, self)
-	n.near = ringNeighbours(own, self.Name())
-	n.poller = isPoller(own, self.Name())
+	n.near = ringNeighbours(own, self.Name(), nearNeighbours)
+	index := pollerIndex(own, self.Name())
+	n.poller = index < PollersPerDomain
 	if !n.poller {
 		return n
 	}
@@ -48,68 +55,99 @@
 		if d.Region() == self.Region() && d.Name() == self.FailureDomain() {
 			continue
 		}
-		first := topRanked(d.Peers(), pollerSeed, 1)
-		if len(first) > 0 {
-			n.far = append(n.far, first[0].Member())
+		if m := pollerOf(d.Peers(), index); m != nil {
+			n.far = append(n.far, *m)
 		}
 	}
 	return n
 }
 
-// isPoller reports whether self is among the first of its failure domain. A
-// process that the view does not list yet polls when it would rank first.
-func isPoller(own []membership.Peer, self string) bool {
+// pollerIndex returns how many unsuspected peers rank before self. A process that
+// the view does not list yet polls when it would be among the first.
+func pollerIndex(own []membership.Peer, self string) int {
 	rank := membership.RankOf(self, pollerSeed)
 	before := 0
-	for _, p := range topRanked(own, pollerSeed, PollersPerDomain) {
-		if p.Name() != self && p.Rank(pollerSeed) < rank {
+	for i := range own {
+		p := &own[i]
+		if p.Name() != self && p.Reach() == membership.ReachGood && !p.Leaving() && p.Rank(pollerSeed) < rank {
 			before++
 		}
 	}
-	return before < PollersPerDomain
+	return before
 }
 
-// topRanked returns the first peers by rank among those that take new work, or
-// among all when none does.
-func topRanked(peers []membership.Peer, seed uint64, count int) []membership.Peer {
-	candidates := make([]membership.Peer, 0, len(peers))
-	for _, p := range peers {
-		if p.TakesNewWork() {
-			candidates = append(candidates, p)
+// ranked is a peer's place in an order by hash.
+type ranked struct {
+	rank  uint64
+	index int
+}
+
+func compareRanks(a, b ranked) int { return cmp.Compare(a.rank, b.rank) }
+
+// pollerOf returns the peer that polls as number index of its failure domain,
+// counted round when there are fewer. It returns nil when nobody can be reached.
+func pollerOf(peers []membership.Peer, index int) *member.Member {
+	order := make([]ranked, 0, len(peers))
+	for i := range peers {
+		p := &peers[i]
+		if p.Reach() == membership.ReachGood && !p.Leaving() {
+			order = append(order, ranked{rank: p.Rank(pollerSeed), index: i})
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = append(candidates, peers...)
+	if len(order) == 0 {
+		return nil
 	}
-	slices.SortFunc(candidates, func(a, b membership.Peer) int {
-		return cmp.Or(cmp.Compare(a.Reach(), b.Reach()), cmp.Compare(a.Rank(seed), b.Rank(seed)))
-	})
-	return candidates[:min(count, len(candidates))]
+	slices.SortFunc(order, compareRanks)
+	chosen := order[index%min(len(order), PollersPerDomain)].index
+	m := peers[chosen].Member()
+	return &m
 }
 
-// ringNeighbours returns the peers at the distances 1, a third and two thirds of
-// the ring from self, each moved on to the next that others can reach.
-func ringNeighbours(own []membership.Peer, self string) []member.Member {
-	ring := make([]membership.Peer, 0, len(own))
-	for _, p := range own {
-		if p.Name() != self && p.Reach() != membership.ReachNone {
-			ring = append(ring, p)
+// elsewhere returns peers of other failure domains, spread by hash so that a
+// whole failure domain that asks does not ask the same few.
+func (n *neighbourhood) elsewhere(self member.Member) []member.Member {
+	if n.others != nil {
+		return n.others
+	}
+	for _, d := range n.view.Domains() {
+		if d.Region() == self.Region() && d.Name() == self.FailureDomain() {
+			continue
 		}
+		n.others = append(n.others, ringNeighbours(d.Peers(), self.Name(), othersPerDomain)...)
+	}
+	return n.others
+}
+
+// ringNeighbours returns up to count peers at even distances on the ring by hash,
+// beginning with the first after self. Suspected peers are taken only if there
+// are no others.
+func ringNeighbours(peers []membership.Peer, self string, count int) []member.Member {
+	ring := ringOf(peers, self, membership.ReachGood)
+	if len(ring) == 0 {
+		ring = ringOf(peers, self, membership.ReachDoubtful)
 	}
 	if len(ring) == 0 {
 		return nil
 	}
-	slices.SortFunc(ring, func(a, b membership.Peer) int {
-		return cmp.Compare(a.Rank(ringSeed), b.Rank(ringSeed))
-	})
-	rank := membership.RankOf(self, ringSeed)
-	start, _ := slices.BinarySearchFunc(ring, rank, func(p membership.Peer, r uint64) int {
-		return cmp.Compare(p.Rank(ringSeed), r)
-	})
-	var near []member.Member
-	for i := range min(nearNeighbours, len(ring)) {
-		at := (start + i*max(1, len(ring)/nearNeighbours)) % len(ring)
-		near = append(near, ring[at].Member())
+	slices.SortFunc(ring, compareRanks)
+	start, _ := slices.BinarySearchFunc(ring, ranked{rank: membership.RankOf(self, ringSeed)}, compareRanks)
+	step := max(1, len(ring)/count)
+	var chosen []member.Member
+	for i := range min(count, len(ring)) {
+		at := (start + i*step) % len(ring)
+		chosen = append(chosen, peers[ring[at].index].Member())
+	}
+	return chosen
+}
+
+// ringOf returns the peers other than self that are suspected no more than worst.
+func ringOf(peers []membership.Peer, self string, worst membership.Reach) []ranked {
+	ring := make([]ranked, 0, len(peers))
+	for i := range peers {
+		p := &peers[i]
+		if p.Name() != self && p.Reach() <= worst {
+			ring = append(ring, ranked{rank: p.Rank(ringSeed), index: i})
+		}
 	}
-	return near
+	return ring
 }
--- a/internal/coordination/spread/node.go
+++ b/internal/coordination/spread/node.go
@@ -48,9 +48,9 @@
 	// reports an error.
 	CallTimeout = 300 * time.Millisecond
 	// PollInterval is the time between two reads of the head by one poller.
-	PollInterval = 500 * time.Millisecond
+	PollInterval = 2 * time.Second
 	// CompareInterval is the time between two comparisons by one process.
-	CompareInterval = 2 * time.Second
+	CompareInterval = 2500 * time.Millisecond
 	// RootInterval is the shortest time between two revisions that one process
 	// starts down the tree; a burst of changes travels as its last.
 	RootInterval = 250 * time.Millisecond
@@ -63,12 +63,21 @@
 	// JoinPollInterval is the mean time between two polls by a new process that is
 	// no poller and has heard of no configuration.
 	JoinPollInterval = 5 * time.Second
+	// JoinCompareInterval is the time between two rounds of comparisons by a process
+	// that has no configuration.
+	JoinCompareInterval = 500 * time.Millisecond
 	// JoinAnswers is the number of neighbours' answers that make JoinWait needless.
 	JoinAnswers = 2
-	// pushAttempts is the number of pushes to one delegate before the next is tried.
-	pushAttempts = 2
+	// pushesAlone is the number of further pushes to a delegate that did not answer.
+	pushesAlone = 3
 	// compareRetries bounds the comparisons in a row made up for lost ones.
 	compareRetries = 3
+	// farRounds is the number of rounds of comparisons to one in which a poller asks
+	// another failure domain.
+	farRounds = 2
+	// silentToAskElsewhere is the number of comparisons in a row without an answer
+	// after which a process asks other failure domains too.
+	silentToAskElsewhere = 2
 	// turnSpread is the range from which the first turns are drawn.
 	turnSpread = 1 << 16
 )
@@ -98,6 +107,7 @@
 	nearTurn     int
 	farTurn      int
 	retries      int
+	silent       int
 	peerAnswers  int
 	confirmedAt  time.Time
 	otherRegions time.Time
@@ -117,8 +127,9 @@
 type delegation struct {
 	subtree  subtree
 	revision uint64
-	attempts int
 	tried    map[string]bool
+	// alone counts the pushes that were for the peer alone and not for a subtree.
+	alone int
 }
 
 // Option changes a default of New.
--- a/internal/coordination/spread/push.go
+++ b/internal/coordination/spread/push.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -9,8 +10,9 @@
 
 // assembly is a newer revision whose sections are being gathered.
 type assembly struct {
-	head  Head
-	given map[digest.Digest]Section
+	head    Head
+	given   map[digest.Digest]Section
+	missing map[digest.Digest]bool
 	// from is whom the missing sections are asked of; nil stands for the table.
 	from *member.Member
 	// depth is the part of the tree to answer for once the revision is in force.
@@ -41,8 +43,8 @@
 	return n.inForce.Load().revision(), a
 }
 
-// PushAnswered takes the revision in force at the delegate, or the error. After
-// pushAttempts errors the next delegate of the subtree is tried.
+// PushAnswered takes the revision in force at the delegate, or the error, after
+// which the next delegate of the subtree is tried.
 func (n *Node) PushAnswered(now time.Time, to string, pushed, revision uint64, err error) Actions {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -73,7 +75,7 @@
 		n.heard(now, f.From.Name())
 	}
 	w.take(sections)
-	if len(w.missing()) == 0 {
+	if len(w.missing) == 0 {
 		return n.complete(now, w)
 	}
 	return n.fetchAgain(w)
@@ -87,15 +89,14 @@
 	}
 	fresh := n.wanted == nil || n.wanted.head.revision < w.head.revision
 	if fresh {
-		w.given = make(map[digest.Digest]Section, len(w.head.refs))
-		w.takeKnown(n.inForce.Load())
+		w.begin(n.inForce.Load())
 		n.wanted = w
 	} else {
 		n.wanted.depth = min(n.wanted.depth, w.depth)
 		n.wanted.root = n.wanted.root || w.root
 	}
 	n.wanted.take(sections)
-	if len(n.wanted.missing()) == 0 {
+	if len(n.wanted.missing) == 0 {
 		return n.complete(now, n.wanted)
 	}
 	if !fresh {
@@ -107,11 +108,7 @@
 // complete puts a gathered revision in force and answers for its subtree.
 func (n *Node) complete(now time.Time, w *assembly) Actions {
 	n.wanted = nil
-	s, err := NewSnapshot(w.head, w.sections())
-	if err != nil {
-		panic("spread: gathered revision is not whole: " + err.Error())
-	}
-	a, ok := n.apply(s)
+	a, ok := n.apply(&Snapshot{head: w.head, sections: w.given})
 	if !ok {
 		return a
 	}
@@ -190,7 +187,6 @@
 		return Actions{}
 	}
 	d.tried[p.Name()] = true
-	d.attempts = 0
 	n.pushes[p.Name()] = d
 	return n.push(p.Member(), d)
 }
@@ -201,25 +197,32 @@
 	return Actions{Pushes: []PushTo{{To: to, Push: p}}}
 }
 
-// retryPush repeats a push that got no answer. A newer revision has a tree of
-// its own, so the older one is given up.
+// retryPush goes on after a push that got no answer. The rest of the subtree goes
+// to the next delegate at once, since the silent one may be dead; that one is
+// pushed to again for itself alone, since it may be alive. A newer revision has a
+// tree of its own, so an older one is given up.
 func (n *Node) retryPush(to string, d *delegation) Actions {
 	delete(n.pushes, to)
 	if d.revision != n.inForce.Load().revision() {
 		return Actions{}
 	}
-	d.attempts++
-	peer, ok := n.view().Get(to)
-	if !ok || d.attempts >= pushAttempts {
-		return n.pushNext(d)
+	var a Actions
+	if d.alone == 0 {
+		a.add(n.pushNext(d))
+	}
+	p, ok := n.view().Get(to)
+	if !ok || d.alone == pushesAlone {
+		return a
 	}
-	n.pushes[to] = d
-	return n.push(peer.Member(), d)
+	again := &delegation{subtree: subtree{depth: maxDepth}, revision: d.revision, alone: d.alone + 1}
+	n.pushes[to] = again
+	a.add(n.push(p.Member(), again))
+	return a
 }
 
 func (n *Node) fetch(w *assembly) Actions {
 	w.attempts++
-	return Actions{Fetches: []Fetch{{From: w.from, Revision: w.head.revision, Digests: w.missing()}}}
+	return Actions{Fetches: []Fetch{{From: w.from, Revision: w.head.revision, Digests: w.missingInOrder()}}}
 }
 
 // fetchAgain asks the same peer again, then the table. After that the revision is
@@ -246,41 +249,39 @@
 	return &m
 }
 
-func (w *assembly) takeKnown(s *Snapshot) {
-	if s == nil {
-		return
-	}
+// begin takes the sections that the snapshot in force has already.
+func (w *assembly) begin(current *Snapshot) {
+	w.given = make(map[digest.Digest]Section, len(w.head.refs))
+	w.missing = make(map[digest.Digest]bool)
 	for _, r := range w.head.refs {
-		if section, ok := s.sections[r.digest]; ok {
-			w.given[r.digest] = section
+		if current != nil {
+			if section, ok := current.sections[r.digest]; ok {
+				w.given[r.digest] = section
+				continue
+			}
 		}
+		w.missing[r.digest] = true
 	}
 }
 
+// take adds the sections that are missing; others are ignored.
 func (w *assembly) take(sections []Section) {
 	for _, s := range sections {
-		w.given[s.digest] = s
+		if w.missing[s.digest] {
+			w.given[s.digest] = s
+			delete(w.missing, s.digest)
+		}
 	}
 }
 
-// missing returns the digests of the sections that are not gathered yet, each
-// once.
-func (w *assembly) missing() []digest.Digest {
+// missingInOrder returns the digests of the missing sections in the order of the
+// head, each once.
+func (w *assembly) missingInOrder() []digest.Digest {
 	var missing []digest.Digest
-	seen := make(map[digest.Digest]bool)
 	for _, r := range w.head.refs {
-		if _, ok := w.given[r.digest]; !ok && !seen[r.digest] {
-			seen[r.digest] = true
+		if w.missing[r.digest] && !slices.Contains(missing, r.digest) {
 			missing = append(missing, r.digest)
 		}
 	}
 	return missing
 }
-
-func (w *assembly) sections() []Section {
-	sections := make([]Section, 0, len(w.given))
-	for _, s := range w.given {
-		sections = append(sections, s)
-	}
-	return sections
-}
