Let agents report changes at once and rollouts cost nothing between them

Cause: every entry asked every agent for its report four times a second and contended for every rollout lease.

Now an entry watches only the subset that it routes to, by a call that the agent answers when its report changes. An agent that waits for an order announces it to the two entries that rank first for its service; only they contend for the lease, watch the whole service, and give the lease up when nothing waits.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,6 +52,7 @@
 	incarnation atomic.Uint64 // of the engine, 0 before the first probe
 	fault       atomic.Pointer[string]
 	orders      chan order
+	changes     changes
 }
 
 // Option sets a property of an agent.
@@ -81,6 +82,7 @@
 		orders:  make(chan order),
 	}
 	a.weights.staged = make(map[digest.Digest]bool)
+	a.changes.next = make(chan struct{})
 	for _, o := range options {
 		o(a)
 	}
@@ -103,6 +105,8 @@
 	wg.Go(func() { a.probeLoop(ctx) })
 	wg.Go(func() { a.weightsLoop(ctx) })
 	wg.Go(func() { a.orderLoop(ctx) })
+	wg.Go(func() { a.changeLoop(ctx) })
+	wg.Go(func() { a.announceLoop(ctx) })
 	go func() {
 		defer close(done)
 		wg.Wait()
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -14,9 +15,13 @@
 	agent *Agent
 }
 
-// Report returns what the agent knows of its endpoint.
-func (h handler) Report(context.Context, *connect.Request[nodev1.ReportRequest]) (*connect.Response[nodev1.EndpointReport], error) {
-	return connect.NewResponse(h.agent.report()), nil
+// Report returns what the agent knows of its endpoint. It waits for a change if
+// the asker has the last one.
+func (h handler) Report(ctx context.Context, r *connect.Request[nodev1.ReportRequest]) (*connect.Response[nodev1.EndpointReport], error) {
+	a := h.agent
+	wait := min(time.Duration(r.Msg.GetWaitMs())*time.Millisecond, maxReportWait)
+	a.changes.await(ctx, r.Msg.GetKnownChange(), wait)
+	return connect.NewResponse(a.report()), nil
 }
 
 // Leave starts the graceful stop of the endpoint.
@@ -38,6 +43,7 @@
 		Revision:    a.node.Revision(),
 		Fencing:     a.gate.Fencing(),
 		Fault:       a.faultText(),
+		Change:      a.changes.number(),
 	}
 	a.weights.describe(r)
 	return r
--- a/internal/coordination/routing/subset.go
+++ b/internal/coordination/routing/subset.go
@@ -31,6 +31,12 @@
 	return append(chosen, rest[:size-len(chosen)]...)
 }
 
+// Subset returns the endpoints of a service that this entry uses and whose
+// reports it needs.
+func (r *Router) Subset(endpoints []Endpoint) []Endpoint {
+	return r.subset(endpoints)
+}
+
 func (r *Router) rank(endpoints []Endpoint) []Endpoint {
 	own := hashText(r.entry)
 	ranked := slices.Clone(endpoints)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,11 +15,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/routing"
 	"github.com/primrosetally/primrosetally/internal/node"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 )
 
@@ -27,6 +30,8 @@
 type Entry struct {
 	node     *node.Node
 	reports  reports
+	rollouts activeRollouts
+	router   *routing.Router
 	requests atomic.Uint64
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
@@ -37,7 +42,14 @@
 
 // New returns the entry of the process that n is part of.
 func New(n *node.Node, options ...Option) *Entry {
-	e := &Entry{node: n}
+	self := n.Self()
+	e := &Entry{
+		node:     n,
+		rollouts: activeRollouts{services: make(map[string]time.Time)},
+		router:   routing.New(self.Name(), routing.WithPlace(self.Region(), self.FailureDomain())),
+	}
+	e.reports.watches = make(map[string]*watch)
+	n.OnAnnounce(func(r *nodev1.EndpointReport) { e.rollouts.note(r.GetService()) })
 	e.reports.endpoints.Store(&[]endpoint{})
 	for _, o := range options {
 		o(e)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -21,6 +24,9 @@
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
+// maxStatusCalls bounds the calls that one status request has open at a time.
+const maxStatusCalls = 32
+
 // Table keys of accepted changes.
 const (
 	changePrefix   = "config/change/"
@@ -149,19 +155,24 @@
 	}
 }
 
-// Status reports the revision in force and the state of every process.
+// Status asks every process for the revision in force and the state of its
+// endpoint. A process that does not answer is listed as not reachable.
 func (o operators) Status(ctx context.Context, _ *connect.Request[adminv1.StatusRequest]) (*connect.Response[adminv1.StatusResponse], error) {
 	e := o.entry
-	answer := &adminv1.StatusResponse{Revision: e.node.Revision()}
-	for _, p := range *e.reports.endpoints.Load() {
-		answer.Nodes = append(answer.Nodes, endpointStatus(p))
-	}
+	ask := pool.NewWithResults[*adminv1.NodeStatus]().WithMaxGoroutines(maxStatusCalls)
 	for _, m := range e.node.Members() {
-		if m.Role() == member.RoleEntry {
-			answer.Nodes = append(answer.Nodes, e.entryStatus(ctx, m))
-		}
+		ask.Go(func() *adminv1.NodeStatus {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			if m.Role() == member.RoleEntry {
+				return e.entryStatus(ctx, m)
+			}
+			return endpointStatus(endpoint{member: m, report: e.fetchReport(ctx, m.Address(), 0)})
+		})
 	}
-	return connect.NewResponse(answer), nil
+	nodes := ask.Wait()
+	slices.SortFunc(nodes, func(a, b *adminv1.NodeStatus) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return connect.NewResponse(&adminv1.StatusResponse{Revision: e.node.Revision(), Nodes: nodes}), nil
 }
 
 func endpointStatus(p endpoint) *adminv1.NodeStatus {
@@ -203,8 +214,6 @@
 func (e *Entry) entryStatus(ctx context.Context, m member.Member) *adminv1.NodeStatus {
 	s := memberStatus(m)
 	s.State = string(m.State())
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
 	request := &nodev1.CompareRequest{From: &nodev1.Origin{Name: e.node.Self().Name()}}
 	answer, err := e.node.Pool().Node(m.Address()).Compare(ctx, connect.NewRequest(request))
 	if err != nil {
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -4,14 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/agent"
 	"github.com/primrosetally/primrosetally/internal/coordination/lease"
+	"github.com/primrosetally/primrosetally/internal/coordination/rollout"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
@@ -22,55 +26,95 @@
 	rolloutInterval = 250 * time.Millisecond
 	leaseDuration   = 6 * time.Second
 	leaseStep       = leaseDuration / 3
+	leaseTimeout    = time.Second
 	orderTimeout    = 2 * time.Second
 )
 
-// rolloutLoop contends for the rollout lease of each model service and gives
-// orders while it holds one.
+// leader looks after the rollouts of one service on this entry.
+type leader struct {
+	entry   *Entry
+	service string
+	lease   *lease.Lease
+	stepped time.Time
+}
+
+// rolloutLoop keeps a leader for each service of which an endpoint waited for an
+// order here.
 func (e *Entry) rolloutLoop(ctx context.Context) {
-	leases := make(map[string]*heldLease)
+	var leaders conc.WaitGroup
+	defer leaders.Wait()
+	started := make(map[string]bool)
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			release(context.WithoutCancel(ctx), leases)
 			return
 		case <-ticker.C:
 		}
-		s := e.node.Snapshot()
-		if s == nil || e.leaving.Load() {
-			continue
-		}
-		for _, v := range s.Config().Services() {
-			if v.Kind() == configtext.KindModel {
-				e.advance(ctx, leases, v, s.Revision())
+		for _, service := range e.rollouts.names() {
+			if !started[service] {
+				started[service] = true
+				l := &leader{entry: e, service: service, lease: e.newLease(agent.RolloutLease(service))}
+				leaders.Go(func() { l.run(ctx) })
 			}
 		}
 	}
 }
 
-// heldLease is a lease with the time of its last step.
-type heldLease struct {
-	lease   *lease.Lease
-	stepped time.Time
+// run leads the rollouts of the service until ctx ends. Between rollouts it gives
+// the lease up, which costs the table nothing.
+func (l *leader) run(ctx context.Context) {
+	defer l.release(context.WithoutCancel(ctx))
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !l.entry.leads(l.service) {
+			l.release(ctx)
+			continue
+		}
+		l.step(ctx)
+		l.giveOrders(ctx)
+	}
 }
 
-func (e *Entry) advance(ctx context.Context, leases map[string]*heldLease, s configtext.Service, revision uint64) {
-	h, ok := leases[s.Name()]
-	if !ok {
-		h = &heldLease{lease: e.newLease(agent.RolloutLease(s.Name()))}
-		leases[s.Name()] = h
-	}
-	if now := time.Now(); now.Sub(h.stepped) >= leaseStep {
-		h.stepped = now
-		stepCtx, cancel := context.WithTimeout(ctx, leaseStep)
-		if err := h.lease.Step(stepCtx); errors.Is(err, lease.ErrLost) {
-			telemetry.RolloutLeaseLost.Log(ctx, e.node.Logger(), "service", s.Name())
-		}
-		cancel()
+// leads reports whether this entry should contend for the rollout of a service.
+func (e *Entry) leads(service string) bool {
+	if e.leaving.Load() || !e.rollouts.active(service) {
+		return false
+	}
+	isSelf := func(m member.Member) bool { return m.Name() == e.node.Self().Name() }
+	return slices.ContainsFunc(rollout.Leaders(e.node.View(), service), isSelf)
+}
+
+// step renews the lease or contends for it when that is due.
+func (l *leader) step(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(l.stepped) < leaseStep {
+		return
+	}
+	l.stepped = now
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	if err := l.lease.Step(ctx); errors.Is(err, lease.ErrLost) {
+		telemetry.RolloutLeaseLost.Log(ctx, l.entry.node.Logger(), "service", l.service)
+	}
+}
+
+func (l *leader) release(ctx context.Context) {
+	if _, ok := l.lease.Holding(time.Now()); !ok {
+		return
 	}
-	e.giveOrders(ctx, h.lease, s, revision)
+	l.stepped = time.Time{}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	// A lost answer is harmless: the row lapses like that of a dead holder.
+	_ = l.lease.Release(ctx)
 }
 
 func (e *Entry) newLease(name string) *lease.Lease {
@@ -88,42 +132,64 @@
 	})
 }
 
-func release(ctx context.Context, leases map[string]*heldLease) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	for _, h := range leases {
-		_ = h.lease.Release(ctx)
+// giveOrders orders instances whose weights are staged to switch, at most
+// maxUnavailable at a time.
+func (l *leader) giveOrders(ctx context.Context) {
+	s := l.entry.node.Snapshot()
+	if s == nil {
+		return
+	}
+	service, ok := s.Config().Service(l.service)
+	if !ok || service.Kind() != configtext.KindModel {
+		return
+	}
+	ready, unavailable, known := l.entry.waiting(service)
+	if !known {
+		return
+	}
+	for _, p := range ready {
+		if p.admits() {
+			if unavailable >= service.MaxUnavailable() {
+				continue
+			}
+			unavailable++
+		}
+		fencing, ok := l.lease.Holding(time.Now())
+		if !ok {
+			return
+		}
+		l.entry.giveOrder(ctx, p, service.Model().Manifest(), s.Revision(), fencing)
 	}
 }
 
-// giveOrders orders instances whose weights are staged to switch, at most
-// maxUnavailable at a time.
-func (e *Entry) giveOrders(ctx context.Context, l *lease.Lease, s configtext.Service, revision uint64) {
+// waiting returns the endpoints that can switch now and the number of those that
+// admit nothing. It is not known before every endpoint was asked once.
+func (e *Entry) waiting(s configtext.Service) (ready []endpoint, unavailable int, known bool) {
 	wanted := s.Model().Manifest()
-	unavailable := 0
-	var ready []endpoint
 	for _, p := range e.reports.of(s.Name()) {
 		switch {
+		case !p.observed:
+			return nil, 0, false
 		case serves(p, wanted):
+			continue
 		case staged(p, wanted) && idle(p):
 			ready = append(ready, p)
 		case !p.admits():
 			unavailable++
 		}
+		e.rollouts.note(s.Name())
 	}
-	for _, p := range ready {
-		if p.admits() {
-			if unavailable >= s.MaxUnavailable() {
-				continue
-			}
-			unavailable++
-		}
-		fencing, ok := l.Holding(time.Now())
-		if !ok {
-			return
+	return ready, unavailable, len(e.reports.of(s.Name())) >= e.agentsOf(s.Name())
+}
+
+func (e *Entry) agentsOf(service string) int {
+	n := 0
+	for _, m := range e.node.Members() {
+		if m.Role() == member.RoleAgent && m.Service() == service {
+			n++
 		}
-		e.giveOrder(ctx, p, wanted, revision, fencing)
 	}
+	return n
 }
 
 func serves(p endpoint, wanted digest.Digest) bool {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -65,6 +65,13 @@
 	return connect.NewResponse(answer), nil
 }
 
+// Announce takes an agent's word that its endpoint waits for an order.
+func (h handler) Announce(_ context.Context, r *connect.Request[nodev1.AnnounceRequest]) (*connect.Response[nodev1.AnnounceResponse], error) {
+	h.node.Heard(r.Msg.GetFrom())
+	h.node.announced(r.Msg.GetReport())
+	return connect.NewResponse(&nodev1.AnnounceResponse{}), nil
+}
+
 func spreadHead(h snapshot.Head) spread.Head {
 	refs := make([]spread.Ref, len(h.Sections))
 	for i, r := range h.Sections {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,10 +86,16 @@
 	context   context.Context // of the calls; ends with Start's
 	calls     conc.WaitGroup
 
+	announced func(*nodev1.EndpointReport)
+
 	callsMu sync.Mutex // guards stopped, so that no call starts during the last wait
 	stopped bool
 }
 
+// OnAnnounce sets the function that takes the announcements of agents. It is
+// called before Start.
+func (n *Node) OnAnnounce(f func(*nodev1.EndpointReport)) { n.announced = f }
+
 // Option sets a property of a node.
 type Option func(*Node)
 
@@ -112,13 +118,14 @@
 // New returns the node of the process self.
 func New(self member.Member, platform *Platform, options ...Option) *Node {
 	n := &Node{
-		self:     self,
-		platform: platform,
-		logger:   slog.Default(),
-		tracker:  membership.New(self),
-		applied:  make(chan struct{}, 1),
-		slots:    make(chan struct{}, maxCalls),
-		context:  context.Background(),
+		self:      self,
+		platform:  platform,
+		logger:    slog.Default(),
+		tracker:   membership.New(self),
+		applied:   make(chan struct{}, 1),
+		slots:     make(chan struct{}, maxCalls),
+		context:   context.Background(),
+		announced: func(*nodev1.EndpointReport) {},
 	}
 	for _, o := range options {
 		o(n)
--- a/internal/protocol/nodev1/nodev1connect/node.connect.go
+++ b/internal/protocol/nodev1/nodev1connect/node.connect.go
@@ -43,6 +43,8 @@
 	// NodeServiceFetchSectionsProcedure is the fully-qualified name of the NodeService's FetchSections
 	// RPC.
 	NodeServiceFetchSectionsProcedure = "/primrosetally.node.v1.NodeService/FetchSections"
+	// NodeServiceAnnounceProcedure is the fully-qualified name of the NodeService's Announce RPC.
+	NodeServiceAnnounceProcedure = "/primrosetally.node.v1.NodeService/Announce"
 	// AgentServiceAttemptProcedure is the fully-qualified name of the AgentService's Attempt RPC.
 	AgentServiceAttemptProcedure = "/primrosetally.node.v1.AgentService/Attempt"
 	// AgentServiceReportProcedure is the fully-qualified name of the AgentService's Report RPC.
@@ -65,6 +67,9 @@
 	Push(context.Context, *connect.Request[nodev1.PushRequest]) (*connect.Response[nodev1.PushResponse], error)
 	// FetchSections returns sections by digest; unknown ones are left out.
 	FetchSections(context.Context, *connect.Request[nodev1.FetchSectionsRequest]) (*connect.Response[nodev1.FetchSectionsResponse], error)
+	// Announce tells the entries that may lead a rollout that an endpoint's
+	// weights are staged and not in service. Other processes ignore it.
+	Announce(context.Context, *connect.Request[nodev1.AnnounceRequest]) (*connect.Response[nodev1.AnnounceResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the primrosetally.node.v1.NodeService service. By
@@ -96,6 +101,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("FetchSections")),
 			connect.WithClientOptions(opts...),
 		),
+		announce: connect.NewClient[nodev1.AnnounceRequest, nodev1.AnnounceResponse](
+			httpClient,
+			baseURL+NodeServiceAnnounceProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -104,6 +115,7 @@
 	compare       *connect.Client[nodev1.CompareRequest, nodev1.CompareResponse]
 	push          *connect.Client[nodev1.PushRequest, nodev1.PushResponse]
 	fetchSections *connect.Client[nodev1.FetchSectionsRequest, nodev1.FetchSectionsResponse]
+	announce      *connect.Client[nodev1.AnnounceRequest, nodev1.AnnounceResponse]
 }
 
 // Compare calls primrosetally.node.v1.NodeService.Compare.
@@ -121,6 +133,11 @@
 	return c.fetchSections.CallUnary(ctx, req)
 }
 
+// Announce calls primrosetally.node.v1.NodeService.Announce.
+func (c *nodeServiceClient) Announce(ctx context.Context, req *connect.Request[nodev1.AnnounceRequest]) (*connect.Response[nodev1.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the primrosetally.node.v1.NodeService service.
 type NodeServiceHandler interface {
 	// Compare exchanges the revisions in force; repairs what pushes missed.
@@ -129,6 +146,9 @@
 	Push(context.Context, *connect.Request[nodev1.PushRequest]) (*connect.Response[nodev1.PushResponse], error)
 	// FetchSections returns sections by digest; unknown ones are left out.
 	FetchSections(context.Context, *connect.Request[nodev1.FetchSectionsRequest]) (*connect.Response[nodev1.FetchSectionsResponse], error)
+	// Announce tells the entries that may lead a rollout that an endpoint's
+	// weights are staged and not in service. Other processes ignore it.
+	Announce(context.Context, *connect.Request[nodev1.AnnounceRequest]) (*connect.Response[nodev1.AnnounceResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -156,6 +176,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("FetchSections")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceAnnounceHandler := connect.NewUnaryHandler(
+		NodeServiceAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(nodeServiceMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/primrosetally.node.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceCompareProcedure:
@@ -164,6 +190,8 @@
 			nodeServicePushHandler.ServeHTTP(w, r)
 		case NodeServiceFetchSectionsProcedure:
 			nodeServiceFetchSectionsHandler.ServeHTTP(w, r)
+		case NodeServiceAnnounceProcedure:
+			nodeServiceAnnounceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -185,6 +213,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosetally.node.v1.NodeService.FetchSections is not implemented"))
 }
 
+func (UnimplementedNodeServiceHandler) Announce(context.Context, *connect.Request[nodev1.AnnounceRequest]) (*connect.Response[nodev1.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosetally.node.v1.NodeService.Announce is not implemented"))
+}
+
 // AgentServiceClient is a client for the primrosetally.node.v1.AgentService service.
 type AgentServiceClient interface {
 	Attempt(context.Context, *connect.Request[nodev1.AttemptRequest]) (*connect.ServerStreamForClient[nodev1.AttemptPart], error)
