--- /dev/null
+++ b/internal/coordination/swarm/members.go
@@ -0,0 +1,226 @@
+package swarm
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/primrosetally/primrosetally/internal/state/member"
+)
+
+// SetMembers replaces the members that want or hold the manifest, all regions
+// included. The own member may be among them and does not count as a peer.
+// Members that leave are not asked for chunks any more.
+func (p *Picker) SetMembers(now time.Time, members []member.Member) {
+	p.listed = p.listed || members != nil
+	live := make(map[string]bool)
+	for _, m := range members {
+		if m.Name() == p.self.Name() || m.State() != member.StateLive {
+			continue
+		}
+		live[m.Name()] = true
+		q := p.peers[m.Name()]
+		if q == nil || q.member.Incarnation() != m.Incarnation() {
+			p.remove(q)
+			p.add(now, m)
+		}
+	}
+	for name, q := range p.peers {
+		if !live[name] {
+			p.remove(q)
+		}
+	}
+	p.arrange()
+}
+
+func (p *Picker) add(now time.Time, m member.Member) {
+	p.peers[m.Name()] = &peer{
+		member: m,
+		local:  m.Region() == p.self.Region(),
+		held:   NewBitmap(len(p.chunks)),
+		gained: now,
+	}
+}
+
+// remove forgets a peer. A member that comes back with a new incarnation has
+// kept nothing.
+func (p *Picker) remove(q *peer) {
+	if q == nil {
+		return
+	}
+	p.replaceHeld(q, NewBitmap(len(p.chunks)))
+	delete(p.peers, q.member.Name())
+	delete(p.neighbour, q.member.Name())
+}
+
+// arrange derives the orders that decisions use from the set of peers.
+func (p *Picker) arrange() {
+	p.local = nil
+	p.foreign = nil
+	byRegion := map[string][]string{p.self.Region(): {p.self.Name()}}
+	for _, q := range p.peers {
+		region := q.member.Region()
+		byRegion[region] = append(byRegion[region], q.member.Name())
+		if q.local {
+			p.local = append(p.local, q)
+		} else {
+			p.foreign = append(p.foreign, q)
+		}
+	}
+	byName := func(a, b *peer) int { return cmp.Compare(a.member.Name(), b.member.Name()) }
+	slices.SortFunc(p.local, byName)
+	slices.SortFunc(p.foreign, byName)
+	p.regions = nil
+	p.ranked = make(map[string][]string)
+	for region, names := range byRegion {
+		p.regions = append(p.regions, region)
+		p.ranked[region] = rank(p.manifest.ID().String()+"/"+region, names)
+	}
+	slices.Sort(p.regions)
+	p.arrangeOrigin()
+	p.fillNeighbours()
+}
+
+// arrangeOrigin decides which regions draw from the origin by plan and which
+// region each chunk enters first.
+func (p *Picker) arrangeOrigin() {
+	order := rank(p.manifest.ID().String()+"/origin", p.regions)
+	if i := slices.Index(order, p.set.originRegion); i > 0 {
+		order = slices.Insert(slices.Delete(order, i, i+1), 0, p.set.originRegion)
+	}
+	copies := p.set.originCopies
+	if copies == 0 || copies > len(order) {
+		copies = len(order)
+	}
+	p.direct = slices.Contains(order[:copies], p.self.Region())
+	remote := order
+	if len(remote) > 1 && remote[0] == p.set.originRegion {
+		remote = remote[1:]
+	}
+	hashes := make([]uint64, len(remote))
+	for i, region := range remote {
+		hashes[i] = rendezvous("region", region)
+	}
+	for i := range p.chunks {
+		p.chunks[i].entry = remote[owner(p.chunks[i].hash, hashes)]
+	}
+}
+
+// fillNeighbours draws members of the region to poll: half of them from the own
+// failure domain, as far as there are any.
+func (p *Picker) fillNeighbours() {
+	near, far := p.candidates()
+	half := p.set.neighbours / 2
+	p.drawNeighbours(near, half)
+	p.drawNeighbours(far, p.set.neighbours)
+	near, _ = p.candidates()
+	p.drawNeighbours(near, p.set.neighbours)
+}
+
+func (p *Picker) candidates() (near, far []string) {
+	for _, q := range p.local {
+		name := q.member.Name()
+		switch {
+		case p.neighbour[name]:
+		case q.member.FailureDomain() == p.self.FailureDomain():
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	return near, far
+}
+
+func (p *Picker) drawNeighbours(names []string, limit int) {
+	for len(names) > 0 && len(p.neighbour) < limit {
+		k := p.set.rand(len(names))
+		p.neighbour[names[k]] = true
+		names = slices.Delete(names, k, k+1)
+	}
+}
+
+// Targets returns the peers whose chunk maps to ask for now. They count as
+// asked; Observe or ObserveFailed follows.
+func (p *Picker) Targets(now time.Time) []string {
+	var due []string
+	interval := p.pollInterval()
+	for _, group := range [][]*peer{p.local, p.foreign} {
+		for _, q := range group {
+			resting := now.Sub(q.polled) < interval || q.mark.strikes > 0 && !q.mark.usable(now)
+			if resting || q.held.Full() || !p.watched(q) {
+				continue
+			}
+			q.polled = now
+			due = append(due, q.member.Name())
+		}
+	}
+	return due
+}
+
+// pollInterval follows the mean time of a fetch, between minPollInterval and the
+// interval set: chunk maps older than that are of little use, and newer ones of
+// little news.
+func (p *Picker) pollInterval() time.Duration {
+	if p.meanFetch == 0 {
+		return p.set.pollInterval
+	}
+	return min(max(p.meanFetch, minPollInterval), p.set.pollInterval)
+}
+
+// watched reports whether the chunk map of the peer matters: neighbours to
+// everyone, gateways to gateways and to those next in rank.
+func (p *Picker) watched(q *peer) bool {
+	if q.local && p.neighbour[q.member.Name()] {
+		return true
+	}
+	if !p.standby() {
+		return false
+	}
+	ranked := p.ranked[q.member.Region()]
+	return slices.Contains(ranked[:min(2*p.set.gateways, len(ranked))], q.member.Name())
+}
+
+// standby reports whether the own member is a gateway or next in rank.
+func (p *Picker) standby() bool {
+	ranked := p.ranked[p.self.Region()]
+	return slices.Contains(ranked[:min(2*p.set.gateways, len(ranked))], p.self.Name())
+}
+
+// Observe records the chunk map of a peer and its uploads in progress.
+func (p *Picker) Observe(now time.Time, name string, held Bitmap, uploads int) {
+	q := p.peers[name]
+	if q == nil || held.Size() != len(p.chunks) {
+		return
+	}
+	if held.Count() > q.held.Count() {
+		q.gained = now
+	}
+	q.known = true
+	q.uploads = uploads
+	p.replaceHeld(q, held)
+}
+
+// ObserveFailed records that the peer did not answer a poll.
+func (p *Picker) ObserveFailed(now time.Time, name string) {
+	if q := p.peers[name]; q != nil {
+		q.mark.strike(now)
+		if q.mark.dead() && p.neighbour[name] {
+			delete(p.neighbour, name)
+			p.fillNeighbours()
+		}
+	}
+}
+
+func (p *Picker) replaceHeld(q *peer, held Bitmap) {
+	if q.local {
+		for i := range p.chunks {
+			if q.held.Has(i) {
+				p.chunks[i].holders--
+			}
+			if held.Has(i) {
+				p.chunks[i].holders++
+			}
+		}
+	}
+	q.held = held
+}
--- /dev/null
+++ b/internal/coordination/swarm/uploads.go
@@ -0,0 +1,93 @@
+package swarm
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of the serving side.
+const (
+	// UploadCopies bounds what one instance sends in one rollout, in copies of
+	// the model.
+	UploadCopies = 2
+	// DefaultUploadSlots bounds the uploads in progress to peers of the region.
+	DefaultUploadSlots = 4
+	// crossingSlots are kept for peers of other regions: a link between regions
+	// must not idle because local peers fill all slots.
+	crossingSlots = 2
+	// retryBusy is the hint to a peer that was refused for want of a slot.
+	retryBusy = 300 * time.Millisecond
+	// retrySpent is the hint to a peer that was refused for want of budget.
+	retrySpent = 30 * time.Second
+)
+
+// Admission answers a peer that asks for a chunk.
+type Admission struct {
+	// Admitted tells whether the chunk may be sent; Release must follow.
+	Admitted bool
+	// RetryAfter is when to ask again after a refusal.
+	RetryAfter time.Duration
+}
+
+// Uploads limits what an instance sends to its peers in one rollout. It is safe
+// for concurrent use.
+type Uploads struct {
+	mu       sync.Mutex
+	budget   int64
+	sent     int64
+	local    int
+	crossing int
+	slots    int
+}
+
+// NewUploads returns the limiter for the rollout of a model of size bytes.
+func NewUploads(size int64) *Uploads {
+	return &Uploads{budget: UploadCopies * size, slots: DefaultUploadSlots}
+}
+
+// Admit decides on an upload of size bytes. Crossing tells that the peer stands
+// in another region. The whole size is reserved, also when the peer leaves early.
+func (u *Uploads) Admit(size int64, crossing bool) Admission {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sent+size > u.budget {
+		return Admission{RetryAfter: retrySpent}
+	}
+	if crossing && u.crossing >= crossingSlots || !crossing && u.local >= u.slots {
+		return Admission{RetryAfter: retryBusy}
+	}
+	u.sent += size
+	if crossing {
+		u.crossing++
+	} else {
+		u.local++
+	}
+	return Admission{Admitted: true}
+}
+
+// Release ends an upload that Admit admitted with the same crossing. Unsent
+// bytes, from 0 to the size admitted, go back into the budget.
+func (u *Uploads) Release(unsent int64, crossing bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sent -= unsent
+	if crossing {
+		u.crossing--
+	} else {
+		u.local--
+	}
+}
+
+// Active returns the uploads in progress to peers of the region.
+func (u *Uploads) Active() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.local
+}
+
+// Sent returns the bytes admitted so far.
+func (u *Uploads) Sent() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.sent
+}
