--- a/internal/coordination/swarm/bitmap.go
+++ b/internal/coordination/swarm/bitmap.go
@@ -71,3 +71,10 @@
 		b.bits[i] |= octet
 	}
 }
+
+// intersect keeps the bits that o has too. The count of b is left as it is.
+func (b *Bitmap) intersect(o Bitmap) {
+	for i := range b.bits {
+		b.bits[i] &= o.bits[i]
+	}
+}
--- a/internal/coordination/swarm/crossing.go
+++ b/internal/coordination/swarm/crossing.go
@@ -31,7 +31,7 @@
 	if q.mark.dead() {
 		return true
 	}
-	return !q.held.Full() && now.Sub(q.gained) >= p.set.takeover && p.watched(q)
+	return !q.held.Full() && now.Sub(q.gained) >= p.set.takeover && q.watched
 }
 
 // nextCrossing starts fetches over the links into the region if the own member
@@ -63,8 +63,8 @@
 	if !p.listed {
 		return false
 	}
-	for _, q := range p.local {
-		if !q.known && q.mark.strikes == 0 && p.watched(q) {
+	for _, q := range p.watching {
+		if q.local && !q.known && q.mark.strikes == 0 {
 			return false
 		}
 	}
@@ -128,7 +128,7 @@
 	best := make([]candidate, len(gateways))
 	offer := p.offer(now, l)
 	for i := range p.chunks {
-		if !p.wanted(i) || p.chunks[i].holders > 0 {
+		if !p.open.Has(i) || p.chunks[i].holders > 0 {
 			continue
 		}
 		owned := owner(p.chunks[i].hash, hashes)
--- a/internal/coordination/swarm/members.go
+++ b/internal/coordination/swarm/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -115,6 +116,7 @@
 	p.drawNeighbours(far, p.set.neighbours)
 	near, _ = p.candidates()
 	p.drawNeighbours(near, p.set.neighbours)
+	p.watch()
 }
 
 func (p *Picker) candidates() (near, far []string) {
@@ -144,15 +146,13 @@
 func (p *Picker) Targets(now time.Time) []string {
 	var due []string
 	interval := p.pollInterval()
-	for _, group := range [][]*peer{p.local, p.foreign} {
-		for _, q := range group {
-			resting := now.Sub(q.polled) < interval || q.mark.strikes > 0 && !q.mark.usable(now)
-			if resting || q.held.Full() || !p.watched(q) {
-				continue
-			}
-			q.polled = now
-			due = append(due, q.member.Name())
+	for _, q := range p.watching {
+		resting := now.Sub(q.polled) < interval || q.mark.strikes > 0 && !q.mark.usable(now)
+		if resting || q.held.Full() {
+			continue
 		}
+		q.polled = now
+		due = append(due, q.member.Name())
 	}
 	return due
 }
@@ -167,23 +167,30 @@
 	return min(max(p.meanFetch, minPollInterval), p.set.pollInterval)
 }
 
-// watched reports whether the chunk map of the peer matters: neighbours to
-// everyone, gateways to gateways and to those next in rank.
-func (p *Picker) watched(q *peer) bool {
-	if q.local && p.neighbour[q.member.Name()] {
-		return true
-	}
-	if !p.standby() {
-		return false
+// watch derives whose chunk maps matter: neighbours to everyone, gateways to
+// gateways and to those next in rank.
+func (p *Picker) watch() {
+	p.watching = nil
+	standby := p.gatewayRank(p.self) < standbyFactor*p.set.gateways
+	for _, group := range [][]*peer{p.local, p.foreign} {
+		for _, q := range group {
+			near := q.local && p.neighbour[q.member.Name()]
+			q.watched = near || standby && p.gatewayRank(q.member) < standbyFactor*p.set.gateways
+			if q.watched {
+				p.watching = append(p.watching, q)
+			}
+		}
 	}
-	ranked := p.ranked[q.member.Region()]
-	return slices.Contains(ranked[:min(2*p.set.gateways, len(ranked))], q.member.Name())
 }
 
-// standby reports whether the own member is a gateway or next in rank.
-func (p *Picker) standby() bool {
-	ranked := p.ranked[p.self.Region()]
-	return slices.Contains(ranked[:min(2*p.set.gateways, len(ranked))], p.self.Name())
+// standbyFactor is how many members of a region, in gateways, watch the gateways
+// of all regions so as to draw with them or take over from them.
+const standbyFactor = 2
+
+// gatewayRank returns the position of the member in the order in which the members
+// of its region become gateways.
+func (p *Picker) gatewayRank(m member.Member) int {
+	return slices.Index(p.ranked[m.Region()], m.Name())
 }
 
 // Observe records the chunk map of a peer and its uploads in progress.
@@ -212,13 +219,14 @@
 }
 
 func (p *Picker) replaceHeld(q *peer, held Bitmap) {
-	if q.local {
-		for i := range p.chunks {
-			if q.held.Has(i) {
-				p.chunks[i].holders--
-			}
+	for k, octet := range q.held.bits {
+		changed := octet ^ held.bits[k]
+		for ; q.local && changed != 0; changed &= changed - 1 {
+			i := 8*k + bits.TrailingZeros8(changed)
 			if held.Has(i) {
 				p.chunks[i].holders++
+			} else {
+				p.chunks[i].holders--
 			}
 		}
 	}
--- a/internal/coordination/swarm/options.go
+++ b/internal/coordination/swarm/options.go
@@ -9,6 +9,9 @@
 // from the origin by plan.
 const MaxOriginCopies = 4
 
+// DefaultLinkShare is the share of a link between regions that one rollout fills.
+const DefaultLinkShare = 0.95
+
 // minPollInterval bounds the polls of one peer when chunks take less.
 const minPollInterval = 100 * time.Millisecond
 
@@ -41,7 +44,7 @@
 		neighbours:    12,
 		perPeer:       2,
 		originSlots:   2,
-		linkShare:     0.95,
+		linkShare:     DefaultLinkShare,
 		pollInterval:  time.Second,
 		stallTimeout:  5 * time.Second,
 		takeover:      8 * time.Second,
--- a/internal/coordination/swarm/picker.go
+++ b/internal/coordination/swarm/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -76,6 +77,7 @@
 type peer struct {
 	member  member.Member
 	local   bool
+	watched bool
 	known   bool
 	held    Bitmap
 	uploads int
@@ -97,14 +99,17 @@
 // Picker decides what one instance fetches from where. Its owner calls it from
 // one goroutine.
 type Picker struct {
-	manifest  *model.Manifest
-	self      member.Member
-	set       settings
-	chunks    []chunkState
-	staged    Bitmap
+	manifest *model.Manifest
+	self     member.Member
+	set      settings
+	chunks   []chunkState
+	staged   Bitmap
+	// open are the chunks that are neither staged nor on their way.
+	open      Bitmap
 	peers     map[string]*peer
 	local     []*peer
 	foreign   []*peer
+	watching  []*peer
 	neighbour map[string]bool
 	ranked    map[string][]string
 	regions   []string
@@ -125,6 +130,7 @@
 		set:       newSettings(options),
 		chunks:    make([]chunkState, manifest.Chunks()),
 		staged:    NewBitmap(manifest.Chunks()),
+		open:      NewBitmap(manifest.Chunks()),
 		peers:     make(map[string]*peer),
 		neighbour: make(map[string]bool),
 		idleSince: make(map[string]time.Time),
@@ -138,6 +144,7 @@
 			first[key] = i
 		}
 		p.chunks[i].twin = twin
+		p.refreshOpen(i)
 		p.chunks[i].hash = rendezvous("chunk", key)
 	}
 	p.SetMembers(time.Time{}, nil)
@@ -160,6 +167,7 @@
 			p.chunks[j].partial = 0
 			p.chunks[j].senders = nil
 			p.staged.Set(j)
+			p.refreshOpen(j)
 		}
 	}
 }
@@ -171,6 +179,7 @@
 	c := &p.chunks[f.Chunk]
 	f.Offset = c.partial
 	c.flights++
+	p.refreshOpen(f.Chunk)
 	if q := p.peers[f.Source.Peer]; q != nil {
 		q.flights++
 	}
@@ -217,6 +226,7 @@
 	f := p.flights[i]
 	p.flights = slices.Delete(p.flights, i, i+1)
 	p.chunks[f.Chunk].flights--
+	p.refreshOpen(f.Chunk)
 	if q := p.peers[f.Source.Peer]; q != nil {
 		q.flights--
 	}
@@ -342,10 +352,14 @@
 	return n
 }
 
-// wanted reports whether chunk i is neither staged nor on its way.
-func (p *Picker) wanted(i int) bool {
+// refreshOpen records whether chunk i is neither staged nor on its way.
+func (p *Picker) refreshOpen(i int) {
 	c := &p.chunks[i]
-	return !c.staged && c.flights == 0 && c.twin == i
+	if !c.staged && c.flights == 0 && c.twin == i {
+		p.open.Set(i)
+	} else {
+		p.open.Clear(i)
+	}
 }
 
 // pickLocal picks the rarest chunk that a usable member of the region holds.
@@ -356,12 +370,16 @@
 			available.union(q.held)
 		}
 	}
+	available.intersect(p.open)
 	best, rarest := -1, math.MaxInt
-	offset := p.set.rand(len(p.chunks))
-	for k := range p.chunks {
-		i := (k + offset) % len(p.chunks)
-		if p.chunks[i].holders < rarest && available.Has(i) && p.wanted(i) {
-			best, rarest = i, p.chunks[i].holders
+	offset := p.set.rand(len(available.bits))
+	for k := range available.bits {
+		at := (k + offset) % len(available.bits)
+		for octet := available.bits[at]; octet != 0; octet &= octet - 1 {
+			i := 8*at + bits.TrailingZeros8(octet)
+			if p.chunks[i].holders < rarest {
+				best, rarest = i, p.chunks[i].holders
+			}
 		}
 	}
 	if best < 0 {
@@ -385,7 +403,7 @@
 			oldest = f
 		}
 	}
-	if oldest == nil || duplicates >= 2*p.set.maxDuplicates || !p.allInFlight() {
+	if oldest == nil || duplicates >= 2*p.set.maxDuplicates || p.open.Count() > 0 {
 		return Fetch{}, false
 	}
 	return Fetch{Chunk: oldest.Chunk, Source: p.bestPeer(now, oldest.Chunk, p.local, oldest.Source.Peer)}, true
@@ -393,15 +411,6 @@
 
 func (p *Picker) endgameAge() time.Duration { return 2 * max(p.meanFetch, p.pollInterval()) }
 
-func (p *Picker) allInFlight() bool {
-	for i := range p.chunks {
-		if p.wanted(i) {
-			return false
-		}
-	}
-	return true
-}
-
 // askable reports whether a further fetch may go to the peer.
 func (p *Picker) askable(now time.Time, q *peer) bool {
 	return q.known && q.flights < p.set.perPeer && q.mark.usable(now)
