Keep the section list out of the head row

Cause: the head row held the list of all sections, so every poll of it read about 100 KB at the planned size, where a node may spend 3 KB/s on control. The row now holds the digest; the list is an object of that name, and what is pushed carries it as before.

Ruled out: a list of changed sections only, which a process that missed a revision can't use.

--- a/internal/coordination/accept/accept.go
+++ b/internal/coordination/accept/accept.go
@@ -7,7 +7,9 @@
 // and the revision row together. So of several changes with one base revision
 // at most one is accepted, a change ID is accepted at most once, and the
 // revision only grows. The texts of the sections are in the object store before
-// the transaction names them.
+// the transaction names them. Rows name a revision by its digest only, since
+// the head row is read every second: the list of sections is an object as well,
+// named by that digest.
 //
 // An operator is told "refused" or "conflict" only where the change can't take
 // effect any more, also not through an earlier attempt with the same change ID
@@ -27,13 +29,12 @@
 //	a := accept.New(accept.WithTables(tablesClient), accept.WithObjects(put, get))
 //	r := a.Submit(ctx, accept.Change{ID: "42", Base: 7, Config: cfg, Token: token})
 //	if r.Outcome() == accept.Accepted {
-//		push(r.Head())
+//		push(r.Head(), cfg)
 //	}
 package accept
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -183,7 +184,7 @@
 		return state{}, unknown(err)
 	}
 	if row.version != 0 {
-		return state{}, a.earlier(ctx, c, row)
+		return state{}, earlier(c, row)
 	}
 	switch {
 	case head.Revision < c.Base:
@@ -196,7 +197,7 @@
 }
 
 // earlier returns the result of the accepted change that row records.
-func (a *Acceptor) earlier(ctx context.Context, c Change, row Row) *Result {
+func earlier(c Change, row Row) *Result {
 	r, err := decodeRecord(row.value)
 	if err != nil {
 		return unknown(err)
@@ -209,10 +210,12 @@
 		result := refused(r.Refused)
 		return &result
 	}
-	head, err := a.headOf(ctx, r)
-	if err != nil {
-		// The change is accepted all the same; whoever pushes reads the head.
-		head = snapshot.Head{Revision: r.Revision, Digest: r.Digest, ChangeID: r.ChangeID, AcceptedUnix: r.AcceptedUnix}
+	head := snapshot.Head{
+		Revision:     r.Revision,
+		Digest:       r.Digest,
+		ChangeID:     r.ChangeID,
+		AcceptedUnix: r.AcceptedUnix,
+		Sections:     refsOf(c.Config),
 	}
 	result := Result{outcome: Accepted, head: head, repeated: true}
 	return &result
@@ -258,13 +261,11 @@
 		Digest:       c.Config.HeadDigest(),
 		ChangeID:     c.ID,
 		AcceptedUnix: a.now().Unix(),
+		Sections:     refsOf(c.Config),
 	}
 	if err := a.putSections(ctx, c.Config, base); err != nil {
 		return next{}, unknown(err)
 	}
-	for _, section := range c.Config.Sections() {
-		head.Sections = append(head.Sections, snapshot.SectionRef{Name: section.Name(), Digest: section.Digest()})
-	}
 	return next{head: head, transaction: newTransaction(s, head, team, changedNames(base, c.Config))}, nil
 }
 
@@ -368,21 +369,22 @@
 	if cfg := a.inForce(); cfg != nil && cfg.HeadDigest() == head.Digest {
 		return cfg, nil
 	}
-	return a.load(ctx, head.Sections)
+	refs, err := a.sectionsOf(ctx, head.Digest)
+	if err != nil {
+		return nil, err
+	}
+	return a.load(ctx, refs)
 }
 
-// readHead returns the head and the version of its row. Before the first
-// revision both are zero.
+// readHead returns the head without its sections and the version of its row.
+// Before the first revision both are zero.
 func (a *Acceptor) readHead(ctx context.Context) (snapshot.Head, uint64, error) {
-	var head snapshot.Head
 	row, err := a.get(ctx, HeadKey)
 	if err != nil || row.version == 0 {
-		return head, 0, err
-	}
-	if err := json.Unmarshal(row.value, &head); err != nil {
-		return head, 0, eris.Wrapf(ErrMalformed, "%s: %v", HeadKey, err)
+		return snapshot.Head{}, 0, err
 	}
-	return head, row.version, nil
+	r, err := decodeRecord(row.value)
+	return r.head(), row.version, err
 }
 
 func waitFor(ctx context.Context, d time.Duration) error {
--- /dev/null
+++ b/internal/coordination/accept/bench_test.go
@@ -0,0 +1,77 @@
+package accept_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/accept"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/pkg/configtext"
+)
+
+// plannedText is a text of the size that is planned for: 60 services of 10
+// servers each and 1,000 client accounts, of which one has the given weight.
+func plannedText(weight int) []byte {
+	var text strings.Builder
+	fmt.Fprintf(&text, textForm, digest.Of([]byte("admin")), digest.Of([]byte("shops")), weight)
+	for i := range 60 {
+		fmt.Fprintf(&text, "[service.n%d]\nteam = \"shops\"\nkind = \"model\"\nservers = 10\n", i)
+		fmt.Fprintf(&text, "[[service.n%d.models]]\nname = \"m\"\nversion = \"1\"\nmanifest = \"%s\"\n", i, digest.Of([]byte("m")))
+	}
+	for i := range 1000 {
+		fmt.Fprintf(&text, "[account.n%d]\nteam = \"shops\"\nweight = 2\nmaxInFlight = 50\n", i)
+	}
+	return []byte(text.String())
+}
+
+// BenchmarkSubmit accepts changes of one section in a text of the planned size,
+// from the bytes of the text to the answer, over a table in memory. It reports
+// what is written and read for each change.
+func BenchmarkSubmit(b *testing.B) {
+	f := newFakeTable()
+	var current *configtext.Config
+	reads, tableBytes, objectBytes := 0, 0, 0
+	f.beforeGet = func() { reads++ }
+	commit := func(ctx context.Context, t accept.Transaction) error {
+		for _, w := range t.Writes() {
+			tableBytes += len(w.Value())
+		}
+		return f.commit(ctx, t)
+	}
+	put := func(ctx context.Context, key string, data []byte) error {
+		objectBytes += len(data)
+		return f.putObject(ctx, key, data)
+	}
+	a := accept.New(
+		accept.WithTableFuncs(f.get, f.list, commit),
+		accept.WithObjects(put, f.getObject),
+		accept.WithInForce(func() *configtext.Config { return current }),
+	)
+	submit := func(n int) {
+		cfg, err := configtext.Parse("bench.toml", plannedText(1+n%2))
+		if err != nil {
+			b.Fatal(err)
+		}
+		c := accept.Change{ID: fmt.Sprintf("c%d", n), Base: uint64(n), Config: cfg, Token: "shops"}
+		if n == 0 {
+			c.Token = "admin"
+		}
+		if r := a.Submit(b.Context(), c); r.Outcome() != accept.Accepted {
+			b.Fatal(r.Reason())
+		}
+		current = cfg
+	}
+	submit(0)
+	reads, tableBytes, objectBytes = 0, 0, 0
+	n := 0
+	for b.Loop() {
+		n++
+		submit(n)
+	}
+	b.ReportMetric(float64(reads)/float64(n), "tableReads/op")
+	b.ReportMetric(float64(tableBytes)/float64(n), "tableBytes/op")
+	b.ReportMetric(float64(objectBytes)/float64(n), "objectBytes/op")
+	b.ReportMetric(float64(len(current.Text())), "textBytes")
+}
--- a/internal/coordination/accept/history.go
+++ b/internal/coordination/accept/history.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -78,7 +77,8 @@
 	return entries, nil
 }
 
-// Show returns an accepted revision and its head; 0 stands for the latest.
+// Show returns an accepted revision and its head, which has no sections; 0
+// stands for the latest revision.
 func (a *Acceptor) Show(ctx context.Context, revision uint64) (snapshot.Head, *configtext.Config, error) {
 	head, _, err := a.readHead(ctx)
 	if err != nil {
@@ -105,68 +105,30 @@
 	if row.version == 0 {
 		return snapshot.Head{}, eris.Wrapf(ErrNoRevision, "revision %d", revision)
 	}
-	r, err := decodeRecord(row.value)
-	if err != nil {
-		return snapshot.Head{}, err
-	}
-	return a.headOf(ctx, r)
+	return ParseHead(row.value)
 }
 
-// headOf returns the head that r records, with the section list from the object
-// store.
-func (a *Acceptor) headOf(ctx context.Context, r record) (snapshot.Head, error) {
-	head := snapshot.Head{
-		Revision:     r.Revision,
-		Digest:       r.Digest,
-		ChangeID:     r.ChangeID,
-		AcceptedUnix: r.AcceptedUnix,
-	}
-	list, err := a.object(ctx, r.Digest)
+// sectionsOf reads the section list of a revision from the object store.
+func (a *Acceptor) sectionsOf(ctx context.Context, d digest.Digest) ([]snapshot.SectionRef, error) {
+	list, err := a.getObject(ctx, SectionPrefix+d.String())
 	if err != nil {
-		return head, err
+		return nil, eris.Wrap(err, "section list")
 	}
-	head.Sections, err = parseSectionList(string(list))
-	return head, err
-}
-
-// parseSectionList reads a list of names and digests, each on a line.
-func parseSectionList(list string) ([]snapshot.SectionRef, error) {
-	lines := strings.Split(strings.TrimSuffix(list, "\n"), "\n")
-	if len(lines)%2 != 0 {
-		return nil, eris.Wrapf(ErrMalformed, "section list of %d lines", len(lines))
-	}
-	var refs []snapshot.SectionRef
-	for pair := range slices.Chunk(lines, 2) {
-		d, err := digest.Parse(pair[1])
-		if err != nil {
-			return nil, eris.Wrapf(ErrMalformed, "section %.80q: %v", pair[0], err)
-		}
-		refs = append(refs, snapshot.SectionRef{Name: pair[0], Digest: d})
-	}
-	return refs, nil
+	return ParseSectionList(list, d)
 }
 
 // load reads the sections from the object store and rebuilds the Config.
 func (a *Acceptor) load(ctx context.Context, refs []snapshot.SectionRef) (*configtext.Config, error) {
 	sections := make([]configtext.Section, len(refs))
 	for i, r := range refs {
-		text, err := a.object(ctx, r.Digest)
+		text, err := a.getObject(ctx, SectionPrefix+r.Digest.String())
 		if err != nil {
 			return nil, eris.Wrapf(err, "section %s", r.Name)
 		}
+		if digest.Of(text) != r.Digest {
+			return nil, eris.Wrapf(ErrMalformed, "section %s has another digest", r.Name)
+		}
 		sections[i] = configtext.NewSection(r.Name, text)
 	}
 	return configtext.FromSections(sections)
 }
-
-// object reads and verifies one object.
-func (a *Acceptor) object(ctx context.Context, d digest.Digest) ([]byte, error) {
-	data, err := a.getObject(ctx, SectionPrefix+d.String())
-	if err != nil {
-		return nil, err
-	}
-	if digest.Of(data) != d {
-		return nil, eris.Wrapf(ErrMalformed, "object %s has another digest", d.Short())
-	}
-	return data, nil
-}
--- a/internal/coordination/accept/result.go
+++ b/internal/coordination/accept/result.go
@@ -53,9 +53,8 @@
 // Outcome returns what became of the change.
 func (r Result) Outcome() Outcome { return r.outcome }
 
-// Head returns the accepted head. Its sections are missing where a change that
-// was accepted earlier could not be read in full. After a conflict it holds only
-// the revision in force.
+// Head returns the accepted head with its sections. After a conflict it holds
+// only the latest revision.
 func (r Result) Head() snapshot.Head { return r.head }
 
 // Faults returns the sections that the team may not change.
--- a/internal/coordination/accept/rows.go
+++ b/internal/coordination/accept/rows.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -14,7 +16,7 @@
 
 // Keys of the table rows and of the objects.
 const (
-	// HeadKey holds the snapshot.Head in force.
+	// HeadKey holds the latest revision; see ParseHead.
 	HeadKey = "config/head"
 	// ChangePrefix leads the rows of accepted changes, by change ID.
 	ChangePrefix = "config/change/"
@@ -101,7 +103,7 @@
 	return Transaction{
 		expect: []Expectation{{HeadKey, s.version}, {ChangePrefix + head.ChangeID, 0}},
 		writes: []Write{
-			{HeadKey, encode(head)},
+			{HeadKey, encode(r)},
 			{ChangePrefix + head.ChangeID, encode(r)},
 			{revisionKey(head.Revision), encode(r)},
 		},
@@ -118,8 +120,8 @@
 	}
 }
 
-// record is the value of a change row and of a revision row. A change row that
-// records a refusal has no revision.
+// record is the value of the head row, of a change row and of a revision row. A
+// change row that records a refusal has no revision.
 type record struct {
 	Revision     uint64        `json:"revision"`
 	Digest       digest.Digest `json:"digest"`
@@ -130,6 +132,55 @@
 	Refused      string        `json:"refused,omitempty"`
 }
 
+// head returns the head that r records, without its sections.
+func (r record) head() snapshot.Head {
+	return snapshot.Head{
+		Revision:     r.Revision,
+		Digest:       r.Digest,
+		ChangeID:     r.ChangeID,
+		AcceptedUnix: r.AcceptedUnix,
+	}
+}
+
+// refsOf returns the sections of cfg by name and digest.
+func refsOf(cfg *configtext.Config) []snapshot.SectionRef {
+	var refs []snapshot.SectionRef
+	for _, s := range cfg.Sections() {
+		refs = append(refs, snapshot.SectionRef{Name: s.Name(), Digest: s.Digest()})
+	}
+	return refs
+}
+
+// ParseHead reads the value of the head row. The head has no sections; they are
+// in the object whose name is SectionPrefix and the digest, see
+// ParseSectionList.
+func ParseHead(value []byte) (snapshot.Head, error) {
+	r, err := decodeRecord(value)
+	return r.head(), err
+}
+
+// ParseSectionList reads the object that lists the sections of a revision: the
+// name and the digest of each, on a line of its own. It returns ErrMalformed
+// where the list doesn't have the digest d of the revision.
+func ParseSectionList(list []byte, d digest.Digest) ([]snapshot.SectionRef, error) {
+	if digest.Of(list) != d {
+		return nil, eris.Wrapf(ErrMalformed, "section list has another digest than %s", d.Short())
+	}
+	lines := strings.Split(strings.TrimSuffix(string(list), "\n"), "\n")
+	if len(lines)%2 != 0 {
+		return nil, eris.Wrapf(ErrMalformed, "section list of %d lines", len(lines))
+	}
+	var refs []snapshot.SectionRef
+	for pair := range slices.Chunk(lines, 2) {
+		section, err := digest.Parse(pair[1])
+		if err != nil {
+			return nil, eris.Wrapf(ErrMalformed, "section %.80q: %v", pair[0], err)
+		}
+		refs = append(refs, snapshot.SectionRef{Name: pair[0], Digest: section})
+	}
+	return refs, nil
+}
+
 func decodeRecord(value []byte) (record, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil || (r.Revision == 0) == (r.Refused == "") {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -7,7 +7,12 @@
 	"github.com/primrosetally/primrosetally/internal/state/member"
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+// Patterns of names. Those of regions, failure domains and services are as in
+// the operators' text.
+var (
+	namePattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	sectionPattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+)
 
 // maxRate bounds every rate, in bytes a second.
 const maxRate = 1e12
@@ -19,9 +24,9 @@
 	listenKey        = tomltext.Spec{Name: "listen", Kind: tomltext.Address, Required: true}
 	callerListenKey  = tomltext.Spec{Name: "callerListen", Kind: tomltext.Address}
 	advertiseKey     = tomltext.Spec{Name: "advertise", Kind: tomltext.Address}
-	regionKey        = tomltext.Spec{Name: "region", Kind: tomltext.String, Pattern: namePattern, Required: true}
-	failureDomainKey = tomltext.Spec{Name: "failureDomain", Kind: tomltext.String, Pattern: namePattern, Required: true}
-	serviceKey       = tomltext.Spec{Name: "service", Kind: tomltext.String, Pattern: namePattern}
+	regionKey        = tomltext.Spec{Name: "region", Kind: tomltext.String, Pattern: sectionPattern, Required: true}
+	failureDomainKey = tomltext.Spec{Name: "failureDomain", Kind: tomltext.String, Pattern: sectionPattern, Required: true}
+	serviceKey       = tomltext.Spec{Name: "service", Kind: tomltext.String, Pattern: sectionPattern}
 	engineURLKey     = tomltext.Spec{Name: "engineUrl", Kind: tomltext.URL}
 )
 
--- a/internal/transport/operators/changes.go
+++ b/internal/transport/operators/changes.go
@@ -83,7 +83,7 @@
 	})
 	if result.Outcome() == accept.Accepted {
 		// The revision is accepted whether or not the operator still waits.
-		h.accepted(context.WithoutCancel(ctx), result.Head())
+		h.accepted(context.WithoutCancel(ctx), result.Head(), cfg)
 	}
 	return connect.NewResponse(submitMessage(r.Msg.GetChangeId(), result)), nil
 }
--- a/internal/transport/operators/operators.go
+++ b/internal/transport/operators/operators.go
@@ -47,7 +47,7 @@
 type Handler struct {
 	acceptor         *accept.Acceptor
 	inForce          func() *configtext.Config
-	accepted         func(ctx context.Context, head snapshot.Head)
+	accepted         func(ctx context.Context, head snapshot.Head, cfg *configtext.Config)
 	manifestExists   func(ctx context.Context, d digest.Digest) (bool, error)
 	status           func(ctx context.Context) (*adminv1.StatusResponse, error)
 	serviceOf        func(instance string) (service string, found bool)
@@ -65,7 +65,7 @@
 	h := &Handler{
 		acceptor: acceptor,
 		inForce:  func() *configtext.Config { return nil },
-		accepted: func(context.Context, snapshot.Head) {},
+		accepted: func(context.Context, snapshot.Head, *configtext.Config) {},
 	}
 	for _, o := range options {
 		o(h)
@@ -79,10 +79,10 @@
 	return func(h *Handler) { h.inForce = inForce }
 }
 
-// WithAccepted sets what is done with a revision right after its acceptance.
-// The head has no sections where a change that was accepted earlier could not
-// be read in full.
-func WithAccepted(accepted func(ctx context.Context, head snapshot.Head)) Option {
+// WithAccepted sets what is done with a revision right after its acceptance. It
+// is called again for a change that was accepted earlier, since the entry that
+// accepted it may have been killed before its first push.
+func WithAccepted(accepted func(ctx context.Context, head snapshot.Head, cfg *configtext.Config)) Option {
 	return func(h *Handler) { h.accepted = accepted }
 }
 
--- a/internal/transport/operators/operators_test.go
+++ b/internal/transport/operators/operators_test.go
@@ -92,7 +92,7 @@
 }
 
 // apply records what an entry would put in force and push.
-func (e *entry) apply(_ context.Context, head snapshot.Head) {
+func (e *entry) apply(_ context.Context, head snapshot.Head, _ *configtext.Config) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.accepted = append(e.accepted, head)
