Wire the decisions on requests into entry and agent

Cause: the thin path chose endpoints and repeated requests by fixed rules and kept no claims. Ruled out: claims for idempotent requests, which cost two writes for nothing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,7 +20,9 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/limits"
 	"github.com/primrosetally/primrosetally/internal/coordination/serving"
+	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -34,6 +36,8 @@
 	weightsRetry  = 500 * time.Millisecond
 	engineTimeout = 2 * time.Second
 	uploadBurst   = 1 << 20 // bytes
+	minLimit      = 2       // attempts in flight
+	initialLimit  = 32      // attempts in flight
 	defaultLimit  = 64      // attempts in flight
 	chunkMessage  = 256 << 10
 	answerMessage = 32 << 10
@@ -47,6 +51,10 @@
 	uploads *rate.Limiter
 	weights weights
 
+	limit    *limits.Concurrency
+	suspects suspects.Isolation
+	attempts attempts
+
 	incarnation atomic.Uint64 // of the engine, 0 before the first probe
 	fault       atomic.Pointer[string]
 	orders      chan order
@@ -75,6 +83,7 @@
 		node:    n,
 		engine:  engine,
 		gate:    serving.NewGate(serving.WithLimit(defaultLimit)),
+		limit:   limits.NewConcurrency(limits.WithBounds(minLimit, defaultLimit), limits.WithInitialLimit(initialLimit)),
 		uploads: rate.NewLimiter(rate.Inf, uploadBurst),
 		orders:  make(chan order),
 	}
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/serving"
+	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
@@ -68,14 +69,28 @@
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if !a.attempts.first(r.Msg) {
+		return connect.NewError(connect.CodeAlreadyExists, errDoubled)
+	}
 	admission, err := a.gate.Admit(pinned)
 	if err != nil {
 		return out.notRun(err.Error(), retryAfter(err), a.report())
 	}
 	defer admission.Done()
+	if !a.limit.Acquire() {
+		return out.notRun(serving.ErrBusy.Error(), a.limit.RetryAfter(), a.report())
+	}
+	var latency time.Duration
+	defer func() { a.limit.Release(latency) }()
+	if takeSuspectMark(r.Msg) {
+		if !a.suspects.Enter(a.node.Self().Name()) {
+			return out.notRun(suspects.ReasonOccupied, retryAfterBusy, a.report())
+		}
+		defer a.suspects.Leave(a.node.Self().Name())
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Msg.GetTimeLeftMs())*time.Millisecond)
 	defer cancel()
-	return a.run(ctx, out, admission)
+	return a.run(ctx, out, admission, &latency)
 }
 
 func retryAfter(err error) time.Duration {
@@ -86,7 +101,8 @@
 }
 
 // run sends the request to the endpoint once and streams the answer back.
-func (a *Agent) run(ctx context.Context, out attemptStream, admission *serving.Admission) error {
+func (a *Agent) run(ctx context.Context, out attemptStream, admission *serving.Admission, latency *time.Duration) error {
+	began := time.Now()
 	answer, err := a.engine.Do(ctx, engineRequest(out.request))
 	if errors.Is(err, engines.ErrUnavailable) {
 		return out.notRun("endpoint does not accept connections", retryAfterSwitch, a.report())
@@ -94,6 +110,7 @@
 	if err != nil {
 		return out.unknown("endpoint gave no answer", a.crashed(ctx))
 	}
+	*latency = time.Since(began)
 	defer answer.Body().Close()
 	if answer.Digest() != admission.Digest() {
 		a.gate.Down()
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -34,7 +34,7 @@
 		State:       stateOf(phase),
 		Digest:      served.Bytes(),
 		InFlight:    uint32(a.gate.InFlight()),
-		Limit:       uint32(a.gate.Limit()),
+		Limit:       uint32(min(a.gate.Limit(), a.limit.Limit())),
 		Revision:    a.node.Revision(),
 		Fencing:     a.gate.Fencing(),
 		Fault:       a.faultText(),
--- a/internal/coordination/claims/claims.go
+++ b/internal/coordination/claims/claims.go
@@ -154,7 +154,7 @@
 	if age < -c.clockSkew {
 		return c.notDispatched(r, ReasonKeyInFuture, 0)
 	}
-	if age > c.retention {
+	if age > c.retentionOf(r) {
 		return c.beginExpired(ctx, r)
 	}
 	return c.claim(ctx, r)
@@ -187,11 +187,18 @@
 	return c.withdraw(r, ReasonTableDown)
 }
 
+func (c *Claims) retentionOf(r Request) time.Duration {
+	if r.retention > 0 {
+		return r.retention
+	}
+	return c.retention
+}
+
 // hold returns Run for a claim that is in the table. A key that passed the
 // retention while the entry was frozen may have lost an older row, and is not
 // run.
 func (c *Claims) hold(r Request, version uint64) Decision {
-	if c.now().Sub(r.key.created) > c.retention {
+	if c.now().Sub(r.key.created) > c.retentionOf(r) {
 		return c.withdraw(r, ReasonKeyExpired)
 	}
 	return Decision{kind: Run, claim: Claim{request: r, version: version}}
@@ -270,7 +277,7 @@
 // dispatch. It is "not run" for the key only if no earlier send can have run.
 func (c *Claims) notDispatched(r Request, reason Reason, retryAfter time.Duration) Decision {
 	kind := Unknown
-	if r.first() {
+	if r.First() {
 		kind = NotRun
 	}
 	return Decision{kind: kind, reason: reason, retryAfter: retryAfter}
--- a/internal/coordination/claims/request.go
+++ b/internal/coordination/claims/request.go
@@ -21,7 +21,7 @@
 
 const keyRandomBytes = 16
 
-var keyPattern = regexp.MustCompile(`^([0-9]{13})-([0-9A-Za-z_-]{16,64})$`)
+var keyPattern = regexp.MustCompile(`^([0-9]{13})-([0-9A-Za-z_-]{1,64})$`)
 
 // Key is an idempotency key that a caller chose. It carries its creation time.
 type Key struct {
@@ -36,7 +36,7 @@
 	return Key{text: text, created: time.UnixMilli(millis)}
 }
 
-// ParseKey reads "<unixMillis>-<random>": 13 digits, then 16 to 64 letters,
+// ParseKey reads "<unixMillis>-<random>": 13 digits, then 1 to 64 letters,
 // digits, underscores or hyphens.
 func ParseKey(text string) (Key, error) {
 	parts := keyPattern.FindStringSubmatch(text)
@@ -77,6 +77,7 @@
 	send          uint32
 	notRunThrough uint32
 	received      time.Time
+	retention     time.Duration
 }
 
 // RequestOption sets an optional property of a request.
@@ -107,11 +108,17 @@
 	return func(r *Request) { r.received = t }
 }
 
+// WithKeyRetention sets the retention of the service, in place of the one of
+// Claims.
+func WithKeyRetention(d time.Duration) RequestOption {
+	return func(r *Request) { r.retention = d }
+}
+
 // ID returns the entry's name for this send.
 func (r Request) ID() string { return r.id }
 
-// first reports that no earlier send of the key can have run.
-func (r Request) first() bool {
+// First reports that no earlier send of the key can have run.
+func (r Request) First() bool {
 	return r.send > 0 && r.notRunThrough >= r.send-1
 }
 
--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -32,8 +32,12 @@
 	defaultQueueLength = 128
 	defaultServiceTime = 100 * time.Millisecond
 	serviceTimeGain    = 0.1 // weight of a new sample in the moving average
-	minRetryAfter      = 50 * time.Millisecond
-	maxRetryAfter      = 30 * time.Second
+	// The shortest time moves down by quickFall and up by quickRise of the
+	// distance to a sample.
+	quickFall     = 0.1
+	quickRise     = 0.005
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
 )
 
 // Reason says why a request was refused.
@@ -59,6 +63,7 @@
 	busy        int
 	virtualTime float64 // seconds of slot time at weight 1
 	serviceTime float64 // seconds, moving average over all accounts
+	quickTime   float64 // seconds, what short requests take
 	accounts    map[string]*account
 	waiting     int
 }
@@ -109,6 +114,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.quickTime = g.serviceTime
 	return g
 }
 
@@ -152,10 +158,20 @@
 	t.account.charge(held - t.charged)
 	t.account.inFlight--
 	g.busy--
-	g.serviceTime += serviceTimeGain * (held - g.serviceTime)
+	g.sample(held)
 	g.dispatch(now)
 }
 
+// sample takes in how long a request held its slot.
+func (g *Gate) sample(held float64) {
+	g.serviceTime += serviceTimeGain * (held - g.serviceTime)
+	gain := quickRise
+	if held < g.quickTime {
+		gain = quickFall
+	}
+	g.quickTime += gain * (held - g.quickTime)
+}
+
 // Cancel takes a waiting ticket out, or releases an admitted one.
 func (g *Gate) Cancel(t *Ticket) {
 	g.mu.Lock()
@@ -278,20 +294,21 @@
 }
 
 // late reports whether a request that has ahead requests of its account before
-// it will not finish by its deadline.
+// it will not finish by its deadline. It is taken for a short one: beside streams
+// of minutes the mean would refuse every request with less time than that.
 func (g *Gate) late(t *Ticket, ahead int, now time.Time) bool {
 	wait := 0.0
 	if g.busy >= g.slots || t.account.full() {
 		wait = g.expectedWait(t.account, ahead)
 	}
 	left := t.request.deadline.Sub(now).Seconds()
-	return left < wait+g.serviceTime
+	return left < wait+g.quickTime
 }
 
 // tooLate reports whether a request can no longer finish by its deadline even
 // if it starts now.
 func (g *Gate) tooLate(t *Ticket, now time.Time) bool {
-	return t.request.deadline.Sub(now).Seconds() < g.serviceTime
+	return t.request.deadline.Sub(now).Seconds() < g.quickTime
 }
 
 // expectedWait returns the seconds until the request behind ahead others of its
--- a/internal/coordination/routing/addresses.go
+++ b/internal/coordination/routing/addresses.go
@@ -167,7 +167,7 @@
 	})
 	l := AddressList{timeToLive: a.ttl, addresses: make([]string, len(ordered))}
 	for k, i := range ordered {
-		l.addresses[k] = a.entries[i].Address()
+		l.addresses[k] = a.entries[i].CallerAddress()
 	}
 	return l
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -51,6 +51,7 @@
 	defaultSlowStart    = 10 * time.Second
 	slowStartFloor      = 0.1
 	defaultRetryAfter   = time.Second
+	saturatedRetryAfter = 20 * time.Millisecond
 	defaultLimit        = 16 // requests in flight
 )
 
@@ -231,13 +232,20 @@
 	var s selection
 	s.collect(r, st, request, now)
 	if s.n == 0 {
-		return Choice{}, r.refusal(st, now)
+		return Choice{}, r.refusal(st, request, now)
 	}
 	e, affinity := r.choose(&s, request)
 	e.counters.inFlight.Add(1)
 	return Choice{endpoint: e, affinity: affinity}, nil
 }
 
+// Saturated reports whether an error of Pick came about only because all usable
+// endpoints were full, so that one may have room any moment.
+func Saturated(err error) bool {
+	var n noEndpoint
+	return eris.As(err, &n) && n.saturated
+}
+
 // RetryAfter returns when to come back after an error of Pick, 0 for another
 // error.
 func RetryAfter(err error) time.Duration {
@@ -251,6 +259,7 @@
 type noEndpoint struct {
 	reason     string
 	retryAfter time.Duration
+	saturated  bool
 }
 
 func (n noEndpoint) Error() string { return ErrNoEndpoint.Error() + ": " + n.reason }
@@ -258,9 +267,12 @@
 func (n noEndpoint) Is(target error) bool { return target == ErrNoEndpoint }
 
 // refusal names the first moment at which an endpoint may be free again.
-func (r *Router) refusal(st *serviceTable, now int64) error {
-	n := noEndpoint{reason: "all leaving, loading, full or already tried", retryAfter: r.retryAfter}
+func (r *Router) refusal(st *serviceTable, request Request, now int64) error {
+	n := noEndpoint{reason: "all leaving, loading, ejected or already tried", retryAfter: r.retryAfter}
 	for _, e := range st.endpoints {
+		if usable(e, request, now) {
+			return noEndpoint{reason: "all full", retryAfter: saturatedRetryAfter, saturated: true}
+		}
 		until := time.Duration(e.counters.ejectedUntil.Load() - now)
 		if until > 0 && until < n.retryAfter {
 			n.retryAfter = until
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -143,6 +144,26 @@
 	return true
 }
 
+// Observe takes in the state of an endpoint that came with an answer, ahead of
+// the next Update. Nothing changes for an endpoint or incarnation that the entry
+// does not use.
+func (r *Router) Observe(service, name string, incarnation uint64, state State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.table.Load()
+	known := old.names[name]
+	if known == nil || known.incarnation != incarnation || known.state == state || old.services[service] == nil {
+		return
+	}
+	changed := *known
+	changed.state = state
+	st := &serviceTable{endpoints: slices.Clone(old.services[service].endpoints)}
+	if i := slices.Index(st.endpoints, known); i >= 0 {
+		st.endpoints[i] = &changed
+	}
+	r.table.Store(old.with(service, st))
+}
+
 // load estimates the requests in flight at an endpoint.
 func (r *Router) load(e *endpoint, now int64) float64 {
 	c := e.counters
--- a/internal/coordination/suspects/suspects.go
+++ b/internal/coordination/suspects/suspects.go
@@ -55,6 +55,13 @@
 	maxRows           = 4096
 )
 
+// Header marks an attempt of a suspect on its way to the agent, which lets only
+// one of them run at a time. Entries drop it from callers' requests.
+const Header = "Crash-Suspect"
+
+// ReasonOccupied is why an agent refuses a suspect while another one runs.
+const ReasonOccupied = "another suspect runs on the endpoint"
+
 // RowPrefix begins the keys of all suspect rows.
 const RowPrefix = "suspect/"
 
@@ -118,7 +125,7 @@
 	now           func() time.Time
 	threshold     int
 	expiry        time.Duration
-	spreadTime    time.Duration
+	spreadTime    atomic.Int64 // nanoseconds
 	proven        proven
 
 	mu      sync.Mutex // serialises writers of view and unsaved
@@ -147,7 +154,7 @@
 // WithSpreadTime sets the time within which the other entries know of a new
 // suspect: the interval of their calls of Refresh, or the delay of announcements.
 func WithSpreadTime(d time.Duration) Option {
-	return func(g *Registry) { g.spreadTime = d }
+	return func(g *Registry) { g.SetSpreadTime(d) }
 }
 
 // WithAnnounce sets how other entries are told of suspects before the table
@@ -166,9 +173,9 @@
 		now:           time.Now,
 		threshold:     defaultThreshold,
 		expiry:        defaultExpiry,
-		spreadTime:    defaultSpreadTime,
 		unsaved:       map[digest.Digest][]string{},
 	}
+	g.SetSpreadTime(defaultSpreadTime)
 	for _, o := range options {
 		o(g)
 	}
@@ -195,7 +202,11 @@
 }
 
 // SpreadTime returns how long a suspect waits before it is tried again.
-func (g *Registry) SpreadTime() time.Duration { return g.spreadTime }
+func (g *Registry) SpreadTime() time.Duration { return time.Duration(g.spreadTime.Load()) }
+
+// SetSpreadTime changes the spread time, for instance when more entries share
+// the table and each of them reads less often.
+func (g *Registry) SetSpreadTime(d time.Duration) { g.spreadTime.Store(int64(d)) }
 
 // Admit decides on a request before its dispatch. The table's row is read for a
 // known suspect, and for a request that is not idempotent: its caller gets the
--- /dev/null
+++ b/internal/entry/addresses.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/routing"
+	"github.com/primrosetally/primrosetally/internal/state/member"
+)
+
+// Parameters of the question which addresses to use.
+const (
+	queryRegion        = "region"
+	queryFailureDomain = "failureDomain"
+)
+
+const defaultAddressesTTL = 10 * time.Second
+
+// addressList answers a caller's question which addresses to use.
+type addressList struct {
+	Addresses  []string `json:"addresses"`
+	TTLSeconds int      `json:"ttlSeconds"`
+}
+
+// addressBook keeps the accounts' addresses for one view of the members and one
+// revision.
+type addressBook struct {
+	members  []member.Member
+	revision uint64
+	leaving  bool
+	shards   *routing.Addresses
+}
+
+// is reports whether the book was made from the same view.
+func (b *addressBook) is(members []member.Member, revision uint64, leaving bool) bool {
+	same := len(b.members) == len(members) && (len(members) == 0 || &b.members[0] == &members[0])
+	return same && b.revision == revision && b.leaving == leaving
+}
+
+// addresses returns the current addresses, made anew when the view changed.
+func (e *Entry) addresses() *routing.Addresses {
+	members, revision, leaving := e.node.Members(), e.node.Revision(), e.leaving.Load()
+	if b := e.book.Load(); b != nil && b.is(members, revision, leaving) {
+		return b.shards
+	}
+	b := &addressBook{members: members, revision: revision, leaving: leaving}
+	b.shards = e.newAddresses(members, leaving)
+	e.book.Store(b)
+	return b.shards
+}
+
+func (e *Entry) newAddresses(members []member.Member, leaving bool) *routing.Addresses {
+	var accounts []routing.Account
+	ttl := defaultAddressesTTL
+	if s := e.node.Snapshot(); s != nil {
+		for _, a := range s.Config().Accounts() {
+			accounts = append(accounts, routing.NewAccount(a.Name(), float64(max(a.Weight(), 1))))
+		}
+		if d := s.Config().Properties().AddressTimeToLive(); d > 0 {
+			ttl = d
+		}
+	}
+	var staying []member.Member
+	for _, m := range members {
+		if !leaving || m.Name() != e.node.Self().Name() {
+			staying = append(staying, m)
+		}
+	}
+	return routing.NewAddresses(staying, accounts, routing.WithTimeToLive(ttl))
+}
+
+func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	query := r.URL.Query()
+	list := e.addresses().For(r.Header.Get(HeaderAccount), query.Get(queryRegion), query.Get(queryFailureDomain))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(addressList{
+		Addresses:  list.Addresses(),
+		TTLSeconds: int(list.TimeToLive().Seconds()),
+	})
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"encoding/json"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,8 +9,11 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/claims"
+	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
-	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/snapshot"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -20,6 +23,10 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderTimeout        = "Request-Timeout-Ms"
 	HeaderOutcome        = "Outcome"
+	// HeaderSend numbers the sends of a key, from 1.
+	HeaderSend = "Idempotency-Send"
+	// HeaderNotRun is the number up to which every send was answered "not run".
+	HeaderNotRun = "Idempotency-Not-Run"
 )
 
 // Values of the header or trailer Outcome. An answer without it is not whole.
@@ -33,52 +40,37 @@
 const (
 	maxBody        = 4 << 20 // bytes
 	defaultTimeout = 60 * time.Second
-	addressesTTL   = 10 * time.Second
+	// prefixBytes of a model request's body name its prompt prefix.
+	prefixBytes = 256
 )
 
 // request is one caller's request.
 type request struct {
-	id         string
-	service    configtext.Service
-	account    string
-	method     string
-	path       string
-	header     []*nodev1.Header
-	body       []byte
-	key        string
-	idempotent bool
-	deadline   time.Time
+	id          string
+	snapshot    *snapshot.Snapshot
+	service     configtext.Service
+	account     string
+	priority    uint32
+	method      string
+	path        string
+	header      []*nodev1.Header
+	body        []byte
+	key         string
+	claim       claims.Request
+	idempotent  bool
+	fingerprint digest.Digest // for suspects
+	prefix      uint64        // hash of the prompt prefix, 0 for plain services
+	deadline    time.Time
 }
 
-// finalAnswer is the body of a final answer that is not the endpoint's.
-type finalAnswer struct {
-	Outcome      string `json:"outcome"`
-	RequestID    string `json:"requestId"`
-	Reason       string `json:"reason"`
-	RetryAfterMs int64  `json:"retryAfterMs"`
-}
-
-// addressList answers a caller's question which addresses to use.
-type addressList struct {
-	Addresses  []string `json:"addresses"`
-	TTLSeconds int      `json:"ttlSeconds"`
-}
-
-func (e *Entry) serveAddresses(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	list := addressList{Addresses: []string{}, TTLSeconds: int(addressesTTL.Seconds())}
-	for _, m := range e.node.Members() {
-		if m.Role() == member.RoleEntry && m.State() == member.StateLive {
-			list.Addresses = append(list.Addresses, m.CallerAddress())
-		}
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(list)
-}
+// keyed reports whether the request runs under a claim.
+func (q *request) keyed() bool { return q.key != "" && !q.idempotent }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
 	out := &answerWriter{writer: w, requestID: e.nextRequestID()}
+	out.repeat = mayBeRepeat(r)
 	if e.leaving.Load() {
 		out.notRun(http.StatusServiceUnavailable, "entry is leaving", time.Second)
 		return
@@ -93,7 +85,8 @@
 		out.notRun(http.StatusNotFound, "unknown service", 0)
 		return
 	}
-	if _, ok := s.Config().Account(r.Header.Get(HeaderAccount)); !ok {
+	account, ok := s.Config().Account(r.Header.Get(HeaderAccount))
+	if !ok {
 		out.notRun(http.StatusForbidden, "unknown client account", 0)
 		return
 	}
@@ -102,7 +95,54 @@
 		out.notRun(http.StatusBadRequest, "request body not read whole", 0)
 		return
 	}
-	e.dispatch(r.Context(), newRequest(out.requestID, service, r, p.ByName("path"), body), out)
+	q := newRequest(out.requestID, service, r, p.ByName("path"), body)
+	q.snapshot = s
+	q.priority = uint32(max(account.Priority(), 0))
+	if err := q.setClaim(r); err != nil {
+		out.notRun(http.StatusBadRequest, err.Error(), 0)
+		return
+	}
+	out.repeat = q.keyed() && !q.claim.First()
+	e.dispatch(r.Context(), q, out)
+}
+
+// mayBeRepeat reports whether an earlier send of the request may have run, going
+// by its headers alone.
+func mayBeRepeat(r *http.Request) bool {
+	if r.Header.Get(HeaderIdempotencyKey) == "" {
+		return false
+	}
+	return !claims.NewRequest("", "", "", claims.Key{}, digest.Digest{}, sendNumbers(r)).First()
+}
+
+func sendNumbers(r *http.Request) claims.RequestOption {
+	return claims.WithSend(numberOf(r, HeaderSend), numberOf(r, HeaderNotRun))
+}
+
+// numberOf returns a number in a header, 0 for none.
+func numberOf(r *http.Request, name string) uint32 {
+	n, err := strconv.ParseUint(r.Header.Get(name), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(n)
+}
+
+// setClaim prepares the claim of a keyed request.
+func (q *request) setClaim(r *http.Request) error {
+	if !q.keyed() {
+		return nil
+	}
+	key, err := claims.ParseKey(q.key)
+	if err != nil {
+		return err
+	}
+	q.claim = claims.NewRequest(q.id, q.service.Name(), q.account, key,
+		claims.FingerprintOf(q.method, q.path, q.body),
+		sendNumbers(r),
+		claims.WithReceived(time.Now()),
+		claims.WithKeyRetention(q.service.KeyRetention()))
+	return nil
 }
 
 func (e *Entry) nextRequestID() string {
@@ -125,16 +165,32 @@
 		q.path += "?" + r.URL.RawQuery
 	}
 	for name, values := range r.Header {
-		if name == HeaderAccount || name == "Connection" || name == "Authorization" {
+		if !passedOn(name) {
 			continue
 		}
 		for _, v := range values {
 			q.header = append(q.header, &nodev1.Header{Name: name, Value: v})
 		}
 	}
+	q.fingerprint = suspects.FingerprintOf(service.Name(), q.method, q.path, body)
+	if service.Kind() == configtext.KindModel {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(q.account))
+		_, _ = h.Write(body[:min(len(body), prefixBytes)])
+		q.prefix = h.Sum64()
+	}
 	return q
 }
 
+// passedOn reports whether a caller's header goes to the endpoint.
+func passedOn(name string) bool {
+	switch name {
+	case HeaderAccount, HeaderSend, HeaderNotRun, HeaderTimeout, suspects.Header, "Connection", "Authorization":
+		return false
+	}
+	return true
+}
+
 func timeoutOf(r *http.Request) time.Duration {
 	n, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
 	if err != nil || n <= 0 {
@@ -142,65 +198,3 @@
 	}
 	return min(time.Duration(n)*time.Millisecond, defaultTimeout)
 }
-
-// answerWriter writes exactly one final answer to a caller.
-type answerWriter struct {
-	writer    http.ResponseWriter
-	requestID string
-	started   bool
-}
-
-func (a *answerWriter) notRun(status int, reason string, retryAfter time.Duration) {
-	a.final(status, OutcomeNotRun, reason, retryAfter)
-}
-
-func (a *answerWriter) unknown(reason string) {
-	a.final(http.StatusBadGateway, OutcomeUnknown, reason, time.Second)
-}
-
-func (a *answerWriter) final(status int, outcome, reason string, retryAfter time.Duration) {
-	if a.started {
-		// The head of the endpoint's answer is out. Breaking the connection is
-		// the only way left to say that the answer is not whole.
-		panic(http.ErrAbortHandler)
-	}
-	a.started = true
-	h := a.writer.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, outcome)
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((retryAfter+time.Second-1)/time.Second)))
-	}
-	a.writer.WriteHeader(status)
-	_ = json.NewEncoder(a.writer).Encode(finalAnswer{
-		Outcome:      outcome,
-		RequestID:    a.requestID,
-		Reason:       reason,
-		RetryAfterMs: retryAfter.Milliseconds(),
-	})
-}
-
-// start writes the head of the endpoint's answer; its outcome follows in the
-// trailer.
-func (a *answerWriter) start(s *nodev1.AttemptStarted) {
-	a.started = true
-	h := a.writer.Header()
-	for _, v := range s.GetHeaders() {
-		if v.GetName() != "Content-Length" && v.GetName() != "Connection" && v.GetName() != "Date" {
-			h.Add(v.GetName(), v.GetValue())
-		}
-	}
-	h.Set("Trailer", HeaderOutcome)
-	a.writer.WriteHeader(int(s.GetStatus()))
-}
-
-func (a *answerWriter) data(b []byte) error {
-	if _, err := a.writer.Write(b); err != nil {
-		return err
-	}
-	return http.NewResponseController(a.writer).Flush()
-}
-
-func (a *answerWriter) finish() {
-	a.writer.Header().Set(HeaderOutcome, OutcomeAnswered)
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,149 +2,189 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"encoding/binary"
 	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/coordination/limits"
+	"github.com/primrosetally/primrosetally/internal/coordination/retry"
+	"github.com/primrosetally/primrosetally/internal/coordination/routing"
+	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
 )
 
-// Bounds of the retries.
 const (
-	maxAttempts   = 4
-	retryPause    = 20 * time.Millisecond
-	noEndpointGap = time.Second
+	// roomPause is the wait for room at an endpoint while all are full.
+	roomPause = 10 * time.Millisecond
+	// minAttemptTime is the least time left for which another attempt is made.
+	minAttemptTime = 5 * time.Millisecond
 )
 
-// result is how one attempt ended.
-type result int
-
-const (
-	resultAnswered result = iota
-	resultNotRun
-	resultUnknown
-	resultBroken // the head of the answer was passed on, but not the whole
-)
+// conclusion is how all attempts of a request ended together.
+type conclusion struct {
+	kind       retry.Kind
+	reason     string
+	retryAfter time.Duration
+}
 
-// dispatch runs the request on an endpoint and gives the caller one final
-// answer. A non-idempotent request is tried again only after "not run".
+// dispatch gives the caller one final answer. Between arrival and the first
+// attempt stand the gate of the service and, for a keyed request that is not
+// idempotent, its claim.
 func (e *Entry) dispatch(ctx context.Context, q *request, out *answerWriter) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	ran := false
-	for attempt := uint32(1); attempt <= maxAttempts; attempt++ {
-		target, ok := e.choose(q)
-		if !ok {
-			break
-		}
-		switch e.attempt(ctx, q, target, attempt, out) {
-		case resultAnswered:
-			return
-		case resultBroken:
-			out.unknown("answer broke off")
-		case resultUnknown:
-			ran = true
-			if !q.idempotent {
-				out.unknown("endpoint gave no whole answer")
-				return
-			}
-		}
-		if !pause(ctx, retryPause) {
-			break
-		}
+	st := e.traffic.service(q.snapshot, q.service.Name())
+	ticket := st.gate.Offer(limits.NewRequest(q.account, q.deadline, limits.WithPriority(int(q.priority))))
+	verdict := awaitVerdict(ctx, st.gate, ticket)
+	if !verdict.Admitted() {
+		out.notRun(refusalStatus(verdict.Reason()), string(verdict.Reason()), verdict.RetryAfter())
+		return
 	}
-	if ran {
-		out.unknown("no attempt gave a whole answer")
+	defer st.gate.Release(ticket)
+	if q.keyed() {
+		e.dispatchKeyed(ctx, q, out, st)
 		return
 	}
-	out.notRun(http.StatusServiceUnavailable, "no endpoint admitted the request", noEndpointGap)
+	out.conclude(e.attempts(ctx, q, out, st))
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
+func awaitVerdict(ctx context.Context, gate *limits.Gate, t *limits.Ticket) limits.Verdict {
 	select {
+	case v := <-t.Verdict():
+		return v
 	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
+		gate.Cancel(t)
+		return limits.Verdict{}
 	}
 }
 
-// choose returns the less loaded of two endpoints taken at random.
-func (e *Entry) choose(q *request) (endpoint, bool) {
-	var list []endpoint
-	for _, p := range e.reports.of(q.service.Name()) {
-		if p.admits() {
-			list = append(list, p)
-		}
-	}
-	if len(list) == 0 {
-		return endpoint{}, false
+func refusalStatus(reason limits.Reason) int {
+	if reason == limits.ReasonRate || reason == limits.ReasonQueue {
+		return http.StatusTooManyRequests
 	}
-	a := list[rand.IntN(len(list))]
-	b := list[rand.IntN(len(list))]
-	if b.report.GetInFlight() < a.report.GetInFlight() {
-		return b, true
+	return http.StatusServiceUnavailable
+}
+
+// conclude gives the final answer, unless the whole answer is out.
+func (a *answerWriter) conclude(c conclusion) {
+	switch c.kind {
+	case retry.NotRun:
+		a.provenNotRun(http.StatusServiceUnavailable, c.reason, c.retryAfter)
+	case retry.Unknown:
+		a.unknown(c.reason, c.retryAfter)
 	}
-	return a, true
 }
 
-// attempt sends the request to one agent and passes the answer on.
-func (e *Entry) attempt(ctx context.Context, q *request, p endpoint, number uint32, out *answerWriter) result {
-	message := &nodev1.AttemptRequest{
-		From:           &nodev1.Origin{Name: e.node.Self().Name(), Incarnation: e.node.Self().Incarnation()},
-		RequestId:      q.id,
-		Attempt:        number,
-		Service:        q.service.Name(),
-		Account:        q.account,
-		Method:         q.method,
-		Path:           q.path,
-		Headers:        q.header,
-		Body:           q.body,
-		TimeLeftMs:     uint32(time.Until(q.deadline).Milliseconds()),
-		Idempotent:     q.idempotent,
-		IdempotencyKey: q.key,
+// attempts makes attempts until one gives the whole answer, or until no further
+// one may be made. The answer is then with out.
+func (e *Entry) attempts(ctx context.Context, q *request, out *answerWriter, st *serviceTraffic) conclusion {
+	sequence := st.budget.Start(retry.WithIdempotent(q.idempotent), retry.WithMinTime(minAttemptTime))
+	var tried []string
+	for number := uint32(1); ; number++ {
+		verdict := e.admitSuspect(ctx, q)
+		if verdict.Kind() == suspects.Quarantined {
+			return concluded(sequence.GiveUp(verdict.RetryAfter()), "request crashed endpoints and is quarantined")
+		}
+		alone := verdict.Kind() == suspects.Alone
+		choice, err := e.pick(ctx, q, alone, tried)
+		if err != nil {
+			return concluded(sequence.GiveUp(routing.RetryAfter(err)), err.Error())
+		}
+		r := e.attempt(ctx, q, choice, number, alone, out)
+		e.account(ctx, q, choice, r, alone)
+		if r.occupied && pause(ctx, roomPause) {
+			continue
+		}
+		if r.kind != resultAnswered && !out.discard() {
+			return conclusion{kind: retry.Unknown, reason: r.reason}
+		}
+		delay := e.delayAfter(r)
+		d := sequence.Decide(r.outcome(), time.Until(q.deadline)-delay)
+		if d.Kind() != retry.Again {
+			return concluded(d, r.reason)
+		}
+		if !pause(ctx, d.Backoff()+delay) {
+			return concluded(sequence.GiveUp(0), r.reason)
+		}
+		tried = append(tried, choice.Name())
 	}
-	stream, err := e.node.Pool().Agent(p.member.Address()).Attempt(ctx, connect.NewRequest(message))
-	if err != nil {
-		return resultUnknown
+}
+
+func (e *Entry) admitSuspect(ctx context.Context, q *request) suspects.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return e.traffic.suspects.Admit(ctx, q.fingerprint, q.idempotent)
+}
+
+// concluded turns a final decision into a conclusion.
+func concluded(d retry.Decision, reason string) conclusion {
+	return conclusion{kind: d.Kind(), reason: reason, retryAfter: d.RetryAfter()}
+}
+
+// delayAfter holds a retry after a crash back until the other entries know the
+// request too.
+func (e *Entry) delayAfter(r result) time.Duration {
+	if r.crashed {
+		return e.traffic.suspects.SpreadTime()
 	}
-	defer stream.Close()
-	return relay(stream, q, number, out)
+	return 0
 }
 
-// relay passes the parts of an attempt's answer on to the caller.
-func relay(stream *connect.ServerStreamForClient[nodev1.AttemptPart], q *request, number uint32, out *answerWriter) result {
-	begun := false
-	for stream.Receive() {
-		part := stream.Msg()
-		if part.GetRequestId() != q.id || part.GetAttempt() != number {
-			continue
+// pick chooses an endpoint, and waits for room while all are full. A suspect
+// goes to the endpoint that ranks first for it, where no other suspect of this
+// entry runs.
+func (e *Entry) pick(ctx context.Context, q *request, alone bool, tried []string) (routing.Choice, error) {
+	prefix := q.prefix
+	if alone {
+		prefix = binary.LittleEndian.Uint64(q.fingerprint[:8])
+	}
+	options := []routing.RequestOption{routing.WithPrefix(prefix)}
+	wanted := routing.NewRequest(q.service.Name(), append(options, routing.WithExclude(tried...))...)
+	for {
+		choice, err := e.traffic.router.Pick(wanted)
+		if err != nil && len(tried) > 0 {
+			choice, err = e.traffic.router.Pick(routing.NewRequest(q.service.Name(), options...))
+		}
+		if err == nil && alone && !e.traffic.alone.Enter(choice.Name()) {
+			e.traffic.router.Done(choice, routing.Cancelled)
+		} else if err == nil || !routing.Saturated(err) {
+			return choice, err
+		}
+		if !pause(ctx, roomPause) {
+			return choice, routing.ErrNoEndpoint
 		}
-		switch v := part.GetPart().(type) {
-		case *nodev1.AttemptPart_NotRun:
-			return resultNotRun
-		case *nodev1.AttemptPart_Started:
-			begun = true
-			out.start(v.Started)
-		case *nodev1.AttemptPart_Data:
-			if err := out.data(v.Data); err != nil {
-				return resultBroken
-			}
-		case *nodev1.AttemptPart_Finished:
-			out.finish()
-			return resultAnswered
-		case *nodev1.AttemptPart_Unknown:
-			return broken(begun)
+	}
+}
+
+// account tells the router and the registry of suspects how an attempt ended.
+func (e *Entry) account(ctx context.Context, q *request, choice routing.Choice, r result, alone bool) {
+	if alone {
+		e.traffic.alone.Leave(choice.Name())
+	}
+	e.traffic.router.Done(choice, r.health())
+	if r.report != nil {
+		e.traffic.observe(r.report)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	switch {
+	case r.kind == resultAnswered:
+		e.traffic.suspects.Finished(ctx, q.fingerprint, r.digest)
+	case r.crashed:
+		crash := suspects.NewCrash(choice.Name(), r.incarnation, r.digest)
+		if err := e.traffic.suspects.Crashed(ctx, crash, []digest.Digest{q.fingerprint}); err != nil {
+			e.node.Logger().Debug("suspect not written", "error", err)
 		}
 	}
-	return broken(begun)
 }
 
-func broken(begun bool) result {
-	if begun {
-		return resultBroken
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return resultUnknown
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,8 @@
 type Entry struct {
 	node     *node.Node
 	reports  reports
+	traffic  *traffic
+	book     atomic.Pointer[addressBook]
 	requests atomic.Uint64
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
@@ -37,7 +39,7 @@
 
 // New returns the entry of the process that n is part of.
 func New(n *node.Node, options ...Option) *Entry {
-	e := &Entry{node: n}
+	e := &Entry{node: n, traffic: newTraffic(n)}
 	e.reports.endpoints.Store(&[]endpoint{})
 	for _, o := range options {
 		o(e)
@@ -63,6 +65,9 @@
 	done := make(chan struct{})
 	var wg conc.WaitGroup
 	wg.Go(func() { e.reportLoop(ctx) })
+	wg.Go(func() { e.reapLoop(ctx) })
+	wg.Go(func() { e.settleLoop(ctx) })
+	wg.Go(func() { e.suspectLoop(ctx) })
 	wg.Go(func() { e.rolloutLoop(ctx) })
 	go func() {
 		defer close(done)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -69,6 +69,7 @@
 	}
 	list := collect.Wait()
 	e.reports.endpoints.Store(&list)
+	e.traffic.update(list, e.liveEntries())
 }
 
 func (e *Entry) fetchReport(ctx context.Context, m member.Member) *nodev1.EndpointReport {
