--- a/internal/coordination/swarm/exchange.go
+++ b/internal/coordination/swarm/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/model"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Intervals and bounds of an exchange.
@@ -213,7 +214,7 @@
 		x.listing = false
 		x.nextMembers = now.Add(membersInterval)
 		if err != nil {
-			x.log.Debug("membership list not read", "error", err)
+			telemetry.PeersNotListed.Log(ctx, x.log, "error", err)
 			return
 		}
 		clear(x.members)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
-	"github.com/primrosetally/primrosetally/internal/coordination/routing"
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
@@ -31,7 +30,8 @@
 	node     *node.Node
 	reports  reports
 	rollouts activeRollouts
-	router   *routing.Router
+	traffic  *traffic
+	book     atomic.Pointer[addressBook]
 	requests atomic.Uint64
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
@@ -42,11 +42,10 @@
 
 // New returns the entry of the process that n is part of.
 func New(n *node.Node, options ...Option) *Entry {
-	self := n.Self()
 	e := &Entry{
 		node:     n,
+		traffic:  newTraffic(n),
 		rollouts: activeRollouts{services: make(map[string]time.Time)},
-		router:   routing.New(self.Name(), routing.WithPlace(self.Region(), self.FailureDomain())),
 	}
 	e.reports.watches = make(map[string]*watch)
 	n.OnAnnounce(func(r *nodev1.EndpointReport) { e.rollouts.note(r.GetService()) })
@@ -75,6 +74,9 @@
 	done := make(chan struct{})
 	var wg conc.WaitGroup
 	wg.Go(func() { e.reportLoop(ctx) })
+	wg.Go(func() { e.reapLoop(ctx) })
+	wg.Go(func() { e.settleLoop(ctx) })
+	wg.Go(func() { e.suspectLoop(ctx) })
 	wg.Go(func() { e.rolloutLoop(ctx) })
 	go func() {
 		defer close(done)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -138,7 +138,7 @@
 		endpoints[i] = routing.NewEndpoint(m.Name(), m.Address(), routing.WithEndpointPlace(m.Region(), m.FailureDomain()))
 	}
 	var chosen []member.Member
-	for _, p := range e.router.Subset(endpoints) {
+	for _, p := range e.traffic.router.Subset(endpoints) {
 		chosen = append(chosen, byName[p.Name()])
 	}
 	return chosen
@@ -184,6 +184,7 @@
 	}
 	slices.SortFunc(list, func(a, b endpoint) int { return strings.Compare(a.member.Name(), b.member.Name()) })
 	e.reports.endpoints.Store(&list)
+	e.traffic.update(list, e.liveEntries())
 }
 
 // activeRollouts names the services whose rollout this entry has to look after.
