Exchange chunks by the decisions of the swarm package

Cause: the thin fetch loop asked every peer for its chunk map for every chunk, drew chunks twice when views differed and read no upload budget.

Now the agent runs swarm.Exchange: rarest first, own failure domain first, gateways for each region, verification off the network goroutine, an upload budget of two copies.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,9 @@
 	uploads *rate.Limiter
 	weights weights
 
+	downloadRate   float64 // bytes a second, 0 for no bound
+	regionLinkRate float64 // bytes a second
+
 	limit    *limits.Concurrency
 	suspects suspects.Isolation
 	attempts attempts
@@ -80,6 +84,12 @@
 	}
 }
 
+// WithRegionLinkRate bounds what one rollout draws over each link into this
+// process's region, in bytes a second. The configuration may set less.
+func WithRegionLinkRate(bytesPerSecond float64) Option {
+	return func(a *Agent) { a.regionLinkRate = bytesPerSecond }
+}
+
 // New returns the agent of the endpoint that engine reaches.
 func New(n *node.Node, engine *engines.Client, options ...Option) *Agent {
 	a := &Agent{
@@ -89,6 +99,8 @@
 		limit:   limits.NewConcurrency(limits.WithBounds(minLimit, defaultLimit), limits.WithInitialLimit(initialLimit)),
 		uploads: rate.NewLimiter(rate.Inf, uploadBurst),
 		orders:  make(chan order),
+
+		regionLinkRate: math.MaxFloat64,
 	}
 	a.weights.staged = make(map[digest.Digest]bool)
 	a.changes.next = make(chan struct{})
--- a/internal/agent/change.go
+++ b/internal/agent/change.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/rollout"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Intervals of the agent's own word about its endpoint.
@@ -77,8 +78,12 @@
 func (a *Agent) changeLoop(ctx context.Context) {
 	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
+	recorded := &nodev1.EndpointReport{}
 	for {
-		a.changes.note(materialOf(a.report()))
+		r := a.report()
+		a.changes.note(materialOf(r))
+		a.recordBytes(recorded, r)
+		recorded = r
 		select {
 		case <-ctx.Done():
 			return
@@ -87,6 +92,15 @@
 	}
 }
 
+// recordBytes adds to the metrics what came since the report before.
+func (a *Agent) recordBytes(before, now *nodev1.EndpointReport) {
+	m := a.node.Telemetry().Metrics()
+	m.ChunkBytes.WithLabelValues(telemetry.SourceOrigin).Add(float64(now.GetBytesOrigin() - before.GetBytesOrigin()))
+	m.ChunkBytes.WithLabelValues(telemetry.SourcePeers).Add(float64(now.GetBytesPeers() - before.GetBytesPeers()))
+	m.ChunkBytes.WithLabelValues(telemetry.SourceSent).Add(float64(now.GetBytesSent() - before.GetBytesSent()))
+	m.CorruptChunks.Add(float64(now.GetCorruptChunks() - before.GetCorruptChunks()))
+}
+
 func materialOf(r *nodev1.EndpointReport) material {
 	return material{
 		state:    r.GetState(),
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -128,6 +128,7 @@
 	}
 	o.change.Open(o.manifest.ID())
 	a.setFault("")
+	a.dropOldChunks(ctx, o.manifest)
 	telemetry.WeightsInService.Log(ctx, log)
 }
 
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -2,24 +2,21 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc/pool"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/swarm"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
-	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/model"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
-// errCorrupt is returned for a chunk whose bytes do not match its digest.
-var errCorrupt = eris.New("chunk does not match its digest")
+// errCorrupt is returned for a manifest whose bytes do not match its digest.
+var errCorrupt = eris.New("manifest does not match its digest")
 
 // Keys of the weights in the object store and in the origin.
 const (
@@ -29,20 +26,24 @@
 
 // Bounds of the transfer.
 const (
-	maxFetches   = 4
-	fetchTimeout = 30 * time.Second
-	peersPause   = 50 * time.Millisecond
+	manifestTimeout = 10 * time.Second
+	bitsPerByte     = 8
 )
 
-// weights tracks which chunks of the wanted manifest are staged.
+// weights tracks the transfer of the wanted manifest into the staging area.
 type weights struct {
-	mu          sync.Mutex
-	wanted      *model.Manifest
-	staged      map[digest.Digest]bool
-	bytesOrigin uint64
-	bytesPeers  uint64
-	bytesSent   uint64
-	corrupt     uint64
+	mu     sync.Mutex
+	wanted *transfer // nil before the first configuration with weights
+	staged map[digest.Digest]bool
+	past   swarm.Counters // of transfers that have ended
+	sent   uint64         // bytes
+}
+
+// transfer is the transfer of one manifest on this instance.
+type transfer struct {
+	manifest *model.Manifest
+	exchange *swarm.Exchange
+	uploads  *swarm.Uploads
 }
 
 // complete returns the wanted manifest if it is the given one and all of its
@@ -50,10 +51,10 @@
 func (w *weights) complete(id digest.Digest) *model.Manifest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.wanted == nil || w.wanted.ID() != id || w.countStaged() < w.wanted.Chunks() {
+	if w.wanted == nil || w.wanted.manifest.ID() != id || w.countStaged() < w.wanted.manifest.Chunks() {
 		return nil
 	}
-	return w.wanted
+	return w.wanted.manifest
 }
 
 // forget drops what was staged in an endpoint that has restarted.
@@ -65,8 +66,8 @@
 
 func (w *weights) countStaged() int {
 	n := 0
-	for i := range w.wanted.Chunks() {
-		if w.staged[w.wanted.Chunk(i).Digest()] {
+	for i := range w.wanted.manifest.Chunks() {
+		if w.staged[w.wanted.manifest.Chunk(i).Digest()] {
 			n++
 		}
 	}
@@ -76,295 +77,134 @@
 func (w *weights) describe(r *nodev1.EndpointReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r.BytesOrigin = w.bytesOrigin
-	r.BytesPeers = w.bytesPeers
-	r.BytesSent = w.bytesSent
-	r.CorruptChunks = w.corrupt
+	c := w.past
 	if w.wanted != nil {
-		r.WantedDigest = w.wanted.ID().Bytes()
-		r.ChunksTotal = uint32(w.wanted.Chunks())
+		c = sum(c, w.wanted.exchange.Counters())
+		r.WantedDigest = w.wanted.manifest.ID().Bytes()
+		r.ChunksTotal = uint32(w.wanted.manifest.Chunks())
 		r.ChunksStaged = uint32(w.countStaged())
 	}
+	r.BytesOrigin = uint64(c.BytesOrigin)
+	r.BytesPeers = uint64(c.BytesPeers)
+	r.BytesSent = w.sent
+	r.CorruptChunks = uint64(c.CorruptChunks)
 }
 
-// weightsLoop keeps the chunks of the wanted manifest staged in the endpoint.
-func (a *Agent) weightsLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := a.stageWanted(ctx); err != nil {
-			telemetry.WeightsIncomplete.Log(ctx, a.node.Logger(), "error", err)
-		}
-		select {
-		case <-ctx.Done():
-		case <-a.node.Applied():
-		case <-time.After(weightsRetry):
-		}
-	}
+func sum(a, b swarm.Counters) swarm.Counters {
+	a.BytesOrigin += b.BytesOrigin
+	a.BytesPeers += b.BytesPeers
+	a.CorruptChunks += b.CorruptChunks
+	return a
 }
 
-// stageWanted brings the chunks that are missing into the staging area.
-func (a *Agent) stageWanted(ctx context.Context) error {
-	s, ok := a.service()
-	if !ok || s.Kind() == configtext.KindPlain {
-		return nil
-	}
-	m, err := a.wantedManifest(ctx, s.Model().Manifest())
-	if err != nil {
-		return err
-	}
-	// The chunks that this instance draws from the origin come first: its peers
-	// wait for them, and it must not wait for theirs before.
-	own, others := a.split(m)
-	for _, list := range [][]model.Chunk{own, others} {
-		fetches := pool.New().WithMaxGoroutines(maxFetches)
-		for _, c := range list {
-			fetches.Go(func() { a.stageChunk(ctx, m, c) })
-		}
-		fetches.Wait()
-	}
-	return nil
-}
-
-// split returns the missing chunks that this instance draws from the origin and
-// those that it gets from its peers.
-func (a *Agent) split(m *model.Manifest) (own, others []model.Chunk) {
-	peers := a.peers()
-	for i := range m.Chunks() {
-		c := m.Chunk((i + a.startChunk(m)) % m.Chunks())
-		switch {
-		case a.weights.has(c.Digest()):
-		case rankFirst(a.node.Self(), peers, c.Digest()):
-			own = append(own, c)
-		default:
-			others = append(others, c)
-		}
-	}
-	return own, others
-}
-
-// startChunk spreads the instances over the chunks.
-func (a *Agent) startChunk(m *model.Manifest) int {
-	d := digest.Of([]byte(a.node.Self().Name()))
-	return (int(d[0])<<8 | int(d[1])) % m.Chunks()
-}
-
-func (w *weights) has(d digest.Digest) bool {
+// setWanted replaces the transfer and keeps the totals of the one before.
+func (w *weights) setWanted(r *transfer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.staged[d]
-}
-
-func (a *Agent) wantedManifest(ctx context.Context, id digest.Digest) (*model.Manifest, error) {
-	a.weights.mu.Lock()
-	current := a.weights.wanted
-	a.weights.mu.Unlock()
-	if current != nil && current.ID() == id {
-		return current, nil
-	}
-	data, err := a.node.Platform().Objects().Get(ctx, ManifestPrefix+id.String())
-	if err != nil {
-		return nil, eris.Wrap(err, "manifest")
-	}
-	if digest.Of(data) != id {
-		return nil, eris.Wrap(errCorrupt, "manifest")
-	}
-	m, err := model.Parse(data)
-	if err != nil {
-		return nil, err
+	if w.wanted != nil {
+		w.past = sum(w.past, w.wanted.exchange.Counters())
 	}
-	a.weights.mu.Lock()
-	defer a.weights.mu.Unlock()
-	a.weights.wanted = m
-	return m, nil
+	w.wanted = r
 }
 
-// stageChunk fetches one chunk, verifies it and hands it to the endpoint.
-func (a *Agent) stageChunk(ctx context.Context, m *model.Manifest, c model.Chunk) {
+// weightsLoop keeps the chunks of the wanted manifest staged in the endpoint. A
+// new configuration that wants another manifest ends the transfer in progress;
+// the chunks that both share stay staged.
+func (a *Agent) weightsLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		data, fromOrigin, err := a.fetchChunk(ctx, m, c)
-		if err == nil && digest.Of(data) != c.Digest() {
-			err = errCorrupt
-		}
-		if err == nil {
-			err = a.engine.PutChunk(ctx, c.Digest(), data)
-		}
-		a.weights.record(c, fromOrigin, err)
-		a.countChunk(c, fromOrigin, err)
-		if err == nil {
-			return
+		passCtx, cancel := context.WithCancel(ctx)
+		pass := make(chan error, 1)
+		go func() { pass <- a.stageWanted(passCtx) }()
+		err := a.awaitPass(ctx, pass)
+		cancel()
+		if err == errSuperseded {
+			<-pass
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			telemetry.WeightsIncomplete.Log(ctx, a.node.Logger(), "error", err)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(peersPause):
+		case <-a.node.Applied():
+		case <-time.After(weightsRetry):
 		}
 	}
 }
 
-// countChunk adds the outcome of one fetch to the metrics.
-func (a *Agent) countChunk(c model.Chunk, fromOrigin bool, err error) {
-	m := a.node.Telemetry().Metrics()
-	switch {
-	case eris.Is(err, errCorrupt):
-		m.CorruptChunks.Inc()
-	case err != nil:
-	case fromOrigin:
-		m.ChunkBytes.WithLabelValues(telemetry.SourceOrigin).Add(float64(c.Size()))
-	default:
-		m.ChunkBytes.WithLabelValues(telemetry.SourcePeers).Add(float64(c.Size()))
-	}
-}
+// errSuperseded ends a pass whose manifest is no longer wanted.
+var errSuperseded = eris.New("another manifest is wanted")
 
-func (w *weights) record(c model.Chunk, fromOrigin bool, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if eris.Is(err, errCorrupt) {
-		w.corrupt++
-	}
-	if err != nil {
-		return
-	}
-	w.staged[c.Digest()] = true
-	if fromOrigin {
-		w.bytesOrigin += uint64(c.Size())
-	} else {
-		w.bytesPeers += uint64(c.Size())
-	}
-}
-
-// errNoSource is returned while no peer has the chunk and another instance is
-// the one that draws it from the origin.
-var errNoSource = eris.New("no source has the chunk")
-
-func (a *Agent) fetchChunk(ctx context.Context, m *model.Manifest, c model.Chunk) ([]byte, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	peers := a.peers()
-	if rankFirst(a.node.Self(), peers, c.Digest()) {
-		data, err := a.node.Platform().Origin().Get(ctx, ChunkPrefix+c.Digest().String())
-		return data, true, err
-	}
-	for _, p := range peers {
-		if a.peerHas(ctx, p, m, c) {
-			data, err := a.fetchFromPeer(ctx, p, c)
-			return data, false, err
-		}
-	}
-	return nil, false, errNoSource
-}
-
-// peers returns the live members that serve the same service.
-func (a *Agent) peers() []member.Member {
-	var list []member.Member
-	for _, m := range a.node.Members() {
-		if m.Role() == member.RoleAgent && m.Service() == a.node.Self().Service() && m.Name() != a.node.Self().Name() {
-			list = append(list, m)
+// awaitPass returns the end of a pass, or errSuperseded.
+func (a *Agent) awaitPass(ctx context.Context, pass <-chan error) error {
+	for {
+		select {
+		case err := <-pass:
+			return err
+		case <-a.node.Applied():
+			if a.wantedChanged() {
+				return errSuperseded
+			}
+		case <-ctx.Done():
+			return <-pass
 		}
 	}
-	return list
 }
 
-// rankFirst reports whether self has the highest rendezvous weight for the chunk
-// among the members of its region.
-func rankFirst(self member.Member, peers []member.Member, chunk digest.Digest) bool {
-	own := rendezvous(self.Name(), chunk)
-	for _, p := range peers {
-		if p.Region() == self.Region() && p.State() == member.StateLive && rendezvous(p.Name(), chunk) > own {
-			return false
-		}
+func (a *Agent) wantedChanged() bool {
+	s, ok := a.service()
+	if !ok || s.Kind() == configtext.KindPlain {
+		return false
 	}
-	return true
-}
-
-func rendezvous(name string, chunk digest.Digest) string {
-	d := digest.Of(append([]byte(name), chunk[:]...))
-	return string(d[:])
+	a.weights.mu.Lock()
+	defer a.weights.mu.Unlock()
+	return a.weights.wanted == nil || a.weights.wanted.manifest.ID() != s.Model().Manifest()
 }
 
-func (a *Agent) peerHas(ctx context.Context, p member.Member, m *model.Manifest, c model.Chunk) bool {
-	request := &nodev1.ChunkMapRequest{Manifest: m.ID().Bytes()}
-	answer, err := a.node.Pool().Agent(p.Address()).ChunkMap(ctx, connect.NewRequest(request))
-	if err != nil {
-		return false
+// stageWanted returns nil when every chunk of the wanted manifest is staged.
+func (a *Agent) stageWanted(ctx context.Context) error {
+	s, ok := a.service()
+	if !ok || s.Kind() == configtext.KindPlain {
+		return nil
 	}
-	bitmap := answer.Msg.GetBitmap()
-	for i := range m.Chunks() {
-		if m.Chunk(i).Digest() == c.Digest() {
-			return i/8 < len(bitmap) && bitmap[i/8]&(1<<(i%8)) != 0
-		}
+	id := s.Model().Manifest()
+	if a.weights.complete(id) != nil {
+		return nil
 	}
-	return false
-}
-
-func (a *Agent) fetchFromPeer(ctx context.Context, p member.Member, c model.Chunk) ([]byte, error) {
-	request := &nodev1.FetchChunkRequest{Digest: c.Digest().Bytes()}
-	stream, err := a.node.Pool().Agent(p.Address()).FetchChunk(ctx, connect.NewRequest(request))
+	m, err := a.wantedManifest(ctx, id)
 	if err != nil {
-		return nil, err
-	}
-	defer stream.Close()
-	data := make([]byte, 0, c.Size())
-	for stream.Receive() {
-		data = append(data, stream.Msg().GetData()...)
-		if int64(len(data)) > c.Size() {
-			return nil, errCorrupt
-		}
+		return err
 	}
-	return data, stream.Err()
+	r := &transfer{manifest: m, uploads: a.uploadsFor(m), exchange: a.newExchange(m, s)}
+	a.weights.setWanted(r)
+	return r.exchange.Run(ctx)
 }
 
-// ChunkMap tells which chunks of a manifest this agent can send.
-func (h handler) ChunkMap(_ context.Context, r *connect.Request[nodev1.ChunkMapRequest]) (*connect.Response[nodev1.ChunkMapResponse], error) {
-	w := &h.agent.weights
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	answer := &nodev1.ChunkMapResponse{}
-	if w.wanted == nil || string(w.wanted.ID().Bytes()) != string(r.Msg.GetManifest()) {
-		return connect.NewResponse(answer), nil
-	}
-	answer.Bitmap = make([]byte, (w.wanted.Chunks()+7)/8)
-	for i := range w.wanted.Chunks() {
-		if w.staged[w.wanted.Chunk(i).Digest()] {
-			answer.Bitmap[i/8] |= 1 << (i % 8)
-		}
+// uploadsFor keeps the upload budget of a manifest over several passes.
+func (a *Agent) uploadsFor(m *model.Manifest) *swarm.Uploads {
+	a.weights.mu.Lock()
+	defer a.weights.mu.Unlock()
+	if w := a.weights.wanted; w != nil && w.manifest.ID() == m.ID() {
+		return w.uploads
 	}
-	return connect.NewResponse(answer), nil
+	return swarm.NewUploads(m.Size())
 }
 
-// FetchChunk streams a staged chunk to a peer within the upload budget.
-func (h handler) FetchChunk(ctx context.Context, r *connect.Request[nodev1.FetchChunkRequest], stream *connect.ServerStream[nodev1.FetchChunkResponse]) error {
-	a := h.agent
-	d, err := digest.FromBytes(r.Msg.GetDigest())
-	if err != nil {
-		return connect.NewError(connect.CodeInvalidArgument, err)
+func (a *Agent) wantedManifest(ctx context.Context, id digest.Digest) (*model.Manifest, error) {
+	a.weights.mu.Lock()
+	current := a.weights.wanted
+	a.weights.mu.Unlock()
+	if current != nil && current.manifest.ID() == id {
+		return current.manifest, nil
 	}
-	body, err := a.engine.OpenChunk(ctx, d, int64(r.Msg.GetOffset()))
+	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	data, err := a.node.Platform().Objects().Get(ctx, ManifestPrefix+id.String())
 	if err != nil {
-		return connect.NewError(connect.CodeNotFound, err)
+		return nil, eris.Wrap(err, "manifest")
 	}
-	defer body.Close()
-	buf := make([]byte, chunkMessage)
-	for {
-		n, err := io.ReadFull(body, buf)
-		if n > 0 {
-			if err := a.uploads.WaitN(ctx, n); err != nil {
-				return err
-			}
-			if err := stream.Send(&nodev1.FetchChunkResponse{Data: buf[:n]}); err != nil {
-				return err
-			}
-			a.weights.sent(n)
-			a.node.Telemetry().Metrics().ChunkBytes.WithLabelValues(telemetry.SourceSent).Add(float64(n))
-		}
-		if err == io.EOF || err == io.ErrUnexpectedEOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	if digest.Of(data) != id {
+		return nil, errCorrupt
 	}
-}
-
-func (w *weights) sent(n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.bytesSent += uint64(n)
+	return model.Parse(data)
 }
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -146,7 +146,7 @@
 func (d *deployment) configText(m *model.Manifest) string {
 	text := "[deployment]\nname = \"demo\"\nstoreRegion = \"riga\"\n"
 	for _, domain := range failureDomains {
-		text += fmt.Sprintf("[region.%s]\nfailureDomains = [%q]\n", domain[:len(domain)-2], domain)
+		text += fmt.Sprintf("[region.%s]\nfailureDomains = [%q]\nlinkBitsPerSecond = 8000000000\n", domain[:len(domain)-2], domain)
 	}
 	text += fmt.Sprintf("[team.demo]\ntokenDigest = %q\nadministrator = true\n", digest.Of([]byte("demo")))
 	text += fmt.Sprintf("[service.%s]\nteam = \"demo\"\nkind = \"model\"\nservers = %d\nmaxUnavailable = %d\nidempotentCompletions = true\ndependsOn = [%q]\n",
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -178,7 +178,9 @@
 
 func (p *Process) newRole(s *settings.Settings, nodeMux, callerMux *http.ServeMux) role {
 	if s.Role() == member.RoleAgent {
-		a := agent.New(p.node, engines.New(s.EngineURL()), agent.WithUploadRate(float64(s.Budgets().UploadBytesPerSecond())))
+		a := agent.New(p.node, engines.New(s.EngineURL()),
+			agent.WithUploadRate(float64(s.Budgets().UploadBytesPerSecond())),
+			agent.WithRegionLinkRate(float64(s.Budgets().RegionLinkBytesPerSecond())))
 		a.Register(nodeMux)
 		return a
 	}
