Wire the administration API of teams and its commands

Cause: the entry still took changes by its own first version. It now hands the API to the operators' handler and gives it status and drain; the head row is read without its section list, and the list only for a newer revision. show, diff and history are commands, and every operators' command sends a token, over TLS where the authorities are named.

Ruled out: an accepted change that is submitted again being pushed by an entry that has it in force, or a later one.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,8 +53,8 @@
 
 func commands() []*command {
 	return []*command{
-		entryCommand(), agentCommand(), demoCommand(), checkCommand(), submitCommand(),
-		statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), versionCommand(),
+		entryCommand(), agentCommand(), demoCommand(), checkCommand(), submitCommand(), diffCommand(),
+		showCommand(), historyCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), versionCommand(),
 	}
 }
 
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"text/tabwriter"
@@ -15,18 +14,9 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
-	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
-// operatorTimeout bounds one call of the administration API.
-const operatorTimeout = 30 * time.Second
-
-// adminClient returns a client of the entry at address.
-func adminClient(address string) adminv1connect.AdminServiceClient {
-	return adminv1connect.NewAdminServiceClient(&http.Client{Timeout: operatorTimeout}, "http://"+address)
-}
-
 func checkCommand() *command {
 	var file string
 	return &command{
@@ -57,14 +47,15 @@
 }
 
 func submitCommand() *command {
-	var file, address, changeID string
+	var to target
+	var file, changeID string
 	var base uint64
 	return &command{
 		name:        "submit",
 		description: "Submit an operators' text as the change after a base revision.",
 		flags: func(sub *flaggy.Subcommand) {
 			sub.AddPositionalValue(&file, "FILE", 1, true, "the text to submit")
-			sub.String(&address, "e", "entry", "address of an entry")
+			to.flags(sub)
 			sub.String(&changeID, "c", "changeId", "ID of the change; repeat it to settle an unknown outcome")
 			sub.UInt64(&base, "b", "base", "revision that the text was made from")
 		},
@@ -77,7 +68,11 @@
 				changeID = strconv.FormatInt(time.Now().UnixNano(), 36)
 			}
 			request := &adminv1.SubmitRequest{File: file, Text: text, ChangeId: changeID, BaseRevision: base}
-			answer, err := adminClient(address).Submit(ctx, connect.NewRequest(request))
+			c, err := to.client()
+			if err != nil {
+				return e.fail(statusUsage, err)
+			}
+			answer, err := c.Submit(ctx, connect.NewRequest(request))
 			if err != nil {
 				return e.fail(statusFailed, fmt.Errorf("outcome unknown, ask again with --changeId %s: %w", changeID, err))
 			}
@@ -100,7 +95,7 @@
 			return statusUsage
 		}
 	case adminv1.SubmitOutcome_SUBMIT_OUTCOME_CONFLICT:
-		fmt.Fprintf(e.stderr, "conflict: %s %s\n", r.GetOtherChangeId(), r.GetReason())
+		fmt.Fprintln(e.stderr, "conflict:", r.GetReason())
 	default:
 		fmt.Fprintf(e.stderr, "unknown, ask again with --changeId %s: %s\n", changeID, r.GetReason())
 	}
@@ -108,17 +103,21 @@
 }
 
 func statusCommand() *command {
-	var address string
+	var to target
 	var asJSON bool
 	return &command{
 		name:        "status",
 		description: "Show where each revision is in force and what each instance serves.",
 		flags: func(sub *flaggy.Subcommand) {
-			sub.String(&address, "e", "entry", "address of an entry")
+			to.flags(sub)
 			sub.Bool(&asJSON, "j", "json", "print one JSON object")
 		},
 		run: func(ctx context.Context, e env) int {
-			answer, err := adminClient(address).Status(ctx, connect.NewRequest(&adminv1.StatusRequest{}))
+			c, err := to.client()
+			if err != nil {
+				return e.fail(statusUsage, err)
+			}
+			answer, err := c.Status(ctx, connect.NewRequest(&adminv1.StatusRequest{}))
 			if err != nil {
 				return e.fail(statusFailed, err)
 			}
@@ -146,16 +145,21 @@
 }
 
 func drainCommand() *command {
-	var address, instance string
+	var to target
+	var instance string
 	return &command{
 		name:        "drain",
 		description: "Start the graceful stop of one endpoint instance.",
 		flags: func(sub *flaggy.Subcommand) {
 			sub.AddPositionalValue(&instance, "INSTANCE", 1, true, "name of the instance")
-			sub.String(&address, "e", "entry", "address of an entry")
+			to.flags(sub)
 		},
 		run: func(ctx context.Context, e env) int {
-			answer, err := adminClient(address).Drain(ctx, connect.NewRequest(&adminv1.DrainRequest{Instance: instance}))
+			c, err := to.client()
+			if err != nil {
+				return e.fail(statusUsage, err)
+			}
+			answer, err := c.Drain(ctx, connect.NewRequest(&adminv1.DrainRequest{Instance: instance}))
 			if err != nil {
 				return e.fail(statusFailed, err)
 			}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -126,14 +126,19 @@
 	}
 }
 
+// teamToken is the token of the demo's only team.
+const teamToken = "demo"
+
 func (d *deployment) submit(ctx context.Context, m *model.Manifest, base uint64) error {
 	client := adminv1connect.NewAdminServiceClient(httpClient(), "http://"+d.entries[0].Self().CallerAddress())
-	answer, err := client.Submit(ctx, connect.NewRequest(&adminv1.SubmitRequest{
+	request := connect.NewRequest(&adminv1.SubmitRequest{
 		File:         "demo.toml",
 		Text:         []byte(d.configText(m)),
 		ChangeId:     "demo-" + m.Version(),
 		BaseRevision: base,
-	}))
+	})
+	request.Header().Set("Authorization", "Bearer "+teamToken)
+	answer, err := client.Submit(ctx, request)
 	if err != nil {
 		return eris.Wrap(err, "submit")
 	}
@@ -148,7 +153,7 @@
 	for _, domain := range failureDomains {
 		text += fmt.Sprintf("[region.%s]\nfailureDomains = [%q]\n", domain[:len(domain)-2], domain)
 	}
-	text += fmt.Sprintf("[team.demo]\ntokenDigest = %q\nadministrator = true\n", digest.Of([]byte("demo")))
+	text += fmt.Sprintf("[team.demo]\ntokenDigest = %q\nadministrator = true\n", digest.Of([]byte(teamToken)))
 	text += fmt.Sprintf("[service.%s]\nteam = \"demo\"\nkind = \"model\"\nservers = %d\nmaxUnavailable = %d\nidempotentCompletions = true\ndependsOn = [%q]\n",
 		modelService, d.options.replicas, max(1, d.options.replicas/4), plainService)
 	text += fmt.Sprintf("[[service.%s.models]]\nname = %q\nversion = %q\nmanifest = %q\n", modelService, m.Name(), m.Version(), m.ID())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/node"
-	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 )
 
 // Entry is one entry process. It is safe for concurrent use.
@@ -47,8 +46,7 @@
 
 // Register adds the handlers for callers and operators to mux.
 func (e *Entry) Register(mux *http.ServeMux) {
-	path, admin := adminv1connect.NewAdminServiceHandler(operators{entry: e})
-	mux.Handle(path, admin)
+	newOperators(e).Register(mux)
 	router := httprouter.New()
 	router.GET("/addresses", e.serveAddresses)
 	for _, m := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,75 +2,59 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"time"
 
 	"connectrpc.com/connect"
-	"github.com/rotisserie/eris"
 
-	"github.com/primrosetally/primrosetally/internal/node"
+	"github.com/primrosetally/primrosetally/internal/coordination/accept"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
-	"github.com/primrosetally/primrosetally/internal/transport/tables"
+	"github.com/primrosetally/primrosetally/internal/transport/operators"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
-	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
-// Table keys of accepted changes.
-const (
-	changePrefix   = "config/change/"
-	revisionPrefix = "config/revision/"
-)
-
-// operators implements adminv1connect.AdminServiceHandler.
-type operators struct {
-	adminv1connect.UnimplementedAdminServiceHandler
-	entry *Entry
+// newOperators returns the handler of the administration API, which changes
+// the configuration through the table and does the rest through e.
+func newOperators(e *Entry) *operators.Handler {
+	platform := e.node.Platform()
+	exists := func(ctx context.Context, d digest.Digest) (bool, error) {
+		return platform.Objects().Exists(ctx, manifestPrefix+d.String())
+	}
+	acceptor := accept.New(
+		accept.WithTables(platform.Tables()),
+		accept.WithObjects(platform.Objects().Put, platform.Objects().Get),
+		accept.WithInForce(e.inForce),
+		accept.WithCheck(func(ctx context.Context, base, c *configtext.Config) error {
+			return operators.CheckManifests(ctx, base, c, exists)
+		}),
+	)
+	return operators.New(
+		acceptor,
+		operators.WithInForce(e.inForce),
+		operators.WithAccepted(e.spread),
+		operators.WithManifestExists(exists),
+		operators.WithStatus(e.status),
+		operators.WithDrain(e.serviceOf, e.drain),
+	)
 }
 
-// Check checks an operators' text without submitting it.
-func (o operators) Check(_ context.Context, r *connect.Request[adminv1.CheckRequest]) (*connect.Response[adminv1.CheckResponse], error) {
-	_, err := configtext.Parse(r.Msg.GetFile(), r.Msg.GetText())
-	return connect.NewResponse(&adminv1.CheckResponse{Faults: faultMessages(err)}), nil
-}
+// manifestPrefix leads the objects of manifests, by ID.
+const manifestPrefix = "manifests/"
 
-func faultMessages(err error) []*adminv1.Fault {
-	var faults configtext.Faults
-	if !errors.As(err, &faults) {
+// inForce returns the configuration in force, nil before the first.
+func (e *Entry) inForce() *configtext.Config {
+	s := e.node.Snapshot()
+	if s == nil {
 		return nil
 	}
-	list := make([]*adminv1.Fault, len(faults))
-	for i, f := range faults {
-		list[i] = &adminv1.Fault{File: f.File(), Line: uint32(f.Line()), Key: f.Key(), Reason: f.Reason()}
-	}
-	return list
-}
-
-// Submit accepts a change: one table transaction moves the head from the base
-// revision to the next.
-func (o operators) Submit(ctx context.Context, r *connect.Request[adminv1.SubmitRequest]) (*connect.Response[adminv1.SubmitResponse], error) {
-	c, err := configtext.Parse(r.Msg.GetFile(), r.Msg.GetText())
-	if err != nil {
-		return connect.NewResponse(&adminv1.SubmitResponse{
-			Outcome: adminv1.SubmitOutcome_SUBMIT_OUTCOME_REFUSED,
-			Faults:  faultMessages(err),
-			Reason:  "the text has faults",
-		}), nil
-	}
-	answer, head := o.entry.accept(ctx, c, r.Msg.GetChangeId(), r.Msg.GetBaseRevision())
-	if answer.GetOutcome() == adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED {
-		o.entry.spread(head, c)
-	}
-	return connect.NewResponse(answer), nil
+	return s.Config()
 }
 
 // spread puts an accepted configuration in force here and pushes it at once.
-func (e *Entry) spread(head snapshot.Head, c *configtext.Config) {
+func (e *Entry) spread(ctx context.Context, head snapshot.Head, c *configtext.Config) {
 	texts := make(map[digest.Digest][]byte)
 	for _, s := range c.Sections() {
 		texts[s.Digest()] = s.Text()
@@ -79,79 +63,16 @@
 		data, ok := texts[d]
 		return data, ok
 	}
-	if err := e.node.Accepted(head, text); err != nil {
-		telemetry.ConfigurationNotAdopted.Log(context.Background(), e.node.Logger(), "revision", head.Revision, "error", err)
-	}
-}
-
-func (e *Entry) accept(ctx context.Context, c *configtext.Config, changeID string, base uint64) (*adminv1.SubmitResponse, snapshot.Head) {
-	head := snapshot.Head{
-		Revision:     base + 1,
-		Digest:       c.HeadDigest(),
-		ChangeID:     changeID,
-		AcceptedUnix: time.Now().Unix(),
-	}
-	for _, s := range c.Sections() {
-		if err := e.node.Platform().Objects().Put(ctx, node.SectionPrefix+s.Digest().String(), s.Text()); err != nil {
-			return refused(err), head
-		}
-		head.Sections = append(head.Sections, snapshot.SectionRef{Name: s.Name(), Digest: s.Digest()})
-	}
-	row, err := e.node.Platform().Tables().Get(ctx, node.HeadKey)
-	if err != nil {
-		return refused(err), head
-	}
-	if err := checkBase(row, base); err != nil {
-		return refused(err), head
-	}
-	value, err := json.Marshal(head)
-	if err != nil {
-		return refused(err), head
+	if head.Revision <= e.node.Revision() {
+		return // submitted again after later changes
 	}
-	change := tables.NewTransaction().
-		Expect(node.HeadKey, row.Version()).
-		Expect(changePrefix+changeID, 0).
-		Put(node.HeadKey, value).
-		Put(changePrefix+changeID, value)
-	_, err = e.node.Platform().Tables().Commit(ctx, change)
-	return outcome(err, head), head
-}
-
-var errStaleBase = eris.New("the base revision is not the one in force")
-
-func checkBase(row tables.Row, base uint64) error {
-	var head snapshot.Head
-	if row.Version() != 0 {
-		if err := json.Unmarshal(row.Value(), &head); err != nil {
-			return eris.Wrap(err, "head row")
-		}
-	}
-	if head.Revision != base {
-		return eris.Wrapf(errStaleBase, "in force: %d", head.Revision)
-	}
-	return nil
-}
-
-func refused(err error) *adminv1.SubmitResponse {
-	return &adminv1.SubmitResponse{Outcome: adminv1.SubmitOutcome_SUBMIT_OUTCOME_REFUSED, Reason: err.Error()}
-}
-
-func outcome(err error, head snapshot.Head) *adminv1.SubmitResponse {
-	switch {
-	case err == nil:
-		return &adminv1.SubmitResponse{Outcome: adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, Revision: head.Revision}
-	case errors.Is(err, tables.ErrConflict):
-		return &adminv1.SubmitResponse{Outcome: adminv1.SubmitOutcome_SUBMIT_OUTCOME_CONFLICT, Reason: err.Error()}
-	case errors.Is(err, tables.ErrUnavailable):
-		return refused(err)
-	default:
-		return &adminv1.SubmitResponse{Outcome: adminv1.SubmitOutcome_SUBMIT_OUTCOME_UNKNOWN, Reason: err.Error()}
+	if err := e.node.Accepted(head, text); err != nil {
+		telemetry.ConfigurationNotAdopted.Log(ctx, e.node.Logger(), "revision", head.Revision, "error", err)
 	}
 }
 
-// Status reports the revision in force and the state of every process.
-func (o operators) Status(ctx context.Context, _ *connect.Request[adminv1.StatusRequest]) (*connect.Response[adminv1.StatusResponse], error) {
-	e := o.entry
+// status reports the revision in force and the state of every process.
+func (e *Entry) status(ctx context.Context) (*adminv1.StatusResponse, error) {
 	answer := &adminv1.StatusResponse{Revision: e.node.Revision()}
 	for _, p := range *e.reports.endpoints.Load() {
 		answer.Nodes = append(answer.Nodes, endpointStatus(p))
@@ -161,7 +82,7 @@
 			answer.Nodes = append(answer.Nodes, e.entryStatus(ctx, m))
 		}
 	}
-	return connect.NewResponse(answer), nil
+	return answer, nil
 }
 
 func endpointStatus(p endpoint) *adminv1.NodeStatus {
@@ -225,16 +146,31 @@
 	}
 }
 
-// Drain starts the graceful stop of one endpoint.
-func (o operators) Drain(ctx context.Context, r *connect.Request[adminv1.DrainRequest]) (*connect.Response[adminv1.DrainResponse], error) {
-	for _, m := range o.entry.node.Members() {
-		if m.Name() == r.Msg.GetInstance() && m.Role() == member.RoleAgent {
-			answer, err := o.entry.node.Pool().Agent(m.Address()).Leave(ctx, connect.NewRequest(&nodev1.LeaveRequest{}))
-			if err != nil {
-				return nil, connect.NewError(connect.CodeUnavailable, err)
-			}
-			return connect.NewResponse(&adminv1.DrainResponse{InFlight: answer.Msg.GetInFlight()}), nil
+// serviceOf returns the service of an endpoint instance.
+func (e *Entry) serviceOf(instance string) (string, bool) {
+	m, found := e.endpointNamed(instance)
+	return m.Service(), found
+}
+
+// drain starts the graceful stop of one endpoint and returns the attempts that
+// it has in flight.
+func (e *Entry) drain(ctx context.Context, instance string) (uint32, error) {
+	m, found := e.endpointNamed(instance)
+	if !found {
+		return 0, operators.ErrUnknownInstance
+	}
+	answer, err := e.node.Pool().Agent(m.Address()).Leave(ctx, connect.NewRequest(&nodev1.LeaveRequest{}))
+	if err != nil {
+		return 0, err
+	}
+	return answer.Msg.GetInFlight(), nil
+}
+
+func (e *Entry) endpointNamed(instance string) (member.Member, bool) {
+	for _, m := range e.node.Members() {
+		if m.Name() == instance && m.Role() == member.RoleAgent {
+			return m, true
 		}
 	}
-	return nil, connect.NewError(connect.CodeNotFound, eris.Errorf("no endpoint instance %q", r.Msg.GetInstance()))
+	return member.Member{}, false
 }
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/accept"
 	"github.com/primrosetally/primrosetally/internal/coordination/spread"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -15,12 +15,6 @@
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
-// Table and object keys of the configuration.
-const (
-	HeadKey       = "config/head"
-	SectionPrefix = "sections/"
-)
-
 // Accepted puts a change that this process wrote to the table in force and
 // spreads it. Sections that text does not have are read from the snapshot in
 // force.
@@ -110,18 +104,27 @@
 	return n.spread.PollAnswered(time.Now(), head, err)
 }
 
+// readHead reads the latest revision from the table. The sections are read, from
+// the object store, only where the revision is newer than the one in force.
 func (n *Node) readHead(ctx context.Context) (spread.Head, error) {
-	row, err := n.platform.tables.Get(ctx, HeadKey)
+	row, err := n.platform.tables.Get(ctx, accept.HeadKey)
 	if err != nil || row.Version() == 0 {
 		return spread.Head{}, err
 	}
-	var head snapshot.Head
-	if err := json.Unmarshal(row.Value(), &head); err != nil {
+	head, err := accept.ParseHead(row.Value())
+	if err != nil {
 		telemetry.HeadRowMalformed.Log(ctx, n.logger, "error", err)
 		return spread.Head{}, eris.Wrap(err, "head row")
 	}
-	checked := spreadHead(head)
-	return checked, checked.Check(head.Digest)
+	if head.Revision <= n.Revision() {
+		return spreadHead(head), nil
+	}
+	list, err := n.platform.objects.Get(ctx, accept.SectionPrefix+head.Digest.String())
+	if err != nil {
+		return spread.Head{}, err
+	}
+	head.Sections, err = accept.ParseSectionList(list, head.Digest)
+	return spreadHead(head), err
 }
 
 func (n *Node) push(ctx context.Context, p spread.PushTo) spread.Actions {
@@ -184,7 +187,7 @@
 func (n *Node) readSections(ctx context.Context, digests []digest.Digest) ([]spread.Section, error) {
 	var sections []spread.Section
 	for _, d := range digests {
-		data, err := n.platform.objects.Get(ctx, SectionPrefix+d.String())
+		data, err := n.platform.objects.Get(ctx, accept.SectionPrefix+d.String())
 		if err != nil {
 			return sections, eris.Wrapf(err, "section %s", d.Short())
 		}
