Submit with a token in the test of traces

Cause: the entry refuses a change without the token of a team, so the test, written before, got REFUSED with "token belongs to no team". The test now sends the token whose digest its text names; what it checks is unchanged.

--- a/internal/process/trace_test.go
+++ b/internal/process/trace_test.go
@@ -103,7 +103,9 @@
 		"[service.bookings]\nteam = \"web\"\nkind = \"plain\"\nservers = 1\n" +
 		"[account.shop]\nteam = \"web\"\nrequestsPerSecond = 1000\nmaxInFlight = 100\n"
 	client := adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+d.entry.Self().CallerAddress())
-	answer, err := client.Submit(t.Context(), connect.NewRequest(&adminv1.SubmitRequest{File: "one.toml", Text: []byte(text), ChangeId: "1"}))
+	request := connect.NewRequest(&adminv1.SubmitRequest{File: "one.toml", Text: []byte(text), ChangeId: "1"})
+	request.Header().Set("Authorization", "Bearer web")
+	answer, err := client.Submit(t.Context(), request)
 	require.NoError(t, err)
 	require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, answer.Msg.GetOutcome(), "%v", answer.Msg)
 }
