--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/accept"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -16,6 +19,9 @@
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
+// maxStatusCalls bounds the calls that one status request has open at a time.
+const maxStatusCalls = 32
+
 // newOperators returns the handler of the administration API, which changes
 // the configuration through the table and does the rest through e.
 func newOperators(e *Entry) *operators.Handler {
@@ -71,18 +77,23 @@
 	}
 }
 
-// status reports the revision in force and the state of every process.
+// status asks every process for the revision in force and the state of its
+// endpoint. A process that does not answer is listed as not reachable.
 func (e *Entry) status(ctx context.Context) (*adminv1.StatusResponse, error) {
-	answer := &adminv1.StatusResponse{Revision: e.node.Revision()}
-	for _, p := range *e.reports.endpoints.Load() {
-		answer.Nodes = append(answer.Nodes, endpointStatus(p))
-	}
+	ask := pool.NewWithResults[*adminv1.NodeStatus]().WithMaxGoroutines(maxStatusCalls)
 	for _, m := range e.node.Members() {
-		if m.Role() == member.RoleEntry {
-			answer.Nodes = append(answer.Nodes, e.entryStatus(ctx, m))
-		}
+		ask.Go(func() *adminv1.NodeStatus {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			if m.Role() == member.RoleEntry {
+				return e.entryStatus(ctx, m)
+			}
+			return endpointStatus(endpoint{member: m, report: e.fetchReport(ctx, m.Address(), 0)})
+		})
 	}
-	return answer, nil
+	nodes := ask.Wait()
+	slices.SortFunc(nodes, func(a, b *adminv1.NodeStatus) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return &adminv1.StatusResponse{Revision: e.node.Revision(), Nodes: nodes}, nil
 }
 
 func endpointStatus(p endpoint) *adminv1.NodeStatus {
@@ -124,8 +135,6 @@
 func (e *Entry) entryStatus(ctx context.Context, m member.Member) *adminv1.NodeStatus {
 	s := memberStatus(m)
 	s.State = string(m.State())
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
 	request := &nodev1.CompareRequest{From: &nodev1.Origin{Name: e.node.Self().Name()}}
 	answer, err := e.node.Pool().Node(m.Address()).Compare(ctx, connect.NewRequest(request))
 	if err != nil {
