--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -35,6 +36,8 @@
 	batch    *batch
 	cache    *prefixCache
 	loads    conc.WaitGroup
+	// tokenDelay is the time from one token to the next.
+	tokenDelay atomic.Int64
 
 	stateMu     sync.Mutex
 	life        *life
@@ -163,6 +166,7 @@
 		o(&s)
 	}
 	e := &Engine{settings: s, router: httprouter.New(), staging: newStaging(s.stagingCapacity)}
+	e.SetTokenDelay(s.tokenDelay)
 	e.batch = newBatch(s.capacity, s.loadReportLag, s.now)
 	e.cache = newPrefixCache(s)
 	e.start()
@@ -226,6 +230,12 @@
 	e.loadOther = n
 }
 
+// SetTokenDelay changes the time from one token to the next, of running requests
+// as well.
+func (e *Engine) SetTokenDelay(d time.Duration) {
+	e.tokenDelay.Store(int64(d))
+}
+
 // Counts returns the counters.
 func (e *Engine) Counts() EngineCounts {
 	e.stateMu.Lock()
@@ -304,6 +314,8 @@
 	Crash bool `json:"crash,omitempty"`
 	// LoadOther is the number of coming loads that go wrong.
 	LoadOther *int `json:"loadOther,omitempty"`
+	// TokenDelayMS is the time from one token to the next, in milliseconds.
+	TokenDelayMS *int64 `json:"tokenDelayMs,omitempty"`
 }
 
 func (e *Engine) control(w http.ResponseWriter, r *http.Request) {
@@ -316,6 +328,9 @@
 		if c.LoadOther != nil {
 			e.LoadOther(*c.LoadOther)
 		}
+		if c.TokenDelayMS != nil {
+			e.SetTokenDelay(time.Duration(*c.TokenDelayMS) * time.Millisecond)
+		}
 		if c.Crash {
 			e.Crash()
 		}
--- a/internal/standin/engine_completions.go
+++ b/internal/standin/engine_completions.go
@@ -113,7 +113,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.writeHeader(w, serving, q.Stream)
-	out := &completionWriter{w: w, stream: q.Stream, flushEach: e.settings.tokenDelay > 0}
+	out := &completionWriter{w: w, stream: q.Stream, flushEach: e.tokenDelay.Load() > 0}
 	if e.generate(ctx, q, out) != nil {
 		e.count(func(c *EngineCounts) { c.Canceled++; c.Tokens += uint64(out.sent) })
 		panic(http.ErrAbortHandler)
@@ -129,7 +129,7 @@
 	var from *weights
 	var seed uint64
 	for i := q.ResumeFrom; i < q.MaxTokens; i++ {
-		if err := wait(ctx, e.settings.tokenDelay); err != nil {
+		if err := wait(ctx, time.Duration(e.tokenDelay.Load())); err != nil {
 			return err
 		}
 		if err := e.waitThawed(ctx); err != nil {
