--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -47,6 +47,10 @@
 		204, "pushFailed", slog.LevelDebug,
 		"A revision could not be handed on to a peer; the comparison with neighbours repairs it.",
 	}
+	ConfigurationDiverged = Event{
+		205, "configurationDiverged", slog.LevelError,
+		"A peer has another configuration at the same revision. The table service rules this out unless it lost data; submit the configuration again.",
+	}
 )
 
 // Events of the membership.
@@ -89,7 +93,7 @@
 func Catalogue() []Event {
 	all := []Event{
 		ProcessStarted, ProcessStopped, ListenerFailed, SpansNotSent,
-		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed,
+		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed, ConfigurationDiverged,
 		MembershipUnavailable,
 		WeightsIncomplete, WeightsInService, SwitchFailed,
 		RolloutLeaseLost, OrderNotDelivered, OrderRefused,
