Count an instance as gone when the list drops it and it does not answer

Cause: the test with a killed agent took 35 s. The killed instance was off the platform's list, but the view keeps a peer that spoke lately for 30 s, and the rollout counted it as unavailable all that time, which with maxUnavailable = 1 held every other instance back.

Ruled out: a shorter grace (it protects a live peer from a faulty list). Now a peer that is neither listed nor answers is left out; the watches of reports are evidence.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/routing"
@@ -27,6 +28,9 @@
 	minReportPause = 50 * time.Millisecond
 )
 
+// errNoReport is noted for an agent that gave no report.
+var errNoReport = eris.New("agent gave no report")
+
 // endpoint is one agent with its last report; the report is nil if the agent did
 // not answer the last time it was asked.
 type endpoint struct {
@@ -148,7 +152,7 @@
 func (e *Entry) followReports(ctx context.Context, w *watch) {
 	known := uint64(0)
 	for ctx.Err() == nil {
-		report := e.fetchReport(ctx, w.endpoint.member.Address(), known)
+		report := e.watchReport(ctx, w.endpoint.member, known)
 		known = report.GetChange()
 		e.reports.mu.Lock()
 		w.endpoint.report = report
@@ -165,6 +169,19 @@
 	}
 }
 
+// watchReport fetches a report and takes the answer as evidence that the agent is
+// there, or not.
+func (e *Entry) watchReport(ctx context.Context, m member.Member, known uint64) *nodev1.EndpointReport {
+	report := e.fetchReport(ctx, m.Address(), known)
+	switch {
+	case report != nil:
+		e.node.NoteAnswer(m.Name(), m.Incarnation(), nil)
+	case ctx.Err() == nil:
+		e.node.NoteAnswer(m.Name(), m.Incarnation(), errNoReport)
+	}
+	return report
+}
+
 func (e *Entry) fetchReport(ctx context.Context, address string, known uint64) *nodev1.EndpointReport {
 	ctx, cancel := context.WithTimeout(ctx, reportWait+reportTimeout)
 	defer cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,12 +159,14 @@
 // View returns what is known of the members; it takes no lock.
 func (n *Node) View() *membership.View { return n.tracker.View() }
 
-// Members returns the members that may be given new work or that are leaving.
+// Members returns the members that may be given new work or that are leaving. A
+// peer that is neither on the platform's list nor answers is left out at once.
 func (n *Node) Members() []member.Member {
 	peers := n.View().Peers()
 	list := make([]member.Member, 0, len(peers))
 	for _, p := range peers {
-		if p.Reach() != membership.ReachNone {
+		gone := !p.Listed() && p.Reach() != membership.ReachGood && p.Name() != n.self.Name()
+		if p.Reach() != membership.ReachNone && !gone {
 			list = append(list, p.Member())
 		}
 	}
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -133,7 +133,7 @@
 		message.Sections = append(message.Sections, sectionMessage(s))
 	}
 	answer, err := n.pool.Node(p.To.Address()).Push(ctx, connect.NewRequest(message))
-	n.noteAnswer(p.To.Name(), p.To.Incarnation(), err)
+	n.NoteAnswer(p.To.Name(), p.To.Incarnation(), err)
 	revision := uint64(0)
 	if err != nil {
 		telemetry.PushFailed.Log(ctx, n.logger, "peer", p.To.Name(), "error", err)
@@ -145,7 +145,7 @@
 
 func (n *Node) compare(ctx context.Context, c spread.CompareTo) spread.Actions {
 	answer, err := n.pool.Node(c.To.Address()).Compare(ctx, connect.NewRequest(compareMessage(n.From(), c.Compare)))
-	n.noteAnswer(c.To.Name(), c.To.Incarnation(), err)
+	n.NoteAnswer(c.To.Name(), c.To.Incarnation(), err)
 	var reply spread.CompareReply
 	if err == nil {
 		reply, err = n.checkedReply(ctx, c.To.Name(), answer.Msg)
@@ -175,7 +175,7 @@
 		request.Digests = append(request.Digests, d.Bytes())
 	}
 	answer, err := n.pool.Node(f.From.Address()).FetchSections(ctx, connect.NewRequest(request))
-	n.noteAnswer(f.From.Name(), f.From.Incarnation(), err)
+	n.NoteAnswer(f.From.Name(), f.From.Incarnation(), err)
 	if err != nil {
 		return nil, err
 	}
@@ -196,8 +196,9 @@
 	return sections, nil
 }
 
-// noteAnswer is first-hand evidence for the view of the members.
-func (n *Node) noteAnswer(name string, incarnation uint64, err error) {
+// NoteAnswer takes the end of a call to a peer as first-hand evidence for the
+// view of the members.
+func (n *Node) NoteAnswer(name string, incarnation uint64, err error) {
 	switch {
 	case err == nil:
 		n.tracker.Heard(name, incarnation)
