Carry control messages over one HTTP/2 connection a peer

Cause: the measurement of spread counts 254 + 179 bytes of headers a call on an open HTTP/1.1 connection and 22 + 47 over HTTP/2. Over HTTP/1.1 the control traffic of a node at the target is 3,148 bytes a second, over the budget of 3,000 (TestTargetSize fails on it).

Now comparisons, pushes and reports go over HTTP/2; attempts and chunks stay on HTTP/1.1. The membership list, the largest message, is compressed, and read less often the larger the deployment. A process that stops lets go of the reports that wait, which held its shutdown back for up to 10 s.

--- a/internal/agent/change.go
+++ b/internal/agent/change.go
@@ -35,6 +35,7 @@
 	last material
 	seen uint64
 	next chan struct{} // closed at the next change
+	over bool          // the process ends; nobody waits any more
 }
 
 // note counts a change if m differs from what was noted last.
@@ -50,6 +51,15 @@
 	c.next = make(chan struct{})
 }
 
+// end lets all that wait go, now and later.
+func (c *changes) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+	close(c.next)
+	c.next = make(chan struct{})
+}
+
 func (c *changes) number() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -60,7 +70,7 @@
 // when ctx ends.
 func (c *changes) await(ctx context.Context, known uint64, wait time.Duration) {
 	c.mu.Lock()
-	next, same := c.next, c.seen == known
+	next, same := c.next, c.seen == known && !c.over
 	c.mu.Unlock()
 	if !same || wait <= 0 {
 		return
@@ -76,6 +86,7 @@
 
 // changeLoop notes the changes of the report.
 func (a *Agent) changeLoop(ctx context.Context) {
+	defer a.changes.end()
 	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	recorded := &nodev1.EndpointReport{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,9 +36,13 @@
 
 // Intervals of the background work.
 const (
-	membersInterval = 2 * time.Second
-	expireInterval  = time.Second
-	listTimeout     = 2 * time.Second
+	// The membership list is read each memberShare for every member, within the
+	// bounds: a small deployment sees changes soon, a large one spares its links.
+	memberShare        = 10 * time.Millisecond
+	minMembersInterval = 500 * time.Millisecond
+	maxMembersInterval = 10 * time.Second
+	expireInterval     = time.Second
+	listTimeout        = 2 * time.Second
 )
 
 // maxCalls bounds the calls to other processes that are open at a time.
@@ -207,7 +211,7 @@
 	n.context = ctx
 	done := make(chan struct{})
 	var wg conc.WaitGroup
-	wg.Go(func() { every(ctx, membersInterval, n.refreshMembers) })
+	wg.Go(func() { n.membersLoop(ctx) })
 	wg.Go(func() { every(ctx, expireInterval, func(context.Context) { n.tracker.Expire() }) })
 	wg.Go(func() { every(ctx, spread.TickInterval, func(context.Context) { n.do(n.spread.Tick(time.Now())) }) })
 	go func() {
@@ -235,6 +239,18 @@
 	}
 }
 
+// membersLoop reads the membership list until ctx ends.
+func (n *Node) membersLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.refreshMembers(ctx)
+		wait := time.Duration(n.View().Len()) * memberShare
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(max(wait, minMembersInterval), maxMembersInterval)):
+		}
+	}
+}
+
 func (n *Node) refreshMembers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -26,6 +26,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
+	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 )
 
 // Limits of the HTTP servers.
@@ -195,6 +196,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         nodes.ServerProtocols(),
 	}
 	p.servers = append(p.servers, server)
 	go func() {
@@ -223,6 +225,8 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
+	// The background work ends first: it lets go of the reports that wait.
+	p.cancel()
 	for _, s := range p.servers {
 		if shutdown := s.Shutdown(ctx); err == nil {
 			err = shutdown
--- a/internal/standin/members.go
+++ b/internal/standin/members.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -140,7 +142,14 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(data)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressed := gzip.NewWriter(w)
+	_, _ = compressed.Write(data)
+	_ = compressed.Close()
 }
 
 func (m *Members) put(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
--- a/internal/transport/members/members.go
+++ b/internal/transport/members/members.go
@@ -56,10 +56,13 @@
 
 // New returns a client of the list at baseURL.
 func New(baseURL string, options ...Option) *Client {
+	transport := once.NewTransport()
+	// The list is the largest message of control, and text that compresses well.
+	transport.DisableCompression = false
 	c := &Client{
 		url:     strings.TrimRight(baseURL, "/") + PathMembers,
 		timeout: defaultTimeout,
-		http:    &http.Client{Transport: once.NewTransport()},
+		http:    &http.Client{Transport: transport},
 	}
 	for _, o := range options {
 		o(c)
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -1,9 +1,14 @@
 // Package nodes holds the clients by which the processes of the system call
 // each other, one per peer address.
 //
-// The transport speaks HTTP/1.1 and carries connect messages by POST without an
-// Idempotency-Key header, so net/http never sends one message twice: it replays
-// a request only if no byte of it was written.
+// Attempts and chunks go over HTTP/1.1, one exchange a connection, so that a chunk
+// and a live answer never share a connection's flow control. The small messages of
+// control go over one HTTP/2 connection a peer, whose compressed headers are a
+// tenth of those of HTTP/1.1.
+//
+// All messages are POSTs without an Idempotency-Key header, so net/http never sends
+// one twice: it replays a request only if no byte of it was written or if the peer
+// said that it did not process it.
 //
 // # Usage
 //
@@ -29,6 +34,8 @@
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerHost = 64
 	bufferSize          = 64 << 10 // bytes
+	pingAfter           = 15 * time.Second
+	pingTimeout         = 5 * time.Second
 )
 
 // plainBytes keeps the answers of agents uncompressed. Weights do not compress,
@@ -38,10 +45,12 @@
 
 // Pool returns clients by peer address. It is safe for concurrent use.
 type Pool struct {
-	client  *http.Client
+	data    *http.Client
+	control *http.Client
 	options []connect.ClientOption
-	agents  sync.Map // address to nodev1connect.AgentServiceClient
-	nodes   sync.Map // address to nodev1connect.NodeServiceClient
+	agents  sync.Map // address to nodev1connect.AgentServiceClient over data
+	reports sync.Map // address to nodev1connect.AgentServiceClient over control
+	nodes   sync.Map // address to nodev1connect.NodeServiceClient over control
 }
 
 type config struct {
@@ -69,7 +78,15 @@
 		o(&c)
 	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
-	transport := &http.Transport{
+	return &Pool{
+		data:    &http.Client{Transport: newTransport(dialer)},
+		control: &http.Client{Transport: newControlTransport(dialer)},
+		options: c.options,
+	}
+}
+
+func newTransport(dialer *net.Dialer) *http.Transport {
+	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
@@ -77,16 +94,49 @@
 		ReadBufferSize:      bufferSize,
 		WriteBufferSize:     bufferSize,
 	}
-	return &Pool{client: &http.Client{Transport: transport}, options: c.options}
 }
 
-// Agent returns the client of the agent that listens at address.
+// newControlTransport returns a transport that speaks HTTP/2 alone. It pings a
+// connection that has been silent, so that a peer that was cut off is noticed.
+func newControlTransport(dialer *net.Dialer) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:        dialer.DialContext,
+		IdleConnTimeout:    idleConnTimeout,
+		DisableCompression: true,
+		Protocols:          &protocols,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+}
+
+// ServerProtocols returns the protocols that a listener for the processes of the
+// system speaks.
+func ServerProtocols() *http.Protocols {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &protocols
+}
+
+// Agent returns the client for attempts, orders and chunks of the agent that
+// listens at address.
 func (p *Pool) Agent(address string) nodev1connect.AgentServiceClient {
-	if c, ok := p.agents.Load(address); ok {
+	return p.agentClient(&p.agents, p.data, address)
+}
+
+// Reports returns the client for the reports of the agent that listens at address.
+func (p *Pool) Reports(address string) nodev1connect.AgentServiceClient {
+	return p.agentClient(&p.reports, p.control, address)
+}
+
+func (p *Pool) agentClient(known *sync.Map, client *http.Client, address string) nodev1connect.AgentServiceClient {
+	if c, ok := known.Load(address); ok {
 		return c.(nodev1connect.AgentServiceClient)
 	}
-	c := nodev1connect.NewAgentServiceClient(p.client, "http://"+address, append(p.options[:len(p.options):len(p.options)], plainBytes)...)
-	kept, _ := p.agents.LoadOrStore(address, c)
+	options := append(p.options[:len(p.options):len(p.options)], plainBytes)
+	c := nodev1connect.NewAgentServiceClient(client, "http://"+address, options...)
+	kept, _ := known.LoadOrStore(address, c)
 	return kept.(nodev1connect.AgentServiceClient)
 }
 
@@ -95,12 +145,13 @@
 	if c, ok := p.nodes.Load(address); ok {
 		return c.(nodev1connect.NodeServiceClient)
 	}
-	c := nodev1connect.NewNodeServiceClient(p.client, "http://"+address, p.options...)
+	c := nodev1connect.NewNodeServiceClient(p.control, "http://"+address, p.options...)
 	kept, _ := p.nodes.LoadOrStore(address, c)
 	return kept.(nodev1connect.NodeServiceClient)
 }
 
 // Close closes the idle connections.
 func (p *Pool) Close() {
-	p.client.CloseIdleConnections()
+	p.data.CloseIdleConnections()
+	p.control.CloseIdleConnections()
 }
