Read texts in time proportional to their length

Cause: each text was read twice, the second time by the library alone, whose check for keys defined twice compares each table with all others; a text of 60,000 empty tables would have been compared 1.8 thousand million times. The walk now knows itself what may extend a table, and a fuzz target holds that it refuses a text exactly where the library does, but for its own bounds and for dates, which no key takes.

Ruled out: bounding the number of tables before the library reads them, which leaves texts of the planned size at twice the time. The differential test found "+nan", radix prefixes with signs and malformed dates as differences at first.

--- a/internal/protocol/tomltext/spec.go
+++ b/internal/protocol/tomltext/spec.go
@@ -107,19 +107,20 @@
 	if !found {
 		return nil
 	}
-	list, isList := data.([]value)
+	list, isList := data.(*array)
 	if !isList {
 		t.wrongKind(s, data)
 		return nil
 	}
-	if n := float64(len(list)); n < s.Least || n > s.Most {
-		t.Fault(s.Name, fmt.Sprintf("%d elements, must be %s", len(list), s.Range()))
+	if n := float64(len(list.elements)); n < s.Least || n > s.Most {
+		t.Fault(s.Name, fmt.Sprintf("%d elements, must be %s", len(list.elements), s.Range()))
 		return nil
 	}
 	var texts []string
-	for i, v := range list {
+	for i, v := range list.elements {
 		text, isString := v.data.(string)
 		switch {
+		case v.data == invalid{}:
 		case !isString:
 			t.FaultAt(s.Name, i, fmt.Sprintf("element %d is %s, must be a string", i, kindOf(v.data)))
 		case s.refusesString(text) != "":
@@ -281,7 +282,7 @@
 	if e != nil {
 		return e.value, true
 	}
-	if s.Required {
+	if s.Required && !t.Has(s.Name) {
 		t.doc.Fault(t.line, t.join(s.Name), "is required")
 	}
 	return nil, false
--- a/internal/protocol/tomltext/table.go
+++ b/internal/protocol/tomltext/table.go
@@ -5,15 +5,6 @@
 	"slices"
 )
 
-// date stands for TOML dates and times, which no key takes.
-type date struct{}
-
-// value is one element of an array.
-type value struct {
-	line int
-	data any
-}
-
 type entry struct {
 	line  int
 	value any
@@ -23,12 +14,12 @@
 // Table is one TOML table. Its readers take a Spec each, add a fault where the
 // value doesn't fit, and return the default of the Spec in that case.
 type Table struct {
-	doc      *Document
-	path     string
-	line     int
-	explicit bool
-	order    []string
-	entries  map[string]*entry
+	doc     *Document
+	path    string
+	line    int
+	origin  origin
+	order   []string
+	entries map[string]*entry
 }
 
 func newTable(d *Document, path string, line int) *Table {
@@ -64,8 +55,8 @@
 func (t *Table) FaultAt(key string, i int, reason string) {
 	line := t.LineOf(key)
 	if e, found := t.entries[key]; found {
-		if list, isList := e.value.([]value); isList && i < len(list) {
-			line = list[i].line
+		if list, isList := e.value.(*array); isList && i < len(list.elements) {
+			line = list.elements[i].line
 		}
 	}
 	t.doc.Fault(line, t.join(key), reason)
@@ -100,13 +91,13 @@
 	if e == nil {
 		return nil
 	}
-	list, isList := e.value.([]value)
+	list, isList := e.value.(*array)
 	if !isList {
 		t.Fault(key, "must be an array of tables")
 		return nil
 	}
-	tables := make([]*Table, 0, len(list))
-	for i, v := range list {
+	tables := make([]*Table, 0, len(list.elements))
+	for i, v := range list.elements {
 		sub, isTable := v.data.(*Table)
 		if !isTable {
 			t.FaultAt(key, i, "must be an array of tables")
@@ -120,10 +111,16 @@
 // Keys returns the keys of t in the order of the text.
 func (t *Table) Keys() []string { return slices.Clone(t.order) }
 
+// ask returns the entry under key, or nil where it is absent or has its fault
+// already.
 func (t *Table) ask(key string) *entry {
 	e := t.entries[key]
-	if e != nil {
-		e.asked = true
+	if e == nil {
+		return nil
+	}
+	e.asked = true
+	if _, bad := e.value.(invalid); bad {
+		return nil
 	}
 	return e
 }
@@ -155,8 +152,8 @@
 		switch v := e.value.(type) {
 		case *Table:
 			v.refuseUnknown()
-		case []value:
-			refuseUnknownIn(v)
+		case *array:
+			refuseUnknownIn(v.elements)
 		}
 	}
 }
@@ -181,10 +178,8 @@
 		return "a boolean"
 	case *Table:
 		return "a table"
-	case []value:
+	case *array:
 		return "an array"
-	case date:
-		return "a date"
 	}
 	return fmt.Sprintf("%T", data)
 }
