--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,9 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/limits"
 	"github.com/primrosetally/primrosetally/internal/coordination/serving"
+	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -36,6 +39,8 @@
 	weightsRetry  = 500 * time.Millisecond
 	engineTimeout = 2 * time.Second
 	uploadBurst   = 1 << 20 // bytes
+	minLimit      = 2       // attempts in flight
+	initialLimit  = 32      // attempts in flight
 	defaultLimit  = 64      // attempts in flight
 	chunkMessage  = 256 << 10
 	answerMessage = 32 << 10
@@ -49,6 +54,13 @@
 	uploads *rate.Limiter
 	weights weights
 
+	downloadRate   float64 // bytes a second, 0 for no bound
+	regionLinkRate float64 // bytes a second
+
+	limit    *limits.Concurrency
+	suspects suspects.Isolation
+	attempts attempts
+
 	incarnation atomic.Uint64 // of the engine, 0 before the first probe
 	fault       atomic.Pointer[string]
 	orders      chan order
@@ -72,14 +84,23 @@
 	}
 }
 
+// WithRegionLinkRate bounds what one rollout draws over each link into this
+// process's region, in bytes a second. The configuration may set less.
+func WithRegionLinkRate(bytesPerSecond float64) Option {
+	return func(a *Agent) { a.regionLinkRate = bytesPerSecond }
+}
+
 // New returns the agent of the endpoint that engine reaches.
 func New(n *node.Node, engine *engines.Client, options ...Option) *Agent {
 	a := &Agent{
 		node:    n,
 		engine:  engine,
 		gate:    serving.NewGate(serving.WithLimit(defaultLimit)),
+		limit:   limits.NewConcurrency(limits.WithBounds(minLimit, defaultLimit), limits.WithInitialLimit(initialLimit)),
 		uploads: rate.NewLimiter(rate.Inf, uploadBurst),
 		orders:  make(chan order),
+
+		regionLinkRate: math.MaxFloat64,
 	}
 	a.weights.staged = make(map[digest.Digest]bool)
 	a.changes.next = make(chan struct{})
--- a/internal/coordination/swarm/transfer.go
+++ b/internal/coordination/swarm/transfer.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/model"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // transfer is a fetch in progress.
@@ -157,7 +158,7 @@
 	}
 	if outcome == Corrupt {
 		x.corrupt.Add(1)
-		x.log.Warn("corrupt chunk dropped", "chunk", t.chunk.Digest().Short(), "sender", t.fetch.Source.Peer)
+		telemetry.CorruptChunk.Log(context.Background(), x.log, "chunk", t.chunk.Digest().Short(), "sender", t.fetch.Source.Peer)
 	}
 	x.picker.Done(now, t.fetch.ID, outcome, retryAfter)
 	x.staged.Store(int64(x.picker.Staged().Count()))
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -75,6 +75,14 @@
 		402, "switchFailed", slog.LevelError,
 		"The engine did not load what it was ordered to. The endpoint admits nothing until the next order succeeds. Look at the engine's own log.",
 	}
+	PeersNotListed = Event{
+		403, "peersNotListed", slog.LevelDebug,
+		"The list of peers for a transfer could not be read; the last one stays in use.",
+	}
+	CorruptChunk = Event{
+		404, "corruptChunk", slog.LevelWarn,
+		"A chunk did not match its digest. It was dropped and its sender, empty for the origin, is asked less. Look at the sender if it goes on.",
+	}
 	RolloutLeaseLost = Event{
 		500, "rolloutLeaseLost", slog.LevelWarn,
 		"Another entry has taken over the rollout of the service. It is harmless unless it happens often.",
@@ -89,14 +97,35 @@
 	}
 )
 
+// Events of requests.
+var (
+	OutcomesWait = Event{
+		600, "outcomesWait", slog.LevelDebug,
+		"Outcomes of claims could not be written yet; the entry tries again by itself. Look at the table service if it goes on.",
+	}
+	SuspectsNotRead = Event{
+		601, "suspectsNotRead", slog.LevelDebug,
+		"The suspects that other entries found could not be read; the last ones stay in use.",
+	}
+	SuspectNotWritten = Event{
+		602, "suspectNotWritten", slog.LevelDebug,
+		"A request that may have crashed an endpoint could not be written to the table; other entries do not know it yet.",
+	}
+	OutcomeNotWritten = Event{
+		603, "outcomeNotWritten", slog.LevelWarn,
+		"The outcome of a request with an idempotency key could not be written. A repeat is told that it is pending until it is.",
+	}
+)
+
 // Catalogue returns all events in the order of their numbers.
 func Catalogue() []Event {
 	all := []Event{
 		ProcessStarted, ProcessStopped, ListenerFailed, SpansNotSent,
 		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed, ConfigurationDiverged,
 		MembershipUnavailable,
-		WeightsIncomplete, WeightsInService, SwitchFailed,
+		WeightsIncomplete, WeightsInService, SwitchFailed, PeersNotListed, CorruptChunk,
 		RolloutLeaseLost, OrderNotDelivered, OrderRefused,
+		OutcomesWait, SuspectsNotRead, SuspectNotWritten, OutcomeNotWritten,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
