--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -154,7 +154,8 @@
 			return err
 		}
 	}
-	return nil
+	c.callerListener, err = secure(c.callerListener, s.TLS())
+	return err
 }
 
 func listen(address netip.AddrPort) (net.Listener, error) {
