--- a/internal/coordination/swarm/crossing.go
+++ b/internal/coordination/swarm/crossing.go
@@ -116,8 +116,8 @@
 }
 
 // pickCrossing picks a chunk that nobody known in the region holds and that the
-// own member owns among the gateways. With none left it takes from another
-// gateway that has more than one to go, from the far end of its order.
+// own member owns among the gateways. With none left it helps the gateway that
+// has the most to go.
 func (p *Picker) pickCrossing(now time.Time, l link, gateways []string) (Fetch, bool) {
 	hashes := make([]uint64, len(gateways))
 	for i, name := range gateways {
@@ -134,13 +134,16 @@
 		owned := owner(p.chunks[i].hash, hashes)
 		remaining[owned]++
 		c := p.candidate(i, l, offer)
-		if c.found && (!best[owned].found || c.before(best[owned], owned == own)) {
+		if owned != own {
+			c.order = mix(c.order ^ hashes[own])
+		}
+		if c.found && (!best[owned].found || c.before(best[owned])) {
 			best[owned] = c
 		}
 	}
 	chosen := best[own]
 	if !chosen.found && p.idleFor(now, l) >= p.helpAfter() {
-		chosen = mostBehind(best, remaining)
+		chosen = mostBehind(best, remaining, 2*l.slots)
 	}
 	p.noteIdle(now, l, best[own])
 	if !chosen.found {
@@ -154,10 +157,10 @@
 }
 
 // mostBehind returns the candidate of the gateway with the most chunks to go, if
-// that is more than the one it has on its way.
-func mostBehind(best []candidate, remaining []int) candidate {
+// they are more than those that it has on its way or has just drawn unseen.
+func mostBehind(best []candidate, remaining []int, unseen int) candidate {
 	var chosen candidate
-	most := 1
+	most := unseen
 	for g, c := range best {
 		if c.found && remaining[g] > most {
 			chosen, most = c, remaining[g]
@@ -208,11 +211,19 @@
 			o.held.union(q.held)
 		}
 	}
-	late := p.idleFor(now, l) >= p.set.takeover
+	late := p.idleFor(now, l) >= p.set.takeover && !p.gainedAbroad(now)
 	o.origin = l.origin && p.origin.usable(now) && (p.direct || late)
 	return o
 }
 
+// gainedAbroad reports whether a watched member of another region got a chunk in
+// the last takeover timeout: what is missing here is then on its way.
+func (p *Picker) gainedAbroad(now time.Time) bool {
+	return slices.ContainsFunc(p.watching, func(q *peer) bool {
+		return !q.local && q.known && now.Sub(q.gained) < p.set.takeover
+	})
+}
+
 // candidate is a chunk that can be fetched over a link.
 type candidate struct {
 	found  bool
@@ -220,20 +231,22 @@
 	origin bool
 	// late chunks enter another region first.
 	late bool
-	hash uint64
+	// order is the same in all members for the owner of a chunk, and another one
+	// in each member that helps it, so that helpers rarely draw the same chunk.
+	order uint64
 }
 
 // before orders the chunks of one gateway: those that enter by this region come
-// first, then by hash; a gateway that helps another one goes by descending hash.
-func (c candidate) before(o candidate, owned bool) bool {
+// first, then by order.
+func (c candidate) before(o candidate) bool {
 	if c.late != o.late {
 		return !c.late
 	}
-	return c.hash < o.hash == owned
+	return c.order < o.order
 }
 
 func (p *Picker) candidate(i int, l link, o offer) candidate {
-	c := candidate{chunk: i, hash: p.chunks[i].hash}
+	c := candidate{chunk: i, order: p.chunks[i].hash}
 	switch {
 	case o.origin && (p.direct || !o.held.Has(i)):
 		c.found, c.origin = true, true
--- a/internal/coordination/swarm/members.go
+++ b/internal/coordination/swarm/members.go
@@ -171,10 +171,15 @@
 // gateways and to those next in rank.
 func (p *Picker) watch() {
 	p.watching = nil
+	p.near = nil
 	standby := p.gatewayRank(p.self) < standbyFactor*p.set.gateways
 	for _, group := range [][]*peer{p.local, p.foreign} {
 		for _, q := range group {
+			q.gateway = p.gatewayRank(q.member) < p.set.gateways
 			near := q.local && p.neighbour[q.member.Name()]
+			if near {
+				p.near = append(p.near, q)
+			}
 			q.watched = near || standby && p.gatewayRank(q.member) < standbyFactor*p.set.gateways
 			if q.watched {
 				p.watching = append(p.watching, q)
--- a/internal/coordination/swarm/options.go
+++ b/internal/coordination/swarm/options.go
@@ -39,15 +39,15 @@
 func newSettings(options []PickerOption) settings {
 	random := rand.New(rand.NewPCG(1, 2))
 	s := settings{
-		concurrency:   4,
-		gateways:      4,
+		concurrency:   6,
+		gateways:      8,
 		neighbours:    12,
 		perPeer:       2,
-		originSlots:   2,
+		originSlots:   1,
 		linkShare:     DefaultLinkShare,
 		pollInterval:  time.Second,
 		stallTimeout:  5 * time.Second,
-		takeover:      8 * time.Second,
+		takeover:      15 * time.Second,
 		uploadSlots:   DefaultUploadSlots,
 		rand:          random.IntN,
 		maxDuplicates: 2,
--- a/internal/coordination/swarm/picker.go
+++ b/internal/coordination/swarm/picker.go
@@ -78,6 +78,7 @@
 	member  member.Member
 	local   bool
 	watched bool
+	gateway bool
 	known   bool
 	held    Bitmap
 	uploads int
@@ -105,11 +106,14 @@
 	chunks   []chunkState
 	staged   Bitmap
 	// open are the chunks that are neither staged nor on their way.
-	open      Bitmap
-	peers     map[string]*peer
-	local     []*peer
-	foreign   []*peer
-	watching  []*peer
+	open     Bitmap
+	peers    map[string]*peer
+	local    []*peer
+	foreign  []*peer
+	watching []*peer
+	// near are the members of the region that are asked for chunks. Gateways
+	// are watched by more members than they could serve.
+	near      []*peer
 	neighbour map[string]bool
 	ranked    map[string][]string
 	regions   []string
@@ -365,7 +369,7 @@
 // pickLocal picks the rarest chunk that a usable member of the region holds.
 func (p *Picker) pickLocal(now time.Time) (Fetch, bool) {
 	available := NewBitmap(len(p.chunks))
-	for _, q := range p.local {
+	for _, q := range p.near {
 		if p.askable(now, q) {
 			available.union(q.held)
 		}
@@ -385,7 +389,7 @@
 	if best < 0 {
 		return Fetch{}, false
 	}
-	return Fetch{Chunk: best, Source: p.bestPeer(now, best, p.local, "")}, true
+	return Fetch{Chunk: best, Source: p.bestPeer(now, best, p.near, "")}, true
 }
 
 // pickDuplicate starts the endgame: with every missing chunk on its way, a chunk
@@ -399,14 +403,14 @@
 			continue
 		}
 		if now.Sub(f.started) >= p.endgameAge() && (oldest == nil || f.started.Before(oldest.started)) &&
-			!p.bestPeer(now, f.Chunk, p.local, f.Source.Peer).Origin() {
+			!p.bestPeer(now, f.Chunk, p.near, f.Source.Peer).Origin() {
 			oldest = f
 		}
 	}
 	if oldest == nil || duplicates >= 2*p.set.maxDuplicates || p.open.Count() > 0 {
 		return Fetch{}, false
 	}
-	return Fetch{Chunk: oldest.Chunk, Source: p.bestPeer(now, oldest.Chunk, p.local, oldest.Source.Peer)}, true
+	return Fetch{Chunk: oldest.Chunk, Source: p.bestPeer(now, oldest.Chunk, p.near, oldest.Source.Peer)}, true
 }
 
 func (p *Picker) endgameAge() time.Duration { return 2 * max(p.meanFetch, p.pollInterval()) }
@@ -448,6 +452,7 @@
 // one of another failure domain more than any of the own.
 const (
 	busyCost    = 1 << 20
+	gatewayCost = 1 << 15
 	distantCost = 1 << 10
 )
 
@@ -457,6 +462,9 @@
 	if load >= p.set.uploadSlots {
 		c += busyCost
 	}
+	if q.gateway {
+		c += gatewayCost
+	}
 	if q.member.FailureDomain() != p.self.FailureDomain() {
 		c += distantCost
 	}
--- a/internal/coordination/swarm/uploads.go
+++ b/internal/coordination/swarm/uploads.go
@@ -11,7 +11,7 @@
 	// the model.
 	UploadCopies = 2
 	// DefaultUploadSlots bounds the uploads in progress to peers of the region.
-	DefaultUploadSlots = 4
+	DefaultUploadSlots = 6
 	// crossingSlots are kept for peers of other regions: a link between regions
 	// must not idle because local peers fill all slots.
 	crossingSlots = 2
@@ -40,9 +40,21 @@
 	slots    int
 }
 
+// UploadsOption changes a property of Uploads.
+type UploadsOption func(*Uploads)
+
+// WithSlots sets how many uploads to peers of the region may be in progress.
+func WithSlots(n int) UploadsOption {
+	return func(u *Uploads) { u.slots = max(n, 1) }
+}
+
 // NewUploads returns the limiter for the rollout of a model of size bytes.
-func NewUploads(size int64) *Uploads {
-	return &Uploads{budget: UploadCopies * size, slots: DefaultUploadSlots}
+func NewUploads(size int64, options ...UploadsOption) *Uploads {
+	u := &Uploads{budget: UploadCopies * size, slots: DefaultUploadSlots}
+	for _, o := range options {
+		o(u)
+	}
+	return u
 }
 
 // Admit decides on an upload of size bytes. Crossing tells that the peer stands
--- a/internal/measure/weights/baseline.go
+++ b/internal/measure/weights/baseline.go
@@ -35,7 +35,7 @@
 // the origin.
 func allFromOrigin(p Place, n int) Result {
 	w := newNetwork(p, n)
-	b := newBaseline(p, n, "allFromOrigin", w)
+	b := newBaseline(p, n, systemOrigin, w)
 	for i := range n {
 		b.copyWhole(-1, i, nil)
 	}
@@ -46,7 +46,7 @@
 // region, whose root draws from the origin.
 func binaryTree(p Place, n int) Result {
 	w := newNetwork(p, n)
-	b := newBaseline(p, n, "binaryTree", w)
+	b := newBaseline(p, n, systemTree, w)
 	regions := len(p.regions)
 	var hand func(i int)
 	hand = func(i int) {
--- a/internal/measure/weights/faults.go
+++ b/internal/measure/weights/faults.go
@@ -134,7 +134,7 @@
 // result sums the run up.
 func (r *run) result() Result {
 	x := Result{
-		Place: r.place.name, System: "swarm", Faults: r.faults.Name,
+		Place: r.place.name, System: systemSwarm, Faults: r.faults.Name,
 		Replicas: len(r.agents), Survivors: r.alive,
 	}
 	var times []time.Duration
--- a/internal/measure/weights/place.go
+++ b/internal/measure/weights/place.go
@@ -69,15 +69,15 @@
 		},
 		{
 			name: "mehfil", regions: []string{"kolkata", "siliguri", "durgapur"}, domains: 1,
-			regionRate: RegionRate, regional: time.Millisecond, nearby: 500 * time.Microsecond, policy: ShortTime,
+			regionRate: RegionRate, regional: time.Millisecond, nearby: 500 * time.Microsecond, policy: FewOriginBytes,
 		},
 		{
 			name: "target", regions: []string{"east", "west"}, domains: 3,
-			regionRate: RegionRate, regional: 3 * time.Millisecond, nearby: 1500 * time.Microsecond, policy: ShortTime,
+			regionRate: RegionRate, regional: 3 * time.Millisecond, nearby: 1500 * time.Microsecond, policy: FewOriginBytes,
 		},
 		{
 			name: "targetWide", regions: []string{"east", "west"}, domains: 3,
-			regionRate: wideRegionRate, regional: 3 * time.Millisecond, nearby: 1500 * time.Microsecond, policy: ShortTime,
+			regionRate: wideRegionRate, regional: 3 * time.Millisecond, nearby: 1500 * time.Microsecond, policy: FewOriginBytes,
 		},
 	}
 }
--- a/internal/measure/weights/result.go
+++ b/internal/measure/weights/result.go
@@ -80,3 +80,10 @@
 	}
 	return t.Flush()
 }
+
+// The systems measured.
+const (
+	systemSwarm  = "swarm"
+	systemOrigin = "allFromOrigin"
+	systemTree   = "binaryTree"
+)
