Add the decisions of rollouts

Cause: a version must reach all endpoints of a service in waves that keep it available, and a bad wave must stop with a reason.

Ruled out: ending a halt with any new revision.

--- /dev/null
+++ b/internal/coordination/rollout/rollout.go
@@ -0,0 +1,340 @@
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+)
+
+// Defaults of a Planner.
+const (
+	defaultLoadTimeout = 10 * time.Minute
+	defaultRepeatAfter = 5 * time.Second
+)
+
+// State is what an endpoint does.
+type State int
+
+// The states of an endpoint.
+const (
+	Empty State = iota
+	Serving
+	Draining
+	Loading
+	Leaving
+	Down
+)
+
+// Service is what the configuration says of a service. A service without weights
+// has the zero digest and is always settled.
+type Service struct {
+	Name string
+	// Section is the digest of the service's part of the configuration. A halt
+	// lasts until it changes; changes of other services do not end it.
+	Section        digest.Digest
+	Wanted         digest.Digest
+	MaxUnavailable int
+	DependsOn      []string
+}
+
+// Endpoint is the last report of an endpoint.
+type Endpoint struct {
+	Name          string
+	Service       string
+	FailureDomain string
+	State         State
+	// Digest is what it serves.
+	Digest digest.Digest
+	// Staged is the manifest of which all chunks are staged, zero for none.
+	Staged digest.Digest
+	// Fault is what went wrong last, empty for nothing.
+	Fault string
+}
+
+// Order tells an endpoint to serve a digest.
+type Order struct {
+	Endpoint string
+	Service  string
+	Digest   digest.Digest
+	Revision uint64
+	Fencing  uint64
+}
+
+// Halt is why a service does not move on.
+type Halt struct {
+	Service  string
+	Endpoint string
+	Reason   string
+}
+
+// Decision is what to do now.
+type Decision struct {
+	Orders []Order
+	Halts  []Halt
+	// Done tells that every endpoint serves what its service wants.
+	Done bool
+}
+
+// Input is all that a decision depends on, besides earlier orders.
+type Input struct {
+	Revision  uint64
+	Fencing   uint64
+	Services  []Service
+	Endpoints []Endpoint
+}
+
+// Planner decides for one lease holder, from one goroutine.
+type Planner struct {
+	loadTimeout time.Duration
+	repeatAfter time.Duration
+	ordered     map[string]given
+	halts       map[string]halted
+}
+
+type given struct {
+	order   Order
+	section digest.Digest
+	first   time.Time
+	last    time.Time
+}
+
+type halted struct {
+	Halt
+	section digest.Digest
+}
+
+// Option changes a property of a Planner.
+type Option func(*Planner)
+
+// WithLoadTimeout sets how long an endpoint may take from its order until it
+// serves; draining is part of it.
+func WithLoadTimeout(d time.Duration) Option {
+	return func(p *Planner) { p.loadTimeout = d }
+}
+
+// WithRepeatAfter sets when an order is repeated that shows no effect.
+func WithRepeatAfter(d time.Duration) Option {
+	return func(p *Planner) { p.repeatAfter = d }
+}
+
+// New returns a Planner that has given no orders.
+func New(options ...Option) *Planner {
+	p := &Planner{
+		loadTimeout: defaultLoadTimeout,
+		repeatAfter: defaultRepeatAfter,
+		ordered:     make(map[string]given),
+		halts:       make(map[string]halted),
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// Next returns what to do at now.
+func (p *Planner) Next(now time.Time, in Input) Decision {
+	d := Decision{Done: true}
+	settled := make(map[string]bool)
+	for _, s := range dependenciesFirst(in.Services) {
+		endpoints := endpointsOf(s, in.Endpoints)
+		p.review(now, s, endpoints)
+		settled[s.Name] = isSettled(s, endpoints)
+		for _, dependency := range s.DependsOn {
+			settled[s.Name] = settled[s.Name] && settled[dependency]
+		}
+		if settled[s.Name] {
+			continue
+		}
+		d.Done = false
+		if h, stopped := p.halts[s.Name]; stopped {
+			d.Halts = append(d.Halts, h.Halt)
+			continue
+		}
+		if ready(s, settled) {
+			d.Orders = append(d.Orders, p.wave(now, in, s, endpoints)...)
+		}
+	}
+	return d
+}
+
+// ready reports whether all that the service depends on has moved.
+func ready(s Service, settled map[string]bool) bool {
+	return !slices.ContainsFunc(s.DependsOn, func(name string) bool { return !settled[name] })
+}
+
+func isSettled(s Service, endpoints []Endpoint) bool {
+	return !slices.ContainsFunc(endpoints, func(e Endpoint) bool { return !moved(s, e) })
+}
+
+// moved reports whether the endpoint needs no order. One that leaves gets none.
+func moved(s Service, e Endpoint) bool {
+	return s.Wanted.IsZero() || e.State == Leaving || e.State == Serving && e.Digest == s.Wanted
+}
+
+func endpointsOf(s Service, all []Endpoint) []Endpoint {
+	var own []Endpoint
+	for _, e := range all {
+		if e.Service == s.Name {
+			own = append(own, e)
+		}
+	}
+	slices.SortFunc(own, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	return own
+}
+
+// dependenciesFirst orders the services. The configuration has no cycles; in one
+// that has, the services of the cycle keep their order.
+func dependenciesFirst(services []Service) []Service {
+	byName := make(map[string]Service)
+	for _, s := range services {
+		byName[s.Name] = s
+	}
+	var ordered []Service
+	visited := make(map[string]bool)
+	var visit func(s Service)
+	visit = func(s Service) {
+		if visited[s.Name] {
+			return
+		}
+		visited[s.Name] = true
+		for _, name := range s.DependsOn {
+			if dependency, found := byName[name]; found {
+				visit(dependency)
+			}
+		}
+		ordered = append(ordered, s)
+	}
+	for _, s := range services {
+		visit(s)
+	}
+	return ordered
+}
+
+// review forgets the orders that are carried out or obsolete and halts a service
+// of which an order went bad.
+func (p *Planner) review(now time.Time, s Service, endpoints []Endpoint) {
+	if h, stopped := p.halts[s.Name]; stopped && h.section != s.Section {
+		delete(p.halts, s.Name)
+	}
+	present := make(map[string]bool)
+	for _, e := range endpoints {
+		present[e.Name] = true
+		g, ordered := p.ordered[e.Name]
+		if !ordered {
+			continue
+		}
+		if moved(s, e) || g.section != s.Section {
+			delete(p.ordered, e.Name)
+			continue
+		}
+		if reason := p.fault(now, g, e); reason != "" {
+			p.halts[s.Name] = halted{
+				Halt:    Halt{Service: s.Name, Endpoint: e.Name, Reason: reason},
+				section: s.Section,
+			}
+		}
+	}
+	for name, g := range p.ordered {
+		if g.order.Service == s.Name && !present[name] {
+			delete(p.ordered, name)
+		}
+	}
+}
+
+// fault returns why the order of the endpoint went bad, empty if it has not.
+func (p *Planner) fault(now time.Time, g given, e Endpoint) string {
+	switch {
+	case e.State == Down && e.Fault != "":
+		return e.Fault
+	case e.State == Down:
+		return "endpoint is down after the order"
+	case now.Sub(g.first) >= p.loadTimeout:
+		return "endpoint does not serve the weights within the load timeout"
+	}
+	return ""
+}
+
+// wave returns the orders for one service.
+func (p *Planner) wave(now time.Time, in Input, s Service, endpoints []Endpoint) []Order {
+	var orders []Order
+	c := p.census(s, endpoints)
+	for _, e := range endpoints {
+		g, ordered := p.ordered[e.Name]
+		switch {
+		case moved(s, e) || e.Staged != s.Wanted || e.State == Down:
+			continue
+		case ordered && now.Sub(g.last) < p.repeatAfter:
+			continue
+		case !ordered && e.State == Serving && !c.take(e):
+			continue
+		case !ordered && e.State != Serving && e.State != Empty:
+			continue
+		}
+		o := Order{Endpoint: e.Name, Service: s.Name, Digest: s.Wanted, Revision: in.Revision, Fencing: in.Fencing}
+		if !ordered {
+			g.first = now
+		}
+		p.ordered[e.Name] = given{order: o, section: s.Section, first: g.first, last: now}
+		orders = append(orders, o)
+	}
+	return orders
+}
+
+// census counts the endpoints of a service that serve.
+type census struct {
+	allowed  int
+	total    map[string]int
+	serving  map[string]int
+	anywhere int
+}
+
+// census counts an ordered endpoint as one that does not serve, whatever its
+// report says, which may be older than the order.
+func (p *Planner) census(s Service, endpoints []Endpoint) *census {
+	c := &census{allowed: max(s.MaxUnavailable, 1), total: make(map[string]int), serving: make(map[string]int)}
+	for _, e := range endpoints {
+		if e.State == Leaving {
+			continue
+		}
+		c.total[e.FailureDomain]++
+		if _, ordered := p.ordered[e.Name]; e.State == Serving && !ordered {
+			c.serving[e.FailureDomain]++
+			c.anywhere++
+		} else {
+			c.allowed--
+		}
+	}
+	return c
+}
+
+// take reports whether a serving endpoint may become unavailable, and counts it
+// as such.
+func (c *census) take(e Endpoint) bool {
+	if c.allowed <= 0 || !c.domainAllows(e.FailureDomain) {
+		return false
+	}
+	c.allowed--
+	c.serving[e.FailureDomain]--
+	c.anywhere--
+	return true
+}
+
+func (c *census) domainAllows(domain string) bool {
+	if c.serving[domain] > 1 {
+		return true
+	}
+	if c.total[domain] > 1 {
+		return false
+	}
+	if len(c.total) == 1 {
+		return true
+	}
+	for other := range c.total {
+		if other != domain && c.serving[other] == 0 {
+			return false
+		}
+	}
+	return true
+}
