Test requests through entries and agents under failures

Cause: the promises on requests have to hold on the real hops: crashes before, during and after the run, lost answers, a killed entry, table outages, one key through two entries at once, leaving agents, doubled and stray messages.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -2,9 +2,13 @@
 // three final answers. Only entries retry; agents and transports do not.
 //
 // Retries are paid from a budget for each service, which its own requests fill:
-// after n requests at most share*n + reserve attempts were retries. In a total
-// outage the attempts thus stay near the requests. A request that may have run
-// once stays "unknown" even if a later attempt of it was refused.
+// after n requests at most share*n + reserve attempts were retries. A retry that
+// fails halves what is saved. What healthy traffic saved thus serves the many
+// requests of one endpoint that died, whose retries succeed, and is gone after
+// few of them in a total outage, where the attempts stay near the requests.
+//
+// A request that may have run once stays "unknown" even if a later attempt of it
+// was refused.
 //
 // # Usage
 //
@@ -30,6 +34,8 @@
 	defaultReserve     = 10  // retries
 	defaultMaxSaved    = 100 // retries
 	defaultMaxAttempts = 4
+	// failedRetryKeeps is the share of the savings left after a failed retry.
+	failedRetryKeeps = 0.5
 	defaultBackoff     = 10 * time.Millisecond
 	defaultMaxBackoff  = 500 * time.Millisecond
 	defaultRetryAfter  = time.Second
@@ -204,6 +210,13 @@
 	return true
 }
 
+// retryFailed cuts the savings after a retry that did not help.
+func (b *Budget) retryFailed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved *= failedRetryKeeps
+}
+
 // wait returns a random wait below a bound that doubles with each attempt.
 func (b *Budget) wait(attempt int) time.Duration {
 	bound := b.maxBackoff
--- a/internal/coordination/retry/sequence.go
+++ b/internal/coordination/retry/sequence.go
@@ -41,6 +41,9 @@
 	if o.kind == unknown {
 		s.mayHaveRun = true
 	}
+	if s.attempt > 1 {
+		s.budget.retryFailed()
+	}
 	if s.mayHaveRun && !s.idempotent {
 		return s.final(o)
 	}
--- /dev/null
+++ b/internal/entry/faults_test.go
@@ -0,0 +1,254 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/entry"
+	"github.com/primrosetally/primrosetally/internal/standin"
+)
+
+const (
+	shortWork = time.Millisecond
+	longWork  = 300 * time.Millisecond
+)
+
+// TestEndpointCrash crashes the endpoint that a request reaches, and sends a
+// keyed one again through the other entry.
+func TestEndpointCrash(t *testing.T) {
+	s := newSystem(t, shortWork)
+	for _, phase := range []standin.CrashPhase{standin.CrashBeforeRun, standin.CrashDuringRun, standin.CrashAfterRun} {
+		t.Run("not idempotent "+string(phase), func(t *testing.T) {
+			s.crashNext(phase, 1, 1)
+			body := "plain " + string(phase)
+			f := s.send(0, sending{method: http.MethodPost, body: body})
+			s.crashNext(phase, 0, 0)
+			require.Equal(t, entry.OutcomeUnknown, f.outcome)
+			require.LessOrEqual(t, s.bodyRuns(body), uint64(1))
+			s.awaitServing()
+		})
+		t.Run("keyed "+string(phase), func(t *testing.T) {
+			s.crashNext(phase, 1, 1)
+			q := sending{method: http.MethodPost, body: "keyed " + string(phase), key: newKey(), send: 1}
+			f := s.send(0, q)
+			s.crashNext(phase, 0, 0)
+			require.Equal(t, entry.OutcomeUnknown, f.outcome)
+			s.awaitServing()
+			q.send = 2
+			require.Equal(t, entry.OutcomeUnknown, s.send(1, q).outcome)
+			require.LessOrEqual(t, s.runs(q.key), uint64(1))
+		})
+		t.Run("idempotent "+string(phase), func(t *testing.T) {
+			s.crashNext(phase, 1, 0)
+			for i := range 40 {
+				f := s.send(i%2, sending{method: http.MethodGet, body: fmt.Sprint(phase, i)})
+				require.Equal(t, entry.OutcomeAnswered, f.outcome, f.reason)
+			}
+			s.awaitServing()
+		})
+	}
+}
+
+// TestAnswerLost has the endpoint run the request and cut the answer off.
+func TestAnswerLost(t *testing.T) {
+	s := newSystem(t, shortWork)
+	for _, p := range s.plain {
+		p.LoseAnswers(1)
+	}
+	key := newKey()
+	f := s.send(0, sending{method: http.MethodPost, body: "seat", key: key, send: 1})
+	require.Equal(t, entry.OutcomeUnknown, f.outcome)
+	again := s.send(1, sending{method: http.MethodPost, body: "seat", key: key, send: 2})
+	require.Equal(t, entry.OutcomeUnknown, again.outcome)
+	require.EqualValues(t, 1, s.runs(key))
+}
+
+func TestRepeatGetsStoredAnswer(t *testing.T) {
+	s := newSystem(t, shortWork)
+	key := newKey()
+	first := s.send(0, sending{method: http.MethodPost, body: "seat", key: key, send: 1})
+	require.Equal(t, entry.OutcomeAnswered, first.outcome)
+	again := s.send(1, sending{method: http.MethodPost, body: "seat", key: key, send: 2})
+	require.Equal(t, first, again)
+	other := s.send(1, sending{method: http.MethodPost, body: "two seats", key: key, send: 3})
+	require.Equal(t, http.StatusUnprocessableEntity, other.status)
+	require.Equal(t, entry.OutcomeNotRun, other.outcome)
+	require.EqualValues(t, 1, s.runs(key))
+	require.Zero(t, s.bodyRuns("two seats"))
+}
+
+// TestEntryKilledWithClaimOpen kills the entry while the request runs, and sends
+// it again through the other.
+func TestEntryKilledWithClaimOpen(t *testing.T) {
+	s := newSystem(t, longWork)
+	key := newKey()
+	q := sending{method: http.MethodPost, body: "seat", key: key, send: 1}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.sendContext(context.Background(), 0, q)
+		ended <- err
+	}()
+	s.eventually(func() bool { return s.runs(key) == 1 })
+	s.entries[0].Kill()
+	require.Error(t, <-ended)
+	q.send = 2
+	again := s.send(1, q)
+	require.Equal(t, entry.OutcomeUnknown, again.outcome)
+	require.Positive(t, again.retryAfter)
+	require.EqualValues(t, 1, s.runs(key))
+}
+
+// TestTableDown takes the table away before, between and after the claim and the
+// outcome.
+func TestTableDown(t *testing.T) {
+	s := newSystem(t, longWork)
+	t.Run("before the claim", func(t *testing.T) {
+		tests := []struct {
+			name         string
+			send, notRun int
+			want         string
+		}{
+			{"first send", 1, 0, entry.OutcomeNotRun},
+			{"unnumbered", 0, 0, entry.OutcomeUnknown},
+			{"repeat", 2, 0, entry.OutcomeUnknown},
+			{"repeat after not run", 2, 1, entry.OutcomeNotRun},
+		}
+		for _, tt := range tests {
+			key := newKey()
+			s.tables.SetOutage(true)
+			f := s.send(0, sending{method: http.MethodPost, body: "seat", key: key, send: tt.send, notRun: tt.notRun})
+			s.tables.SetOutage(false)
+			require.Equal(t, tt.want, f.outcome, tt.name)
+			require.Positive(t, f.retryAfter)
+			require.Zero(t, s.runs(key))
+		}
+	})
+	t.Run("before the claim, then again", func(t *testing.T) {
+		key := newKey()
+		s.tables.SetOutage(true)
+		s.send(0, sending{method: http.MethodPost, body: "seat", key: key, send: 1})
+		s.tables.SetOutage(false)
+		f := s.send(1, sending{method: http.MethodPost, body: "seat", key: key, send: 2, notRun: 1})
+		require.Equal(t, entry.OutcomeAnswered, f.outcome)
+		require.EqualValues(t, 1, s.runs(key))
+	})
+	t.Run("answer of the claim lost", func(t *testing.T) {
+		key := newKey()
+		s.tables.LoseAnswers(1)
+		f := s.send(0, sending{method: http.MethodPost, body: "seat", key: key, send: 1})
+		require.Equal(t, entry.OutcomeAnswered, f.outcome)
+		require.EqualValues(t, 1, s.runs(key))
+	})
+	t.Run("between claim and outcome", func(t *testing.T) {
+		key := newKey()
+		q := sending{method: http.MethodPost, body: "seat", key: key, send: 1}
+		answers := make(chan final, 1)
+		go func() {
+			f, _ := s.sendContext(context.Background(), 0, q)
+			answers <- f
+		}()
+		s.eventually(func() bool { return s.runs(key) == 1 })
+		s.tables.SetOutage(true)
+		first := <-answers
+		require.Equal(t, entry.OutcomeAnswered, first.outcome)
+		q.send = 2
+		require.Equal(t, entry.OutcomeUnknown, s.send(1, q).outcome)
+		s.tables.SetOutage(false)
+		s.eventually(func() bool {
+			q.send++
+			return s.send(1, q) == first
+		})
+		require.EqualValues(t, 1, s.runs(key))
+	})
+	t.Run("after the outcome", func(t *testing.T) {
+		key := newKey()
+		q := sending{method: http.MethodPost, body: "seat", key: key, send: 1}
+		first := s.send(0, q)
+		s.tables.SetOutage(true)
+		q.send = 2
+		require.Equal(t, entry.OutcomeUnknown, s.send(1, q).outcome)
+		s.tables.SetOutage(false)
+		q.send = 3
+		require.Equal(t, first, s.send(1, q))
+		require.EqualValues(t, 1, s.runs(key))
+	})
+}
+
+// TestSameKeyAtOnce sends one key through both entries at the same time.
+func TestSameKeyAtOnce(t *testing.T) {
+	s := newSystem(t, shortWork)
+	for range 20 {
+		key := newKey()
+		var wg sync.WaitGroup
+		answers := make([]final, 4)
+		for i := range answers {
+			wg.Go(func() {
+				answers[i] = s.send(i%2, sending{method: http.MethodPost, body: "seat", key: key, send: i + 1})
+			})
+		}
+		wg.Wait()
+		require.EqualValues(t, 1, s.runs(key))
+		whole := 0
+		for _, f := range answers {
+			require.NotEqual(t, entry.OutcomeNotRun, f.outcome)
+			if f.outcome == entry.OutcomeAnswered {
+				whole++
+			}
+		}
+		require.Positive(t, whole)
+	}
+}
+
+// TestCallerGoesAway keeps the outcome of a keyed request whose caller did not
+// wait for it.
+func TestCallerGoesAway(t *testing.T) {
+	s := newSystem(t, longWork)
+	key := newKey()
+	q := sending{method: http.MethodPost, body: "seat", key: key, send: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.sendContext(ctx, 0, q)
+		ended <- err
+	}()
+	s.eventually(func() bool { return s.runs(key) == 1 })
+	cancel()
+	require.Error(t, <-ended)
+	s.eventually(func() bool {
+		q.send++
+		return s.send(1, q).outcome == entry.OutcomeAnswered
+	})
+	require.EqualValues(t, 1, s.runs(key))
+}
+
+// TestAgentLeaves stops an agent while a request runs on its endpoint: that one
+// is finished, and no further one gets there.
+func TestAgentLeaves(t *testing.T) {
+	s := newSystem(t, longWork)
+	answers := make(chan final, 16)
+	for i := range cap(answers) {
+		go func() {
+			f, _ := s.sendContext(context.Background(), i%2, sending{method: http.MethodPost, body: "in progress"})
+			answers <- f
+		}()
+	}
+	s.eventually(func() bool { return s.bodyRuns("in progress") == uint64(cap(answers)) })
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.agents[0].Stop(context.Background()) }()
+	for range cap(answers) {
+		require.Equal(t, entry.OutcomeAnswered, (<-answers).outcome)
+	}
+	require.NoError(t, <-stopped)
+	before := s.plain[0].Runs().Total
+	for i := range 20 {
+		f := s.send(i%2, sending{method: http.MethodPost, body: fmt.Sprint("later ", i)})
+		require.Equal(t, entry.OutcomeAnswered, f.outcome, f.reason)
+	}
+	require.Equal(t, before, s.plain[0].Runs().Total)
+}
--- /dev/null
+++ b/internal/entry/hop_test.go
@@ -0,0 +1,224 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/entry"
+	"github.com/primrosetally/primrosetally/internal/process"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
+	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/pkg/adminv1"
+	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
+)
+
+// fakeAgent is an agent whose attempts end as the test says.
+type fakeAgent struct {
+	nodev1connect.UnimplementedAgentServiceHandler
+	self     member.Member
+	attempts atomic.Int64
+	attempt  func(n int64, out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error
+}
+
+func (f *fakeAgent) Report(context.Context, *connect.Request[nodev1.ReportRequest]) (*connect.Response[nodev1.EndpointReport], error) {
+	return connect.NewResponse(&nodev1.EndpointReport{
+		Name: f.self.Name(), Incarnation: f.self.Incarnation(), Service: service,
+		State: nodev1.EndpointState_ENDPOINT_STATE_SERVING, Limit: 1000,
+	}), nil
+}
+
+func (f *fakeAgent) Attempt(_ context.Context, r *connect.Request[nodev1.AttemptRequest], out *connect.ServerStream[nodev1.AttemptPart]) error {
+	return f.attempt(f.attempts.Add(1), out, r.Msg)
+}
+
+// send sends one part of an answer under the given attempt number.
+func send(out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest, number uint32, p *nodev1.AttemptPart) {
+	p.RequestId, p.Attempt = r.GetRequestId(), number
+	_ = out.Send(p)
+}
+
+func answerWith(out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest, number uint32, body string) {
+	send(out, r, number, &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Started{Started: &nodev1.AttemptStarted{Status: 200}}})
+	send(out, r, number, &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Data{Data: []byte(body)}})
+	send(out, r, number, &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Finished{Finished: &nodev1.AttemptFinished{}}})
+}
+
+// withAgents replaces the agents of a system by fake ones.
+func (s *system) withAgents(fakes ...*fakeAgent) {
+	for _, p := range s.agents {
+		s.members.Remove(p.Self().Name())
+	}
+	for i, f := range fakes {
+		mux := http.NewServeMux()
+		mux.Handle(nodev1connect.NewAgentServiceHandler(f))
+		address := strings.TrimPrefix(s.serve(mux), "http://")
+		f.self = member.New(fmt.Sprint("fake-", i), member.RoleAgent, address, member.WithService(service),
+			member.WithPlace("kolkata", "kolkata-a"), member.WithIncarnation(1))
+		s.members.Put(f.self)
+	}
+	s.eventually(func() bool {
+		before := s.runsOf()
+		for i := range s.entries {
+			for range 8 {
+				s.send(i, sending{method: http.MethodGet, body: newKey()})
+			}
+		}
+		for _, f := range fakes {
+			if f.attempts.Load() == 0 {
+				return false
+			}
+		}
+		return s.runsOf() == before
+	})
+}
+
+// TestTransportDoesNotRepeat breaks a kept connection to an agent after it read
+// the attempt, idempotency key and all: the attempt arrives once.
+func TestTransportDoesNotRepeat(t *testing.T) {
+	s := newSystem(t, shortWork)
+	var breaking atomic.Bool
+	f := &fakeAgent{}
+	f.attempt = func(_ int64, out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error {
+		if breaking.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		answerWith(out, r, r.GetAttempt(), "whole")
+		return nil
+	}
+	s.withAgents(f)
+	for _, method := range []string{http.MethodPost, http.MethodDelete} {
+		breaking.Store(false)
+		s.eventually(func() bool { return s.send(0, sending{method: http.MethodGet}).outcome == entry.OutcomeAnswered })
+		before := f.attempts.Load()
+		breaking.Store(true)
+		got := s.send(0, sending{method: method, body: "seat", key: newKey(), send: 1})
+		require.Equal(t, entry.OutcomeUnknown, got.outcome)
+		require.Equal(t, before+1, f.attempts.Load())
+	}
+}
+
+// TestStrayParts sends parts of another attempt before, between and after those
+// of the open one, and parts out of order.
+func TestStrayParts(t *testing.T) {
+	s := newSystem(t, shortWork)
+	f := &fakeAgent{}
+	f.attempt = func(_ int64, out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error {
+		answerWith(out, r, r.GetAttempt()+7, "stray")
+		send(out, r, r.GetAttempt(), &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Data{Data: []byte("too early")}})
+		answerWith(out, r, r.GetAttempt(), `{"run":42}`)
+		answerWith(out, r, r.GetAttempt(), "doubled")
+		return nil
+	}
+	s.withAgents(f)
+	got := s.send(0, sending{method: http.MethodPost, body: "seat"})
+	require.Equal(t, entry.OutcomeAnswered, got.outcome)
+	require.EqualValues(t, 42, got.run)
+}
+
+// TestTotalOutage has every attempt refused or broken, and counts them.
+func TestTotalOutage(t *testing.T) {
+	const requests, callers = 600, 20
+	refuse := func(out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error {
+		send(out, r, r.GetAttempt(), &nodev1.AttemptPart{Part: &nodev1.AttemptPart_NotRun{NotRun: &nodev1.AttemptNotRun{Reason: "down"}}})
+		return nil
+	}
+	lose := func(out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error {
+		send(out, r, r.GetAttempt(), &nodev1.AttemptPart{Part: &nodev1.AttemptPart_Unknown{Unknown: &nodev1.AttemptUnknown{Reason: "down"}}})
+		return nil
+	}
+	tests := []struct {
+		name string
+		end  func(*connect.ServerStream[nodev1.AttemptPart], *nodev1.AttemptRequest) error
+		want string
+	}{
+		{"refused", refuse, entry.OutcomeNotRun},
+		{"lost", lose, entry.OutcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSystem(t, shortWork)
+			fakes := []*fakeAgent{{}, {}}
+			for _, f := range fakes {
+				f.attempt = func(_ int64, out *connect.ServerStream[nodev1.AttemptPart], r *nodev1.AttemptRequest) error {
+					return tt.end(out, r)
+				}
+			}
+			s.withAgents(fakes...)
+			before := fakes[0].attempts.Load() + fakes[1].attempts.Load()
+			var wg sync.WaitGroup
+			for c := range callers {
+				wg.Go(func() {
+					for i := range requests / callers {
+						f := s.send(0, sending{method: http.MethodGet, body: fmt.Sprint(c, " ", i)})
+						if f.outcome != entry.OutcomeNotRun && f.outcome != tt.want {
+							t.Errorf("outcome %q: %s", f.outcome, f.reason)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			attempts := fakes[0].attempts.Load() + fakes[1].attempts.Load() - before
+			t.Logf("%d attempts of %d requests", attempts, requests)
+			require.LessOrEqual(t, float64(attempts), 1.1*requests)
+		})
+	}
+}
+
+// TestDoubledAttempt sends one attempt to an agent twice.
+func TestDoubledAttempt(t *testing.T) {
+	s := newSystem(t, shortWork)
+	agent := s.entries[0].Node().Pool().Agent(s.agents[0].Self().Address())
+	run := func() error {
+		stream, err := agent.Attempt(context.Background(), connect.NewRequest(&nodev1.AttemptRequest{
+			RequestId: "request-1", Attempt: 1, Service: service, Method: http.MethodPost, Path: "/seats",
+			Body: []byte("doubled"), TimeLeftMs: 5000,
+		}))
+		if err != nil {
+			return err
+		}
+		for stream.Receive() {
+			require.Nil(t, stream.Msg().GetNotRun(), "it did run")
+		}
+		return stream.Err()
+	}
+	require.NoError(t, run())
+	require.Equal(t, connect.CodeAlreadyExists, connect.CodeOf(run()))
+	require.EqualValues(t, 1, s.bodyRuns("doubled"))
+}
+
+// TestQuarantine crashes every endpoint that a request reaches: it is refused
+// through both entries until an operator clears it.
+func TestQuarantine(t *testing.T) {
+	s := newSystem(t, shortWork)
+	s.crashNext("before", 1, 1)
+	q := sending{method: http.MethodGet, body: "poison"}
+	require.NotEqual(t, entry.OutcomeAnswered, s.send(0, q).outcome)
+	s.awaitServing()
+	for i := range s.entries {
+		require.NotEqual(t, entry.OutcomeAnswered, s.send(i, q).outcome)
+	}
+	require.Zero(t, s.bodyRuns("poison"))
+	admin := adminOf(s.entries[1])
+	list, err := admin.QuarantineList(context.Background(), connect.NewRequest(&adminv1.QuarantineListRequest{}))
+	require.NoError(t, err)
+	require.Len(t, list.Msg.GetEntries(), 1)
+	require.EqualValues(t, 2, list.Msg.GetEntries()[0].GetCrashes())
+	fingerprint := list.Msg.GetEntries()[0].GetFingerprint()
+	cleared, err := admin.QuarantineClear(context.Background(), connect.NewRequest(&adminv1.QuarantineClearRequest{Fingerprint: fingerprint}))
+	require.NoError(t, err)
+	require.True(t, cleared.Msg.GetCleared())
+	s.eventually(func() bool { return s.send(0, q).outcome == entry.OutcomeAnswered })
+}
+
+func adminOf(p *process.Process) adminv1connect.AdminServiceClient {
+	return adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+p.Self().CallerAddress())
+}
