--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,10 +13,12 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
@@ -26,6 +28,7 @@
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -51,6 +54,9 @@
 	uploads *rate.Limiter
 	weights weights
 
+	downloadRate   float64 // bytes a second, 0 for no bound
+	regionLinkRate float64 // bytes a second
+
 	limit    *limits.Concurrency
 	suspects suspects.Isolation
 	attempts attempts
@@ -58,6 +64,7 @@
 	incarnation atomic.Uint64 // of the engine, 0 before the first probe
 	fault       atomic.Pointer[string]
 	orders      chan order
+	changes     changes
 }
 
 // Option sets a property of an agent.
@@ -77,6 +84,12 @@
 	}
 }
 
+// WithRegionLinkRate bounds what one rollout draws over each link into this
+// process's region, in bytes a second. The configuration may set less.
+func WithRegionLinkRate(bytesPerSecond float64) Option {
+	return func(a *Agent) { a.regionLinkRate = bytesPerSecond }
+}
+
 // New returns the agent of the endpoint that engine reaches.
 func New(n *node.Node, engine *engines.Client, options ...Option) *Agent {
 	a := &Agent{
@@ -86,8 +99,11 @@
 		limit:   limits.NewConcurrency(limits.WithBounds(minLimit, defaultLimit), limits.WithInitialLimit(initialLimit)),
 		uploads: rate.NewLimiter(rate.Inf, uploadBurst),
 		orders:  make(chan order),
+
+		regionLinkRate: math.MaxFloat64,
 	}
 	a.weights.staged = make(map[digest.Digest]bool)
+	a.changes.next = make(chan struct{})
 	for _, o := range options {
 		o(a)
 	}
@@ -96,7 +112,9 @@
 
 // Register adds the AgentService handler to mux.
 func (a *Agent) Register(mux *http.ServeMux) {
-	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a})
+	names := map[string]string{nodev1connect.AgentServiceAttemptProcedure: telemetry.SpanAgent}
+	spans := connect.WithInterceptors(a.node.Telemetry().Tracing().NewInterceptor(names))
+	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a}, spans)
 	mux.Handle(path, service)
 }
 
@@ -108,6 +126,8 @@
 	wg.Go(func() { a.probeLoop(ctx) })
 	wg.Go(func() { a.weightsLoop(ctx) })
 	wg.Go(func() { a.orderLoop(ctx) })
+	wg.Go(func() { a.changeLoop(ctx) })
+	wg.Go(func() { a.announceLoop(ctx) })
 	go func() {
 		defer close(done)
 		wg.Wait()
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +13,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -74,8 +76,10 @@
 	}
 	admission, err := a.gate.Admit(pinned)
 	if err != nil {
+		a.node.Telemetry().Metrics().Admissions.WithLabelValues(telemetry.DecisionRefused).Inc()
 		return out.notRun(err.Error(), retryAfter(err), a.report())
 	}
+	a.node.Telemetry().Metrics().Admissions.WithLabelValues(telemetry.DecisionAdmitted).Inc()
 	defer admission.Done()
 	if !a.limit.Acquire() {
 		return out.notRun(serving.ErrBusy.Error(), a.limit.RetryAfter(), a.report())
@@ -102,8 +106,11 @@
 
 // run sends the request to the endpoint once and streams the answer back.
 func (a *Agent) run(ctx context.Context, out attemptStream, admission *serving.Admission, latency *time.Duration) error {
+	traceHeader := http.Header{}
+	ctx, span := a.node.Telemetry().Tracing().StartClient(ctx, telemetry.SpanEngine, traceHeader)
+	defer span.End()
 	began := time.Now()
-	answer, err := a.engine.Do(ctx, engineRequest(out.request))
+	answer, err := a.engine.Do(ctx, engineRequest(out.request, traceHeader))
 	if errors.Is(err, engines.ErrUnavailable) {
 		return out.notRun("endpoint does not accept connections", retryAfterSwitch, a.report())
 	}
@@ -159,11 +166,14 @@
 	return err != nil || state.Incarnation() != before
 }
 
-func engineRequest(r *nodev1.AttemptRequest) engines.Request {
+func engineRequest(r *nodev1.AttemptRequest, traceHeader http.Header) engines.Request {
 	options := []engines.RequestOption{engines.WithBody(r.GetBody())}
 	for _, h := range r.GetHeaders() {
 		options = append(options, engines.WithHeader(h.GetName(), h.GetValue()))
 	}
+	for name := range traceHeader {
+		options = append(options, engines.WithHeader(name, traceHeader.Get(name)))
+	}
 	return engines.NewRequest(r.GetMethod(), r.GetPath(), options...)
 }
 
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -34,6 +34,8 @@
 type answerWriter struct {
 	writer    http.ResponseWriter
 	requestID string
+	service   string
+	outcome   string // unknown until another is final
 	// repeat marks a keyed request of which an earlier send may have run: only
 	// the claims row can say "not run" for it.
 	repeat bool
@@ -70,6 +72,7 @@
 		a.abort()
 	}
 	a.started = true
+	a.outcome = outcome
 	h := a.writer.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, outcome)
@@ -187,6 +190,7 @@
 
 // finish ends a whole answer.
 func (a *answerWriter) finish() {
+	a.outcome = OutcomeAnswered
 	if a.started {
 		a.writer.Header().Set(HeaderOutcome, OutcomeAnswered)
 		return
@@ -206,6 +210,7 @@
 }
 
 func (a *answerWriter) writeWhole(status int, body []byte) {
+	a.outcome = OutcomeAnswered
 	h := a.writer.Header()
 	h.Set(HeaderOutcome, OutcomeAnswered)
 	if len(body) > 0 {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // recordTimeout bounds the writes that follow an attempt.
@@ -66,8 +67,33 @@
 	return routing.Failed
 }
 
-// attempt sends the request to one agent and passes the answer on.
+// String returns the result as metrics and spans name it.
+func (r result) String() string {
+	switch r.kind {
+	case resultAnswered:
+		return OutcomeAnswered
+	case resultRefused, resultUnreachable:
+		return OutcomeNotRun
+	case resultLost:
+		return OutcomeUnknown
+	}
+	return "abandoned"
+}
+
+// attempt makes one attempt within a span and counts its result.
 func (e *Entry) attempt(ctx context.Context, q *request, choice routing.Choice, number uint32, alone bool, out *answerWriter) result {
+	ctx, span := e.node.Telemetry().Tracing().Start(ctx, telemetry.SpanAttempt,
+		telemetry.AttributeInstance.String(choice.Name()),
+		telemetry.AttributeAttempt.Int(int(number)))
+	defer span.End()
+	r := e.sendAttempt(ctx, q, choice, number, alone, out)
+	span.SetAttributes(telemetry.AttributeResult.String(r.String()))
+	e.node.Telemetry().Metrics().Attempts.WithLabelValues(q.service.Name(), r.String()).Inc()
+	return r
+}
+
+// sendAttempt sends the request to one agent and passes the answer on.
+func (e *Entry) sendAttempt(ctx context.Context, q *request, choice routing.Choice, number uint32, alone bool, out *answerWriter) result {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	streamCtx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
@@ -105,9 +131,8 @@
 }
 
 func (e *Entry) attemptMessage(q *request, number uint32, alone bool) *nodev1.AttemptRequest {
-	self := e.node.Self()
 	m := &nodev1.AttemptRequest{
-		From:           &nodev1.Origin{Name: self.Name(), Incarnation: self.Incarnation()},
+		From:           e.node.From(),
 		RequestId:      q.id,
 		Attempt:        number,
 		Service:        q.service.Name(),
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -69,8 +70,11 @@
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
-	out := &answerWriter{writer: w, requestID: e.nextRequestID()}
+	out := &answerWriter{writer: w, requestID: e.nextRequestID(), outcome: OutcomeUnknown}
 	out.repeat = mayBeRepeat(r)
+	ctx, span := e.node.Telemetry().Tracing().StartServer(r.Context(), telemetry.SpanEntry, r.Header)
+	defer span.End()
+	defer e.observe(out, time.Now())
 	if e.leaving.Load() {
 		out.notRun(http.StatusServiceUnavailable, "entry is leaving", time.Second)
 		return
@@ -85,6 +89,7 @@
 		out.notRun(http.StatusNotFound, "unknown service", 0)
 		return
 	}
+	out.service = service.Name()
 	account, ok := s.Config().Account(r.Header.Get(HeaderAccount))
 	if !ok {
 		out.notRun(http.StatusForbidden, "unknown client account", 0)
@@ -103,7 +108,15 @@
 		return
 	}
 	out.repeat = q.keyed() && !q.claim.First()
-	e.dispatch(r.Context(), q, out)
+	e.dispatch(ctx, q, out)
+}
+
+// observe records the final answer of a request. The service is empty where the
+// configuration does not name it, so that callers cannot make up label values.
+func (e *Entry) observe(out *answerWriter, arrived time.Time) {
+	m := e.node.Telemetry().Metrics()
+	m.Requests.WithLabelValues(out.service, out.outcome).Inc()
+	m.RequestSeconds.WithLabelValues(out.service).Observe(time.Since(arrived).Seconds())
 }
 
 // mayBeRepeat reports whether an earlier send of the request may have run, going
@@ -188,7 +201,7 @@
 	case HeaderAccount, HeaderSend, HeaderNotRun, HeaderTimeout, suspects.Header, "Connection", "Authorization":
 		return false
 	}
-	return true
+	return !telemetry.IsTraceHeader(name)
 }
 
 func timeoutOf(r *http.Request) time.Duration {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/routing"
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 const (
@@ -173,7 +174,7 @@
 	case r.crashed:
 		crash := suspects.NewCrash(choice.Name(), r.incarnation, r.digest)
 		if err := e.traffic.suspects.Crashed(ctx, crash, []digest.Digest{q.fingerprint}); err != nil {
-			e.node.Logger().Debug("suspect not written", "error", err)
+			telemetry.SuspectNotWritten.Log(ctx, e.node.Logger(), "error", err)
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,18 +15,20 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/node"
-	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
 // Entry is one entry process. It is safe for concurrent use.
 type Entry struct {
 	node     *node.Node
 	reports  reports
+	rollouts activeRollouts
 	traffic  *traffic
 	book     atomic.Pointer[addressBook]
 	requests atomic.Uint64
@@ -39,7 +41,13 @@
 
 // New returns the entry of the process that n is part of.
 func New(n *node.Node, options ...Option) *Entry {
-	e := &Entry{node: n, traffic: newTraffic(n)}
+	e := &Entry{
+		node:     n,
+		traffic:  newTraffic(n),
+		rollouts: activeRollouts{services: make(map[string]time.Time)},
+	}
+	e.reports.watches = make(map[string]*watch)
+	n.OnAnnounce(func(r *nodev1.EndpointReport) { e.rollouts.note(r.GetService()) })
 	e.reports.endpoints.Store(&[]endpoint{})
 	for _, o := range options {
 		o(e)
@@ -49,8 +57,7 @@
 
 // Register adds the handlers for callers and operators to mux.
 func (e *Entry) Register(mux *http.ServeMux) {
-	path, admin := adminv1connect.NewAdminServiceHandler(operators{entry: e})
-	mux.Handle(path, admin)
+	newOperators(e).Register(mux)
 	router := httprouter.New()
 	router.GET("/addresses", e.serveAddresses)
 	for _, m := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
@@ -90,5 +97,5 @@
 
 // Ready reports whether the entry has a configuration and accepts requests.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.node.Snapshot() != nil
+	return !e.leaving.Load() && e.node.Ready()
 }
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -7,6 +7,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/claims"
 	"github.com/primrosetally/primrosetally/internal/coordination/retry"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 const (
@@ -74,7 +75,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), outcomeTimeout)
 		defer cancel()
 		if err := e.traffic.claims.Finish(ctx, claim, o); err != nil {
-			e.node.Logger().Warn("outcome of claim not written", "request", claim.Request().ID(), "error", err)
+			telemetry.OutcomeNotWritten.Log(ctx, e.node.Logger(), "request", claim.Request().ID(), "error", err)
 		}
 	})
 	timer := time.NewTimer(outcomeWait)
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
 // Intervals of the background work on requests.
@@ -120,7 +121,7 @@
 func (e *Entry) settleLoop(ctx context.Context) {
 	repeat(ctx, func() time.Duration {
 		if left := e.traffic.claims.Settle(ctx); left > 0 {
-			e.node.Logger().Debug("outcomes of claims wait for the table", "claims", left)
+			telemetry.OutcomesWait.Log(ctx, e.node.Logger(), "claims", left)
 		}
 		return settleInterval
 	})
@@ -132,7 +133,7 @@
 		interval := max(time.Duration(e.liveEntries())*time.Second/suspectReads, minSuspectInterval)
 		e.traffic.suspects.SetSpreadTime(interval)
 		if err := e.traffic.suspects.Refresh(ctx); err != nil {
-			e.node.Logger().Debug("suspects not read", "error", err)
+			telemetry.SuspectsNotRead.Log(ctx, e.node.Logger(), "error", err)
 		}
 		return interval
 	})
