--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -35,10 +35,10 @@
 	defaultMaxSaved    = 100 // retries
 	defaultMaxAttempts = 4
 	// failedRetryKeeps is the share of the savings left after a failed retry.
-	failedRetryKeeps = 0.5
-	defaultBackoff     = 10 * time.Millisecond
-	defaultMaxBackoff  = 500 * time.Millisecond
-	defaultRetryAfter  = time.Second
+	failedRetryKeeps  = 0.5
+	defaultBackoff    = 10 * time.Millisecond
+	defaultMaxBackoff = 500 * time.Millisecond
+	defaultRetryAfter = time.Second
 )
 
 // Outcome is how one attempt ended.
--- a/internal/entry/hop_test.go
+++ b/internal/entry/hop_test.go
@@ -13,12 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosetally/primrosetally/internal/entry"
-	"github.com/primrosetally/primrosetally/internal/process"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
-	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 )
 
 // fakeAgent is an agent whose attempts end as the test says.
@@ -208,17 +206,17 @@
 	}
 	require.Zero(t, s.bodyRuns("poison"))
 	admin := adminOf(s.entries[1])
-	list, err := admin.QuarantineList(context.Background(), connect.NewRequest(&adminv1.QuarantineListRequest{}))
+	listing := connect.NewRequest(&adminv1.QuarantineListRequest{})
+	authorize(listing)
+	list, err := admin.QuarantineList(context.Background(), listing)
 	require.NoError(t, err)
 	require.Len(t, list.Msg.GetEntries(), 1)
 	require.EqualValues(t, 2, list.Msg.GetEntries()[0].GetCrashes())
 	fingerprint := list.Msg.GetEntries()[0].GetFingerprint()
-	cleared, err := admin.QuarantineClear(context.Background(), connect.NewRequest(&adminv1.QuarantineClearRequest{Fingerprint: fingerprint}))
+	clearing := connect.NewRequest(&adminv1.QuarantineClearRequest{Fingerprint: fingerprint})
+	authorize(clearing)
+	cleared, err := admin.QuarantineClear(context.Background(), clearing)
 	require.NoError(t, err)
 	require.True(t, cleared.Msg.GetCleared())
 	s.eventually(func() bool { return s.send(0, q).outcome == entry.OutcomeAnswered })
 }
-
-func adminOf(p *process.Process) adminv1connect.AdminServiceClient {
-	return adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+p.Self().CallerAddress())
-}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -44,6 +44,7 @@
 		operators.WithManifestExists(exists),
 		operators.WithStatus(e.status),
 		operators.WithDrain(e.serviceOf, e.drain),
+		operators.WithQuarantine(e.quarantined, e.liftQuarantine),
 	)
 }
 
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -3,39 +3,32 @@
 import (
 	"context"
 
-	"connectrpc.com/connect"
-
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 )
 
-// QuarantineList returns the requests that were in flight at crashes, after a
-// fresh read of the table. Those with two crashes or more are refused.
-func (o operators) QuarantineList(ctx context.Context, _ *connect.Request[adminv1.QuarantineListRequest]) (*connect.Response[adminv1.QuarantineListResponse], error) {
-	registry := o.entry.traffic.suspects
-	if err := registry.Refresh(ctx); err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+// quarantined returns the requests that were in flight at crashes, after a fresh
+// read of the table. Those with two crashes or more are refused.
+func (e *Entry) quarantined(ctx context.Context) ([]*adminv1.QuarantineEntry, error) {
+	if err := e.traffic.suspects.Refresh(ctx); err != nil {
+		return nil, err
 	}
-	answer := &adminv1.QuarantineListResponse{}
-	for _, s := range registry.Suspects() {
-		answer.Entries = append(answer.Entries, &adminv1.QuarantineEntry{
+	var list []*adminv1.QuarantineEntry
+	for _, s := range e.traffic.suspects.Suspects() {
+		list = append(list, &adminv1.QuarantineEntry{
 			Fingerprint: s.Fingerprint().String(),
 			Crashes:     uint32(s.Crashes()),
 			ExpiresUnix: s.Expires().Unix(),
 		})
 	}
-	return connect.NewResponse(answer), nil
+	return list, nil
 }
 
-// QuarantineClear lifts a quarantine everywhere.
-func (o operators) QuarantineClear(ctx context.Context, r *connect.Request[adminv1.QuarantineClearRequest]) (*connect.Response[adminv1.QuarantineClearResponse], error) {
-	fp, err := digest.Parse(r.Msg.GetFingerprint())
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	cleared, err := o.entry.traffic.suspects.Clear(ctx, fp)
+// liftQuarantine lets a request run again at every entry.
+func (e *Entry) liftQuarantine(ctx context.Context, fingerprint string) (bool, error) {
+	fp, err := digest.Parse(fingerprint)
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return false, err
 	}
-	return connect.NewResponse(&adminv1.QuarantineClearResponse{Cleared: cleared}), nil
+	return e.traffic.suspects.Clear(ctx, fp)
 }
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -102,12 +102,22 @@
 	text += fmt.Sprintf("[team.t]\ntokenDigest = %q\nadministrator = true\n", digest.Of([]byte("t")))
 	text += fmt.Sprintf("[service.%s]\nteam = \"t\"\nkind = \"plain\"\nservers = 2\n", service)
 	text += fmt.Sprintf("[account.%s]\nteam = \"t\"\nrequestsPerSecond = 100000\nmaxInFlight = 10000\n", account)
-	admin := adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+s.entries[0].Self().CallerAddress())
-	answer, err := admin.Submit(context.Background(), connect.NewRequest(&adminv1.SubmitRequest{Text: []byte(text), ChangeId: "first"}))
+	request := connect.NewRequest(&adminv1.SubmitRequest{Text: []byte(text), ChangeId: "first"})
+	authorize(request)
+	answer, err := adminOf(s.entries[0]).Submit(context.Background(), request)
 	require.NoError(s.t, err)
 	require.Equal(s.t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, answer.Msg.GetOutcome(), "%v", answer.Msg)
 }
 
+// authorize gives a request the token of the only team.
+func authorize(r connect.AnyRequest) {
+	r.Header().Set("Authorization", "Bearer t")
+}
+
+func adminOf(p *process.Process) adminv1connect.AdminServiceClient {
+	return adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+p.Self().CallerAddress())
+}
+
 // awaitServing waits until every entry uses both endpoints.
 func (s *system) awaitServing() {
 	s.eventually(func() bool {
