Fix a data race in the watches of reports; adapt tests to HTTP/2 and tokens

Cause: the race detector found that followReports read the member of a watch while updateWatches replaced it. The follower now has its own copy. The fakes of hop_test.go spoke HTTP/1 alone, and the agents that they replace went on speaking, so that the view rightly kept them: they are now killed. The process tests submit with their team's token.

Ruled out: a shorter patience or a weaker condition in the tests.

--- a/cmd/primrosetally/operators_test.go
+++ b/cmd/primrosetally/operators_test.go
@@ -63,7 +63,7 @@
 	file := filepath.Join(d.dir, "config-"+version+".toml")
 	require.NoError(t, os.WriteFile(file, []byte(configText(id, version)), 0o600))
 	out := primrosetally(t, "submit", file, "--entry", d.entries[0].self.CallerAddress(),
-		"--base", fmt.Sprint(base), "--changeId", "change-"+version)
+		"--token", "web", "--base", fmt.Sprint(base), "--changeId", "change-"+version)
 	require.Equal(t, fmt.Sprintf("accepted as revision %d", base+1), out)
 }
 
--- a/internal/entry/hop_test.go
+++ b/internal/entry/hop_test.go
@@ -54,6 +54,7 @@
 func (s *system) withAgents(fakes ...*fakeAgent) {
 	for _, p := range s.agents {
 		s.members.Remove(p.Self().Name())
+		p.Kill()
 	}
 	for i, f := range fakes {
 		mux := http.NewServeMux()
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -56,7 +56,7 @@
 
 // watch is the observation of one start of one agent.
 type watch struct {
-	endpoint endpoint
+	endpoint endpoint // guarded by the mutex of reports
 	end      context.CancelFunc
 }
 
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{endpoint: endpoint{member: m}, end: cancel}
 	e.reports.watches[m.Name()] = w
-	e.reports.watchers.Go(func() { e.followReports(ctx, w) })
+	e.reports.watchers.Go(func() { e.followReports(ctx, w, m) })
 }
 
 // watched returns the agents whose reports this entry needs, by name.
@@ -149,10 +149,10 @@
 }
 
 // followReports asks the agent for its report over and over until ctx ends.
-func (e *Entry) followReports(ctx context.Context, w *watch) {
+func (e *Entry) followReports(ctx context.Context, w *watch, m member.Member) {
 	known := uint64(0)
 	for ctx.Err() == nil {
-		report := e.watchReport(ctx, w.endpoint.member, known)
+		report := e.watchReport(ctx, m, known)
 		known = report.GetChange()
 		e.reports.mu.Lock()
 		w.endpoint.report = report
