--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -158,7 +158,7 @@
 	for r.kind == 0 && stream.Receive() {
 		part := stream.Msg()
 		if part.GetRequestId() != m.GetRequestId() || part.GetAttempt() != m.GetAttempt() {
-			e.traffic.dropped.Add(1)
+			e.node.Telemetry().Metrics().DroppedParts.Inc()
 			continue
 		}
 		e.relayPart(part, out, r)
@@ -177,7 +177,7 @@
 		out.begin(v.Started)
 	case *nodev1.AttemptPart_Data:
 		if out.head == nil {
-			e.traffic.dropped.Add(1)
+			e.node.Telemetry().Metrics().DroppedParts.Inc()
 			return
 		}
 		if err := out.data(v.Data); err != nil {
@@ -185,7 +185,7 @@
 		}
 	case *nodev1.AttemptPart_Finished:
 		if out.head == nil {
-			e.traffic.dropped.Add(1)
+			e.node.Telemetry().Metrics().DroppedParts.Inc()
 			return
 		}
 		out.finish()
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/claims"
@@ -36,7 +35,6 @@
 	claims   *claims.Claims
 	suspects *suspects.Registry
 	alone    suspects.Isolation
-	dropped  atomic.Uint64 // parts of answers that fit no open attempt
 
 	mu       sync.Mutex
 	services map[string]*serviceTraffic
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -27,7 +28,8 @@
 // runs; the counters survive crashes.
 type Plain struct {
 	faults
-	work         time.Duration
+	// work is the time that a run takes.
+	work         atomic.Int64
 	restartDelay time.Duration
 
 	runsMu      sync.Mutex
@@ -61,7 +63,7 @@
 
 // WithWork sets the time that a run takes.
 func WithWork(d time.Duration) PlainOption {
-	return func(p *Plain) { p.work = d }
+	return func(p *Plain) { p.SetWork(d) }
 }
 
 // WithPlainRestartDelay sets the time from a crash to the next start.
@@ -117,6 +119,11 @@
 	p.crashes = n
 }
 
+// SetWork changes the time that a run takes, of those that begin later.
+func (p *Plain) SetWork(d time.Duration) {
+	p.work.Store(int64(d))
+}
+
 // Runs returns the counters.
 func (p *Plain) Runs() RunCounts {
 	p.runsMu.Lock()
@@ -139,7 +146,7 @@
 	defer p.leave()
 	// A run that has begun goes on when its caller has gone, so the wait has a
 	// context that ends with the service alone.
-	if wait(p.alive().ctx, p.work) != nil {
+	if wait(p.alive().ctx, time.Duration(p.work.Load())) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	p.crashIf(CrashDuringRun)
@@ -226,6 +233,8 @@
 	// CrashPhase and Crashes make the coming requests crash the service.
 	CrashPhase CrashPhase `json:"crashPhase,omitempty"`
 	Crashes    int        `json:"crashes,omitempty"`
+	// WorkMS is the time that a run takes, in milliseconds.
+	WorkMS *int64 `json:"workMs,omitempty"`
 	// Crash crashes the service once, at once.
 	Crash bool `json:"crash,omitempty"`
 }
@@ -240,6 +249,9 @@
 		if c.CrashPhase != "" {
 			p.CrashNext(c.CrashPhase, c.Crashes)
 		}
+		if c.WorkMS != nil {
+			p.SetWork(time.Duration(*c.WorkMS) * time.Millisecond)
+		}
 		if c.Crash {
 			p.Crash()
 		}
