--- a/cmd/primrosetally/callers_test.go
+++ b/cmd/primrosetally/callers_test.go
@@ -68,6 +68,8 @@
 }
 
 func (c *callers) run(ctx context.Context, caller int, random *rand.Rand) {
+	pace := time.NewTicker(requestPause)
+	defer pace.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
 		base := c.deployment.base(random.IntN(len(c.deployment.entries)))
 		if i%3 == 0 {
@@ -75,7 +77,7 @@
 		} else {
 			c.complete(base, fmt.Sprintf("prompt %d of caller %d", i, caller))
 		}
-		time.Sleep(requestPause)
+		<-pace.C
 	}
 }
 
--- a/cmd/primrosetally/deployment_test.go
+++ b/cmd/primrosetally/deployment_test.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -301,11 +302,15 @@
 // waitFor polls the condition until it holds.
 func waitFor(t *testing.T, what string, condition func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(conditionWait)
+	ctx, cancel := context.WithTimeout(t.Context(), conditionWait)
+	defer cancel()
+	poll := time.NewTicker(conditionPoll)
+	defer poll.Stop()
 	for !condition() {
-		if time.Now().After(deadline) {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
 			t.Fatalf("waited %v for: %s", conditionWait, what)
 		}
-		time.Sleep(conditionPoll)
 	}
 }
