Test configurations under failures with whole processes

Cause: acceptance and its wiring were tested apart. Two entries and an agent over stand-ins now meet a lost answer, an entry that is killed between the write and its first push, an outage right after the acceptance, a new process during an outage, a conflict, and operators who race at both entries.

Ruled out: killing a process at the right instant, which no test can time; an acceptor of its own does the write and pushes nothing.

--- /dev/null
+++ b/internal/process/configuration_test.go
@@ -0,0 +1,210 @@
+package process_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/accept"
+	"github.com/primrosetally/primrosetally/internal/process"
+	"github.com/primrosetally/primrosetally/internal/settings"
+	"github.com/primrosetally/primrosetally/internal/standin"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/transport/objects"
+	"github.com/primrosetally/primrosetally/internal/transport/tables"
+	"github.com/primrosetally/primrosetally/pkg/adminv1"
+	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
+	"github.com/primrosetally/primrosetally/pkg/configtext"
+)
+
+// cluster is a few processes over stand-ins of the platform, for tests of what
+// becomes of configurations.
+type cluster struct {
+	tables    *standin.Tables
+	members   *standin.Members
+	tablesURL string
+	objectURL string
+	platform  string
+	endpoint  string
+	processes []*process.Process
+}
+
+// newCluster starts two entries and an agent and accepts revision 1.
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{tables: standin.NewTables(), members: standin.NewMembers()}
+	c.tablesURL = serve(t, c.tables)
+	c.objectURL = serve(t, standin.NewObjects())
+	c.endpoint = serve(t, standin.NewPlain())
+	c.platform = fmt.Sprintf("[platform]\ntablesUrl = %q\nobjectsUrl = %q\noriginUrl = %q\nmembersUrl = %q\n",
+		c.tablesURL, c.objectURL, serve(t, standin.NewObjects()), serve(t, c.members))
+	c.startEntry(t, "entry-1")
+	c.startEntry(t, "entry-2")
+	c.start(t, "agent", "agent-1", fmt.Sprintf("service = \"bookings\"\nengineUrl = %q\n", c.endpoint), nil)
+	answer := c.submit(t, 0, "first", 0, 1)
+	require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, answer.GetOutcome(), answer.GetReason())
+	c.requireInForce(t, 1)
+	return c
+}
+
+func (c *cluster) startEntry(t *testing.T, name string) *process.Process {
+	t.Helper()
+	callers := listen(t)
+	return c.start(t, "entry", name, fmt.Sprintf("callerListen = %q\n", callers.Addr()), callers)
+}
+
+func (c *cluster) start(t *testing.T, role, name, own string, callers net.Listener) *process.Process {
+	t.Helper()
+	nodes := listen(t)
+	text := fmt.Sprintf("name = %q\nrole = %q\nregion = \"riga\"\nfailureDomain = \"riga-a\"\nlisten = %q\n", name, role, nodes.Addr())
+	s, err := settings.Parse(name+".toml", []byte(text+own+c.platform))
+	require.NoError(t, err)
+	p, err := process.Start(s, process.WithListeners(nodes, callers), process.WithLogger(slog.New(slog.DiscardHandler)))
+	require.NoError(t, err)
+	t.Cleanup(p.Kill)
+	c.members.Put(p.Self())
+	c.processes = append(c.processes, p)
+	return p
+}
+
+// clusterText returns a text that differs from others by the weight.
+func clusterText(weight int) []byte {
+	text := "[deployment]\nname = \"c\"\n[region.riga]\nfailureDomains = [\"riga-a\"]\n" +
+		fmt.Sprintf("[team.web]\ntokenDigest = \"%s\"\nadministrator = true\n", digest.Of([]byte("web"))) +
+		"[service.bookings]\nteam = \"web\"\nkind = \"plain\"\n" +
+		fmt.Sprintf("[account.shop]\nteam = \"web\"\nweight = %d\n", weight)
+	return []byte(text)
+}
+
+// submit submits a change to one of the entries.
+func (c *cluster) submit(t *testing.T, entry int, id string, base uint64, weight int) *adminv1.SubmitResponse {
+	t.Helper()
+	answer, err := c.send(t.Context(), entry, id, base, weight)
+	require.NoError(t, err)
+	return answer
+}
+
+func (c *cluster) send(ctx context.Context, entry int, id string, base uint64, weight int) (*adminv1.SubmitResponse, error) {
+	client := adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+c.processes[entry].Self().CallerAddress())
+	request := connect.NewRequest(&adminv1.SubmitRequest{File: "c.toml", Text: clusterText(weight), ChangeId: id, BaseRevision: base})
+	request.Header().Set("Authorization", "Bearer web")
+	answer, err := client.Submit(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+// requireInForce waits until the revision is in force at every process.
+func (c *cluster) requireInForce(t *testing.T, revision uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, p := range c.processes {
+			if p.Node().Revision() != revision {
+				return false
+			}
+		}
+		return true
+	}, conditionWait, conditionPoll, "revision %d is not in force everywhere", revision)
+}
+
+func TestConfigurationUnderFailures(t *testing.T) {
+	accepted := adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED
+	tests := []struct {
+		name string
+		run  func(*testing.T, *cluster)
+	}{
+		{"answer lost after the write", func(t *testing.T, c *cluster) {
+			c.tables.LoseAnswers(1)
+			answer := c.submit(t, 0, "c", 1, 2)
+			require.Equal(t, accepted, answer.GetOutcome(), answer.GetReason())
+		}},
+		{"entry killed between the write and its first push", func(t *testing.T, c *cluster) {
+			// An acceptor of its own stands for the entry that was killed.
+			store := objects.New(c.objectURL)
+			a := accept.New(accept.WithTables(tables.New(c.tablesURL)), accept.WithObjects(store.Put, store.Get))
+			cfg, err := configtext.Parse("c.toml", clusterText(2))
+			require.NoError(t, err)
+			r := a.Submit(t.Context(), accept.Change{ID: "c", Base: 1, Config: cfg, Token: "web"})
+			require.Equal(t, accept.Accepted, r.Outcome(), r.Reason())
+			answer := c.submit(t, 1, "c", 1, 2)
+			require.Equal(t, accepted, answer.GetOutcome(), answer.GetReason())
+			require.EqualValues(t, 2, answer.GetRevision())
+		}},
+		{"table down right after the acceptance", func(t *testing.T, c *cluster) {
+			answer := c.submit(t, 0, "c", 1, 2)
+			c.tables.SetOutage(true)
+			require.Equal(t, accepted, answer.GetOutcome(), answer.GetReason())
+			again := c.submit(t, 1, "c", 1, 2)
+			require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_UNKNOWN, again.GetOutcome())
+		}},
+		{"new process while the table is down", func(t *testing.T, c *cluster) {
+			c.submit(t, 0, "c", 1, 2)
+			c.requireInForce(t, 2)
+			c.tables.SetOutage(true)
+			c.startEntry(t, "entry-3")
+		}},
+		{"conflict at the other entry", func(t *testing.T, c *cluster) {
+			c.submit(t, 0, "c", 1, 2)
+			answer := c.submit(t, 1, "d", 1, 3)
+			require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_CONFLICT, answer.GetOutcome())
+			require.Equal(t, "c", answer.GetOtherChangeId())
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			tt.run(t, c)
+			c.requireInForce(t, 2)
+			for _, p := range c.processes {
+				shop, found := p.Node().Snapshot().Config().Account("shop")
+				require.True(t, found)
+				require.Equal(t, 2, shop.Weight())
+			}
+		})
+	}
+}
+
+// TestOperatorsRace lets operators submit to both entries at once: of each round
+// exactly one change is accepted, and the others are told which.
+func TestOperatorsRace(t *testing.T) {
+	const rounds, operators = 10, 4
+	c := newCluster(t)
+	for round := range rounds {
+		base := uint64(round + 1)
+		answers := make([]*adminv1.SubmitResponse, operators)
+		errs := make([]error, operators)
+		var wg sync.WaitGroup
+		for i := range operators {
+			wg.Go(func() {
+				answers[i], errs[i] = c.send(t.Context(), i%2, fmt.Sprintf("c%d-%d", round, i), base, 2+round*operators+i)
+			})
+		}
+		wg.Wait()
+		require.NoError(t, errors.Join(errs...))
+		winner := ""
+		for i, a := range answers {
+			if a.GetOutcome() == adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED {
+				require.Empty(t, winner, "two changes were accepted")
+				require.Equal(t, base+1, a.GetRevision())
+				winner = fmt.Sprintf("c%d-%d", round, i)
+			}
+		}
+		require.NotEmpty(t, winner)
+		for _, a := range answers {
+			if a.GetOutcome() != adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED {
+				require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_CONFLICT, a.GetOutcome(), a.GetReason())
+				require.Equal(t, winner, a.GetOtherChangeId())
+			}
+		}
+	}
+	c.requireInForce(t, rounds+1)
+}
