Demand the secret of a client account

Cause: keyDigest was read and checked by nobody, so any caller could send under any account's name. The entry now compares the bearer token, which it doesn't pass on to endpoints; the callers' client and the call command send one.

Ruled out: a header of its own, since Authorization already stops at the entry.

--- a/internal/command/caller.go
+++ b/internal/command/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,8 +15,11 @@
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
+// secretVariable is the environment variable of the account's secret.
+const secretVariable = "PRIMROSETALLY_SECRET"
+
 type callFlags struct {
-	address, account, service, method, path, key, body, spans string
+	address, account, service, method, path, key, body, spans, secret string
 }
 
 func callCommand() *command {
@@ -27,6 +31,7 @@
 			sub.AddPositionalValue(&f.service, "SERVICE", 1, true, "the service to call")
 			sub.String(&f.address, "e", "entry", "caller address of an entry")
 			sub.String(&f.account, "a", "account", "client account")
+			sub.String(&f.secret, "", "secret", "secret of the client account; "+secretVariable+" where absent")
 			sub.String(&f.method, "m", "method", "HTTP method")
 			sub.String(&f.path, "p", "path", "path of the call")
 			sub.String(&f.key, "k", "key", "idempotency key, <unixMillis>-<random>")
@@ -59,6 +64,9 @@
 		return e.fail(statusUsage, err)
 	}
 	r.Header.Set(entry.HeaderAccount, f.account)
+	if secret := cmp.Or(f.secret, os.Getenv(secretVariable)); secret != "" {
+		r.Header.Set("Authorization", "Bearer "+secret)
+	}
 	if f.key != "" {
 		r.Header.Set(entry.HeaderIdempotencyKey, f.key)
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -95,6 +96,10 @@
 		out.notRun(http.StatusForbidden, "unknown client account", 0)
 		return
 	}
+	if !account.Admits(secretOf(r)) {
+		out.notRun(http.StatusForbidden, "secret of the client account is missing or wrong", 0)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		out.notRun(http.StatusBadRequest, "request body not read whole", 0)
@@ -111,6 +116,15 @@
 	e.dispatch(ctx, q, out)
 }
 
+// bearerScheme leads the account's secret in the Authorization header, which is
+// not passed on to endpoints.
+const bearerScheme = "Bearer "
+
+func secretOf(r *http.Request) string {
+	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerScheme)
+	return secret
+}
+
 // observe records the final answer of a request. The service is empty where the
 // configuration does not name it, so that callers cannot make up label values.
 func (e *Entry) observe(out *answerWriter, arrived time.Time) {
--- a/internal/process/configuration_test.go
+++ b/internal/process/configuration_test.go
@@ -22,6 +22,7 @@
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
+	"github.com/primrosetally/primrosetally/pkg/caller"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -80,6 +81,7 @@
 	text := "[deployment]\nname = \"c\"\n[region.riga]\nfailureDomains = [\"riga-a\"]\n" +
 		fmt.Sprintf("[team.web]\ntokenDigest = \"%s\"\nadministrator = true\n", digest.Of([]byte("web"))) +
 		"[service.bookings]\nteam = \"web\"\nkind = \"plain\"\n" +
+		fmt.Sprintf("[account.guarded]\nteam = \"web\"\nkeyDigest = \"%s\"\n", digest.Of([]byte("secret"))) +
 		fmt.Sprintf("[account.shop]\nteam = \"web\"\nweight = %d\n", weight)
 	return []byte(text)
 }
@@ -208,3 +210,37 @@
 	}
 	c.requireInForce(t, rounds+1)
 }
+
+func TestAccountSecret(t *testing.T) {
+	tests := []struct {
+		name    string
+		account string
+		secret  string
+		err     error
+	}{
+		{"right secret", "guarded", "secret", nil},
+		{"wrong secret", "guarded", "Secret", caller.ErrNotRun},
+		{"no secret", "guarded", "", caller.ErrNotRun},
+		{"none demanded", "shop", "", nil},
+		{"none demanded, one sent", "shop", "secret", nil},
+	}
+	c := newCluster(t)
+	seed := "http://" + c.processes[0].Self().CallerAddress()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := caller.New(tt.account, []string{seed}, caller.WithSecret(tt.secret))
+			send := func() error {
+				_, err := client.Do(t.Context(), caller.NewRequest(http.MethodGet, "bookings", "/seats"))
+				return err
+			}
+			if tt.err == nil {
+				// The agent admits requests once it has probed its endpoint.
+				require.Eventually(t, func() bool { return send() == nil }, conditionWait, conditionPoll)
+				return
+			}
+			err := send()
+			require.ErrorIs(t, err, tt.err)
+			require.ErrorContains(t, err, "secret of the client account")
+		})
+	}
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -56,6 +56,7 @@
 // use.
 type Client struct {
 	account   string
+	secret    string
 	sender    *once.Client
 	now       func() time.Time
 	wait      func(ctx context.Context, d time.Duration) error
@@ -75,6 +76,11 @@
 	}
 }
 
+// WithSecret sets the secret of the account, where the entries demand one.
+func WithSecret(secret string) Option {
+	return func(c *Client) { c.secret = secret }
+}
+
 // WithMaxAnswer bounds the answers that Do reads, in bytes.
 func WithMaxAnswer(n int64) Option {
 	return func(c *Client) { c.maxAnswer = n }
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -57,6 +57,9 @@
 		if err != nil {
 			return nil, final(ErrNotRun, err.Error(), 0)
 		}
+		if c.secret != "" {
+			q.Header.Set("Authorization", "Bearer "+c.secret)
+		}
 		response, err := c.sender.Do(ctx, q)
 		if err == nil {
 			return response, nil
--- a/pkg/configtext/account.go
+++ b/pkg/configtext/account.go
@@ -40,6 +40,15 @@
 // where none is demanded.
 func (a Account) KeyDigest() digest.Digest { return a.keyDigest }
 
+// Admits reports whether secret is the account's, or none is demanded.
+func (a Account) Admits(secret string) bool {
+	if a.keyDigest.IsZero() {
+		return true
+	}
+	sum := digest.Of([]byte(secret))
+	return subtle.ConstantTimeCompare(sum[:], a.keyDigest[:]) == 1
+}
+
 // Team owns sections of the text. It is immutable.
 type Team struct {
 	name          string
