--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -152,10 +152,7 @@
 func (e *Entry) followReports(ctx context.Context, w *watch) {
 	known := uint64(0)
 	for ctx.Err() == nil {
-		e.reports.mu.Lock()
-		m := w.endpoint.member
-		e.reports.mu.Unlock()
-		report := e.watchReport(ctx, m, known)
+		report := e.watchReport(ctx, w.endpoint.member, known)
 		known = report.GetChange()
 		e.reports.mu.Lock()
 		w.endpoint.report = report
