--- a/internal/transport/operators/instances.go
+++ b/internal/transport/operators/instances.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
@@ -96,6 +97,9 @@
 		return h.unimplementedRPC.QuarantineClear(ctx, r)
 	}
 	cleared, err := h.quarantineClear(ctx, r.Msg.GetFingerprint())
+	if errors.Is(err, digest.ErrMalformed) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
--- a/internal/transport/operators/operators.go
+++ b/internal/transport/operators/operators.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// WithQuarantine sets how quarantined requests are listed and cleared.
+// WithQuarantine sets how quarantined requests are listed and cleared. The error
+// of clearOne matches digest.ErrMalformed for what is no fingerprint.
 func WithQuarantine(
 	list func(ctx context.Context) ([]*adminv1.QuarantineEntry, error),
 	clearOne func(ctx context.Context, fingerprint string) (cleared bool, err error),
--- a/internal/transport/operators/operators_test.go
+++ b/internal/transport/operators/operators_test.go
@@ -74,7 +74,10 @@
 		operators.WithDrain(e.serviceOf, e.drain),
 		operators.WithQuarantine(
 			func(context.Context) ([]*adminv1.QuarantineEntry, error) { return nil, nil },
-			func(context.Context, string) (bool, error) { return true, nil },
+			func(_ context.Context, fingerprint string) (bool, error) {
+				_, err := digest.Parse(fingerprint)
+				return err == nil, err
+			},
 		),
 	).Register(mux)
 	server := httptest.NewServer(mux)
@@ -219,10 +222,14 @@
 			return err
 		},
 		"clear": func(token string) error {
-			_, err := e.client.QuarantineClear(t.Context(), with(token, &adminv1.QuarantineClearRequest{Fingerprint: "f"}))
+			_, err := e.client.QuarantineClear(t.Context(), with(token, &adminv1.QuarantineClearRequest{Fingerprint: strings.Repeat("0", 64)}))
 			return err
 		},
 	}
+	calls["clear malformed"] = func(token string) error {
+		_, err := e.client.QuarantineClear(t.Context(), with(token, &adminv1.QuarantineClearRequest{Fingerprint: "f"}))
+		return err
+	}
 	const ok = connect.Code(0)
 	tests := []struct {
 		call   string
@@ -241,6 +248,7 @@
 		{"drain unknown", connect.CodeFailedPrecondition, connect.CodeUnauthenticated, connect.CodeNotFound, connect.CodeNotFound, connect.CodeNotFound},
 		{"list", connect.CodeFailedPrecondition, connect.CodeUnauthenticated, ok, ok, ok},
 		{"clear", connect.CodeFailedPrecondition, connect.CodeUnauthenticated, ok, connect.CodePermissionDenied, connect.CodePermissionDenied},
+		{"clear malformed", connect.CodeFailedPrecondition, connect.CodeUnauthenticated, connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodePermissionDenied},
 	}
 	for _, tt := range tests {
 		require.Equal(t, tt.before, codeOf(calls[tt.call]("admin")), "%s before the first revision", tt.call)
