Bound a request by its service's requestTimeout

Cause: the key was read and used by nobody; every request had up to 60 s. A caller that allowed more milliseconds than fit a duration got a deadline in the past, so its request never ran.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,8 +41,7 @@
 
 // Bounds of a caller's request.
 const (
-	maxBody        = 4 << 20 // bytes
-	defaultTimeout = 60 * time.Second
+	maxBody = 4 << 20 // bytes
 	// prefixBytes of a model request's body name its prompt prefix.
 	prefixBytes = 256
 )
@@ -186,7 +186,7 @@
 		body:       body,
 		key:        r.Header.Get(HeaderIdempotencyKey),
 		idempotent: service.Idempotent(r.Method, path),
-		deadline:   time.Now().Add(timeoutOf(r)),
+		deadline:   time.Now().Add(timeoutOf(r, service.RequestTimeout())),
 	}
 	if r.URL.RawQuery != "" {
 		q.path += "?" + r.URL.RawQuery
@@ -218,10 +218,12 @@
 	return !telemetry.IsTraceHeader(name)
 }
 
-func timeoutOf(r *http.Request) time.Duration {
+// timeoutOf returns the time that the caller allows, most where it doesn't say
+// or allows more.
+func timeoutOf(r *http.Request, most time.Duration) time.Duration {
 	n, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
 	if err != nil || n <= 0 {
-		return defaultTimeout
+		return most
 	}
-	return min(time.Duration(n)*time.Millisecond, defaultTimeout)
+	return min(time.Duration(min(n, math.MaxInt32))*time.Millisecond, most)
 }
