Read and store sections side by side

Cause: the first text, and a change at an entry that doesn't hold its base, went to the object store once a section in turn: about a thousand round trips at the planned size. Up to 32 are now open at a time.

Ruled out: no bound, which the rate-limited store would turn away.

--- a/internal/coordination/accept/accept.go
+++ b/internal/coordination/accept/accept.go
@@ -261,20 +261,20 @@
 			stored[s.Digest()] = true
 		}
 	}
+	writes := newCalls(ctx)
+	put := func(name string, d digest.Digest, text []byte) {
+		writes.Go(func(ctx context.Context) error {
+			err := a.putObject(ctx, SectionPrefix+d.String(), text)
+			return eris.Wrapf(err, "store %s", name)
+		})
+	}
 	for _, s := range cfg.Sections() {
-		if stored[s.Digest()] {
-			continue
+		if !stored[s.Digest()] {
+			put(s.Name(), s.Digest(), s.Text())
 		}
-		stored[s.Digest()] = true
-		if err := a.putObject(ctx, SectionPrefix+s.Digest().String(), s.Text()); err != nil {
-			return eris.Wrapf(err, "store section %s", s.Name())
-		}
-	}
-	list := cfg.SectionList()
-	if err := a.putObject(ctx, SectionPrefix+cfg.HeadDigest().String(), list); err != nil {
-		return eris.Wrap(err, "store section list")
 	}
-	return nil
+	put("section list", cfg.HeadDigest(), cfg.SectionList())
+	return writes.Wait()
 }
 
 // commitNext sends the transaction until the table says what became of it.
--- a/internal/coordination/accept/bench_test.go
+++ b/internal/coordination/accept/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/accept"
@@ -32,7 +33,8 @@
 func BenchmarkSubmit(b *testing.B) {
 	f := newFakeTable()
 	var current *configtext.Config
-	reads, tableBytes, objectBytes := 0, 0, 0
+	reads, tableBytes := 0, 0
+	var objectBytes atomic.Int64
 	f.beforeGet = func() { reads++ }
 	commit := func(ctx context.Context, t accept.Transaction) error {
 		for _, w := range t.Writes() {
@@ -41,7 +43,7 @@
 		return f.commit(ctx, t)
 	}
 	put := func(ctx context.Context, key string, data []byte) error {
-		objectBytes += len(data)
+		objectBytes.Add(int64(len(data)))
 		return f.putObject(ctx, key, data)
 	}
 	a := accept.New(
@@ -64,7 +66,8 @@
 		current = cfg
 	}
 	submit(0)
-	reads, tableBytes, objectBytes = 0, 0, 0
+	reads, tableBytes = 0, 0
+	objectBytes.Store(0)
 	n := 0
 	for b.Loop() {
 		n++
@@ -72,6 +75,6 @@
 	}
 	b.ReportMetric(float64(reads)/float64(n), "tableReads/op")
 	b.ReportMetric(float64(tableBytes)/float64(n), "tableBytes/op")
-	b.ReportMetric(float64(objectBytes)/float64(n), "objectBytes/op")
+	b.ReportMetric(float64(objectBytes.Load())/float64(n), "objectBytes/op")
 	b.ReportMetric(float64(len(current.Text())), "textBytes")
 }
--- a/internal/coordination/accept/fake_test.go
+++ b/internal/coordination/accept/fake_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,6 +69,7 @@
 	gets, commits []fault
 	// beforeGet runs before each read, and afterCommit after each transaction.
 	beforeGet, afterCommit func()
+	mu                     sync.Mutex // guards objects
 	objects                map[string][]byte
 	objectsDown            bool
 	// missing makes the checks beyond the text find a fault.
@@ -177,6 +179,8 @@
 }
 
 func (f *fakeTable) putObject(_ context.Context, key string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.objectsDown {
 		return objects.ErrUnavailable
 	}
@@ -185,6 +189,8 @@
 }
 
 func (f *fakeTable) getObject(_ context.Context, key string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	data, found := f.objects[key]
 	if !found || f.objectsDown {
 		return nil, objects.ErrUnavailable
--- a/internal/coordination/accept/history.go
+++ b/internal/coordination/accept/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/snapshot"
@@ -117,18 +118,34 @@
 	return ParseSectionList(list, d)
 }
 
+// maxCalls bounds the calls of the object store that one change or one look at a
+// revision has open at a time.
+const maxCalls = 32
+
+// newCalls returns a pool of calls that ends with the first error.
+func newCalls(ctx context.Context) *pool.ContextPool {
+	return pool.New().WithMaxGoroutines(maxCalls).WithContext(ctx).WithCancelOnError().WithFirstError()
+}
+
 // load reads the sections from the object store and rebuilds the Config.
 func (a *Acceptor) load(ctx context.Context, refs []snapshot.SectionRef) (*configtext.Config, error) {
 	sections := make([]configtext.Section, len(refs))
+	reads := newCalls(ctx)
 	for i, r := range refs {
-		text, err := a.getObject(ctx, SectionPrefix+r.Digest.String())
-		if err != nil {
-			return nil, eris.Wrapf(err, "section %s", r.Name)
-		}
-		if digest.Of(text) != r.Digest {
-			return nil, eris.Wrapf(ErrMalformed, "section %s has another digest", r.Name)
-		}
-		sections[i] = configtext.NewSection(r.Name, text)
+		reads.Go(func(ctx context.Context) error {
+			text, err := a.getObject(ctx, SectionPrefix+r.Digest.String())
+			if err != nil {
+				return eris.Wrapf(err, "section %s", r.Name)
+			}
+			if digest.Of(text) != r.Digest {
+				return eris.Wrapf(ErrMalformed, "section %s has another digest", r.Name)
+			}
+			sections[i] = configtext.NewSection(r.Name, text)
+			return nil
+		})
+	}
+	if err := reads.Wait(); err != nil {
+		return nil, err
 	}
 	return configtext.FromSections(sections)
 }
