--- a/internal/measure/spread/baseline.go
+++ b/internal/measure/spread/baseline.go
@@ -40,14 +40,14 @@
 }
 
 // everyonePolls is the baseline in which every process reads the revision in the
-// table at an interval, then the head and the changed section.
+// table at an interval, then the list of sections and the changed one.
 func everyonePolls(o Options, size Size, loss float64) BaselineRow {
 	n := float64(size.Processes())
 	changes := changesPerDay / day.Seconds()
-	poll := onWire(tableRequestBytes, 0) + onWire(tableResponseBytes, revisionRowBytes)
+	poll := onWire(platformFraming, 0) + onWire(platformFraming, headRowBytes)
 	s := NewDeployment(SizeToday, 1, 0, o.Framing).table.current
-	change := onWire(tableRequestBytes, 0)*2 + onWire(tableResponseBytes, headRowBytes(s.Head())) +
-		onWire(tableResponseBytes, sectionBytes)
+	change := 2*onWire(platformFraming, 0) + onWire(platformFraming, sectionListBytes(s.Head())) +
+		onWire(platformFraming, sectionBytes)
 	perNode := float64(poll)/baselinePollInterval.Seconds() + changes*float64(change)
 	return BaselineRow{
 		Name: "everyone polls", Size: size, Loss: loss,
@@ -56,7 +56,7 @@
 		}),
 		BytesPerNode:     perNode,
 		BytesBusiestNode: perNode,
-		TableReads:       n/baselinePollInterval.Seconds() + 2*n*changes,
+		TableReads:       n / baselinePollInterval.Seconds(),
 	}
 }
 
--- a/internal/measure/spread/budget.go
+++ b/internal/measure/spread/budget.go
@@ -8,9 +8,9 @@
 	// listChangesPerDay is how often the list changes at the target: a leaving, a
 	// vanished and a new instance for each of 201 restarts and failures.
 	listChangesPerDay = 3 * 201
-	// reportSubset is the number of agents that an entry asks for reports, and
+	// reportSubset is the number of agents of one service that an entry watches, and
 	// reportIntervalSeconds how often.
-	reportSubset          = 20
+	reportSubset          = 24
 	reportIntervalSeconds = 10
 )
 
@@ -41,7 +41,7 @@
 		same("compares", one.BytesCompares, two.BytesCompares),
 		same("pushes", one.BytesPushes, two.BytesPushes),
 		same("fetches", one.BytesFetches, two.BytesFetches),
-		same("table", one.BytesTable, two.BytesTable),
+		same("table and objects", one.BytesPlatform, two.BytesPlatform),
 		same("membership list, unchanged", unchanged, unchanged),
 		reportsRow(size),
 	}
--- a/internal/measure/spread/network.go
+++ b/internal/measure/spread/network.go
@@ -123,6 +123,9 @@
 	from, to *Process
 	traffic  *Traffic
 	request  int
+	// opens tells that the connection is new: delegates change with each revision,
+	// neighbours do not.
+	opens bool
 	// serve runs at the receiver and returns the size of the answer and what runs
 	// at the sender when the answer arrives.
 	serve func() (size int, answered func())
@@ -134,7 +137,11 @@
 func (w *network) send(c call) {
 	timeout := w.now + core.CallTimeout
 	fail := func() { w.after(timeout-w.now, c.from.ifRunning(c.failed)) }
-	w.count(c.traffic, c.from, c.to, onWire(w.framing.Request, c.request))
+	request := onWire(w.framing.Request, c.request)
+	if c.opens {
+		request += w.framing.Open
+	}
+	w.count(c.traffic, c.from, c.to, request)
 	if w.drops(c.from, c.to) {
 		fail()
 		return
--- a/internal/measure/spread/process.go
+++ b/internal/measure/spread/process.go
@@ -87,12 +87,12 @@
 
 func (p *Process) poll() {
 	current := p.node.InForce()
-	p.table.read(p, 1, revisionRowBytes, func(s *core.Snapshot, err error) {
+	p.table.readHead(p, func(s *core.Snapshot, err error) {
 		if err != nil || s == nil || current != nil && s.Head().Revision() <= current.Head().Revision() {
 			p.pollAnswered(s, err)
 			return
 		}
-		p.table.read(p, 1, headRowBytes(s.Head()), p.pollAnswered)
+		p.table.readObjects(p, 1, sectionListBytes(s.Head()), p.pollAnswered)
 	})
 }
 
@@ -109,7 +109,7 @@
 	to := p.peers[push.To.Name()]
 	revision := push.Push.Head.Revision()
 	w.send(call{
-		from: p, to: to, traffic: &w.pushes,
+		from: p, to: to, traffic: &w.pushes, opens: true,
 		request: w.sizes.push(p.member.Name(), push.Push),
 		serve: func() (int, func()) {
 			to.evidence.heard(p.member)
@@ -153,7 +153,7 @@
 func (p *Process) fetch(f core.Fetch) {
 	w := p.network
 	if f.From == nil {
-		p.table.read(p, len(f.Digests), w.sizes.fetchReply(sectionsOf(p.table.current, f.Digests)), func(snapshot *core.Snapshot, err error) {
+		p.table.readObjects(p, len(f.Digests), w.sizes.fetchReply(sectionsOf(p.table.current, f.Digests)), func(snapshot *core.Snapshot, err error) {
 			p.do(p.node.FetchAnswered(w.clock(), f, sectionsOf(snapshot, f.Digests), err))
 		})
 		return
--- a/internal/measure/spread/run.go
+++ b/internal/measure/spread/run.go
@@ -57,7 +57,7 @@
 		Seeds:      1000,
 		BurstSeeds: 20,
 		SteadyTime: 10 * time.Minute,
-		Framing:    HTTP1,
+		Framing:    HTTP2,
 		Workers:    4,
 	}
 }
@@ -91,10 +91,11 @@
 	BytesCompares      float64 `json:"bytesCompares"`
 	BytesPushes        float64 `json:"bytesPushes"`
 	BytesFetches       float64 `json:"bytesFetches"`
-	BytesTable         float64 `json:"bytesTable"`
+	BytesPlatform      float64 `json:"bytesPlatform"`
 	BytesBetweenRegion float64 `json:"bytesBetweenRegions"`
 	TableReads         float64 `json:"tableReadsPerSecond"`
 	TableWrites        float64 `json:"tableWritesPerSecond"`
+	ObjectReads        float64 `json:"objectReadsPerSecond"`
 }
 
 // Result is all rows, the budget at the largest size and the baselines.
@@ -200,7 +201,7 @@
 func (d *Deployment) resetCounts() {
 	w := d.network
 	w.pushes, w.compares, w.fetches, w.betweenRegions = Traffic{}, Traffic{}, Traffic{}, 0
-	d.table.reads, d.table.writes, d.table.traffic = 0, 0, Traffic{}
+	d.table.reads, d.table.writes, d.table.objects, d.table.traffic = 0, 0, 0, Traffic{}
 	for _, p := range d.processes {
 		p.bytes = 0
 	}
@@ -220,10 +221,11 @@
 		BytesCompares:      endpoints * float64(w.compares.Bytes) / nodeSeconds,
 		BytesPushes:        endpoints * float64(w.pushes.Bytes) / nodeSeconds,
 		BytesFetches:       endpoints * float64(w.fetches.Bytes) / nodeSeconds,
-		BytesTable:         float64(d.table.traffic.Bytes) / nodeSeconds,
+		BytesPlatform:      float64(d.table.traffic.Bytes) / nodeSeconds,
 		BytesBetweenRegion: float64(w.betweenRegions) / seconds,
 		TableReads:         float64(d.table.reads) / seconds,
 		TableWrites:        float64(d.table.writes) / seconds,
+		ObjectReads:        float64(d.table.objects) / seconds,
 	}
 }
 
--- a/internal/measure/spread/table.go
+++ b/internal/measure/spread/table.go
@@ -4,7 +4,7 @@
 	core "github.com/primrosetally/primrosetally/internal/coordination/spread"
 )
 
-// table is the platform's table service.
+// table is the platform's table service, with the object store beside it.
 type table struct {
 	network *network
 	current *core.Snapshot
@@ -12,14 +12,24 @@
 	traffic Traffic
 	reads   int
 	writes  int
+	objects int
 }
 
-// read answers with the newest snapshot after the latency, and counts rows reads
-// with size bytes of values.
-func (t *table) read(p *Process, rows, size int, answered func(*core.Snapshot, error)) {
-	t.reads += rows
+// readHead reads the head's row.
+func (t *table) readHead(p *Process, answered func(*core.Snapshot, error)) {
+	t.reads++
+	t.read(p, onWire(platformFraming, 0)+onWire(platformFraming, headRowBytes), answered)
+}
+
+// readObjects reads objects that have size bytes together.
+func (t *table) readObjects(p *Process, count, size int, answered func(*core.Snapshot, error)) {
+	t.objects += count
+	t.read(p, count*(onWire(platformFraming, 0)+onWire(platformFraming, size/count)), answered)
+}
+
+// read answers with the newest snapshot after the latency.
+func (t *table) read(p *Process, bytes int, answered func(*core.Snapshot, error)) {
 	w := t.network
-	bytes := rows * (onWire(tableRequestBytes, 0) + onWire(tableResponseBytes, size/rows))
 	t.traffic.add(bytes)
 	p.bytes += bytes
 	if t.down || w.tableCut(p.member) || w.random.Float64() < w.loss {
@@ -32,32 +42,30 @@
 	})
 }
 
-// accept writes a snapshot: the head and the change's own row.
+// accept writes a snapshot.
 func (t *table) accept(s *core.Snapshot) {
 	t.writes += writesPerChange
 	t.current = s
 }
 
 const (
-	// writesPerChange is the rows that one accepted change writes: the revision,
-	// the head and the change's own.
+	// writesPerChange is the rows that one accepted change writes: the head, the
+	// change's own and the revision's.
 	writesPerChange = 3
-	// tableRequestBytes and tableResponseBytes are the HTTP headers of one read.
-	tableRequestBytes  = 150
-	tableResponseBytes = 150
-	// revisionRowBytes is the row with the revision and the digest of the head,
-	// which pollers read, in JSON.
-	revisionRowBytes = 160
-	// refRowBytes is one section's reference in the head's row, in JSON, without
+	// platformFraming is the HTTP headers of one request or answer of the platform.
+	platformFraming = 150
+	// headRowBytes is the answer with the head's row.
+	headRowBytes = 360
+	// refBytes is one section's reference in the list of sections, in JSON, without
 	// the name.
-	refRowBytes = 90
+	refBytes = 90
 )
 
-// headRowBytes returns the size of the head's row, in JSON.
-func headRowBytes(h core.Head) int {
-	size := revisionRowBytes
+// sectionListBytes returns the size of the object with the list of sections.
+func sectionListBytes(h core.Head) int {
+	size := 0
 	for _, r := range h.Refs() {
-		size += refRowBytes + len(r.Name())
+		size += refBytes + len(r.Name())
 	}
 	return size
 }
--- a/internal/measure/spread/text.go
+++ b/internal/measure/spread/text.go
@@ -46,12 +46,12 @@
 
 func writeSteady(w io.Writer, r Result) {
 	fmt.Fprintf(w, "Spread alone at %d changes a day over %s (bytes a second, sent and received)\n", changesPerDay, r.Framing)
-	fmt.Fprintln(w, "processes\tloss\tnode\tbusiest\tcompares\tpushes\tfetches\ttable\tbetween regions\treads/s\twrites/s\t")
+	fmt.Fprintln(w, "processes\tloss\tnode\tbusiest\tcompares\tpushes\tfetches\tplatform\tbetween regions\treads/s\twrites/s\tobjects/s\t")
 	for _, row := range r.Rows {
 		s := row.Steady
-		fmt.Fprintf(w, "%d\t%g%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.1f\t%.2f\t\n", row.Processes(), row.Loss*100,
-			s.BytesPerNode, s.BytesBusiestNode, s.BytesCompares, s.BytesPushes, s.BytesFetches, s.BytesTable,
-			s.BytesBetweenRegion, s.TableReads, s.TableWrites)
+		fmt.Fprintf(w, "%d\t%g%%\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%.1f\t%.2f\t%.2f\t\n", row.Processes(), row.Loss*100,
+			s.BytesPerNode, s.BytesBusiestNode, s.BytesCompares, s.BytesPushes, s.BytesFetches, s.BytesPlatform,
+			s.BytesBetweenRegion, s.TableReads, s.TableWrites, s.ObjectReads)
 	}
 }
 
--- a/internal/measure/spread/wire.go
+++ b/internal/measure/spread/wire.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -21,13 +22,23 @@
 	// Request and Response are the headers of one call, in bytes.
 	Request  int
 	Response int
+	// Open is what the first call of a connection needs more, with the segments
+	// that open and close the connection.
+	Open int
 }
 
-// The framings of a connect call on a connection that is already open, as a test
-// counts them on a socket.
+// connectionSegments is the segments without data that open and close a
+// connection.
+const connectionSegments = 7
+
+// FirstCallHTTP2 is the settings and uncompressed headers of the first call on an
+// HTTP/2 connection, in bytes.
+const FirstCallHTTP2 = 306
+
+// The framings of a connect call, as a test counts them on a socket.
 var (
-	HTTP1 = Framing{Name: "http1", Request: 254, Response: 179}
-	HTTP2 = Framing{Name: "http2", Request: 22, Response: 47}
+	HTTP1 = Framing{Name: "http1", Request: 254, Response: 179, Open: connectionSegments * segmentOverhead}
+	HTTP2 = Framing{Name: "http2", Request: 22, Response: 47, Open: connectionSegments*segmentOverhead + FirstCallHTTP2}
 )
 
 const (
@@ -38,8 +49,6 @@
 	// segmentsPerAck is the number of segments that one acknowledgement without
 	// data covers.
 	segmentsPerAck = 2
-	// confirmedAgeBytes is an age in milliseconds as a protobuf field.
-	confirmedAgeBytes = 5
 	// originIncarnation is the incarnation that sizes are computed with.
 	originIncarnation = 1_764_800_000
 )
@@ -77,20 +86,36 @@
 }
 
 func (s *sizer) compare(from string, c core.Compare) int {
-	m := &nodev1.CompareRequest{From: origin(from), Revision: c.Revision, Digest: c.Digest.Bytes()}
-	size := proto.Size(m) + confirmedAgeBytes
+	m := &nodev1.CompareRequest{
+		From:           origin(from),
+		Revision:       c.Revision,
+		Digest:         c.Digest.Bytes(),
+		ConfirmedAgeMs: milliAge(c.ConfirmedAge),
+	}
 	for _, p := range c.Suspicions {
-		size += field(proto.Size(&nodev1.Origin{Name: p.Name, Incarnation: p.Incarnation}))
+		m.Suspicions = append(m.Suspicions, &nodev1.Suspicion{Name: p.Name, Incarnation: p.Incarnation})
 	}
-	return size
+	return proto.Size(m)
 }
 
 func (s *sizer) compareReply(r core.CompareReply) int {
-	size := proto.Size(&nodev1.CompareResponse{Revision: r.Revision, Digest: r.Digest.Bytes()})
+	size := proto.Size(&nodev1.CompareResponse{
+		Revision:       r.Revision,
+		Digest:         r.Digest.Bytes(),
+		ConfirmedAgeMs: milliAge(r.ConfirmedAge),
+	})
 	if r.Head != nil {
 		size += field(s.head(*r.Head))
 	}
-	return size + confirmedAgeBytes
+	return size
+}
+
+func milliAge(age time.Duration) *uint64 {
+	if age == core.Unconfirmed {
+		return nil
+	}
+	ms := uint64(age / time.Millisecond)
+	return &ms
 }
 
 func (s *sizer) fetch(f core.Fetch) int {
--- a/internal/measure/spread/wire_test.go
+++ b/internal/measure/spread/wire_test.go
@@ -48,25 +48,30 @@
 	tests := []struct {
 		framing spread.Framing
 		http2   bool
+		first   int // bytes that the first call needs more
 	}{
-		{spread.HTTP1, false},
-		{spread.HTTP2, true},
+		{spread.HTTP1, false, 0},
+		{spread.HTTP2, true, spread.FirstCallHTTP2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.framing.Name, func(t *testing.T) {
 			var sent, received atomic.Int64
 			client := newCountedClient(t, tt.http2, &sent, &received)
-			for range 2 {
-				sent.Store(0)
-				received.Store(0)
+			call := func() (request, response int64) {
+				request, response = sent.Load(), received.Load()
 				ctx, cancel := context.WithTimeout(context.Background(), core.CallTimeout)
+				defer cancel()
 				_, err := client.Compare(ctx, connect.NewRequest(&nodev1.CompareRequest{}))
-				cancel()
 				require.NoError(t, err)
+				return sent.Load() - request, received.Load() - response
 			}
+			firstSent, firstReceived := call()
+			call()
+			laterSent, laterReceived := call()
 			// The header of the time left has one to three digits.
-			require.InDelta(t, tt.framing.Request, sent.Load(), 3)
-			require.InDelta(t, tt.framing.Response, received.Load(), 3)
+			require.InDelta(t, tt.framing.Request, laterSent, 3)
+			require.InDelta(t, tt.framing.Response, laterReceived, 3)
+			require.InDelta(t, tt.first, firstSent+firstReceived-laterSent-laterReceived, 6)
 		})
 	}
 }
