--- a/internal/measure/spread/budget.go
+++ b/internal/measure/spread/budget.go
@@ -28,8 +28,9 @@
 // budget adds up all control traffic of an entry and of an agent. The last rows
 // are the totals with the list as it is and with a compressed list, and the same
 // for the process with the most traffic of spread.
-func budget(o Options, size Size) []BudgetRow {
-	one, two := steady(o, size, budgetLoss, HTTP1), steady(o, size, budgetLoss, HTTP2)
+func budget(o Options, rows []Row) []BudgetRow {
+	size := rows[len(rows)-1].Size
+	one, two := steadyAt(o, rows, size, HTTP1), steadyAt(o, rows, size, HTTP2)
 	same := func(kind string, http1, http2 float64) BudgetRow {
 		return BudgetRow{Kind: kind, Entry: http1, Agent: http1, EntryHTTP2: http2, AgentHTTP2: http2}
 	}
@@ -55,6 +56,16 @@
 		sum("busiest node with gzip", []BudgetRow{gzipTotal, busier}))
 }
 
+// steadyAt returns the traffic at budgetLoss, from the rows where they have it.
+func steadyAt(o Options, rows []Row, size Size, framing Framing) Steady {
+	for _, r := range rows {
+		if r.Size == size && r.Loss == budgetLoss && o.Framing == framing {
+			return r.Steady
+		}
+	}
+	return steady(o, size, budgetLoss, framing)
+}
+
 // reportsRow counts the reports that entries ask of their subsets of agents.
 func reportsRow(size Size) BudgetRow {
 	perAgent := float64(size.Entries*reportSubset) / float64(size.Agents)
