Mend transfers that never ended and add the failure tests of the exchange

Found and mended: - the end of a dropped transfer was reported under its own cancelled context, and so was lost half of the time: its slot never came back; - chunks held only by a member that is nobody's neighbour were asked of no one; members watched as gateways are now asked when no neighbour has anything; - when nobody gained a chunk, every member took another set for the gateways, and each waited for the next; the first in rank now go on; - a peer that announced all chunks and gave none kept its region from drawing them: after three wrong chunks in a row its map counts as empty, after two stalls for a while; so does that of an unreachable peer; - marks of a peer that was gone went to the origin.

--- a/internal/coordination/swarm/crossing.go
+++ b/internal/coordination/swarm/crossing.go
@@ -6,32 +6,34 @@
 )
 
 // gatewaysNow returns the members that draw into the own region now: the first
-// in rank, without those that fail or make no progress.
+// in rank, with those that fail or make no progress put last. When nobody makes
+// progress, as in an outage of the origin, it is the first in rank that go on.
 func (p *Picker) gatewaysNow(now time.Time) []string {
 	ranked := p.ranked[p.self.Region()]
-	var chosen []string
+	ranked = ranked[:min(standbyFactor*p.set.gateways, len(ranked))]
+	var active, passive []string
 	for _, name := range ranked {
-		if len(chosen) == p.set.gateways {
-			break
-		}
-		if !p.passive(now, name) {
-			chosen = append(chosen, name)
+		if p.passive(now, name) {
+			passive = append(passive, name)
+		} else {
+			active = append(active, name)
 		}
 	}
-	return chosen
+	chosen := append(active, passive...)
+	return chosen[:min(p.set.gateways, len(chosen))]
 }
 
-// passive reports whether a member of the region fails or has gained no chunk
-// for the takeover timeout although it lacks some.
+// passive reports whether a member of the region, the own one included, fails or
+// has gained no chunk for the takeover timeout although it lacks some.
 func (p *Picker) passive(now time.Time, name string) bool {
 	q := p.peers[name]
 	if q == nil {
-		return false
+		return !p.staged.Full() && now.Sub(p.gained) >= p.set.takeover
 	}
-	if q.mark.dead() {
+	if q.unreachable() {
 		return true
 	}
-	return !q.held.Full() && now.Sub(q.gained) >= p.set.takeover && q.watched
+	return !q.held.Full() && now.Sub(q.gained) >= p.set.takeover
 }
 
 // nextCrossing starts fetches over the links into the region if the own member
@@ -64,7 +66,7 @@
 		return false
 	}
 	for _, q := range p.watching {
-		if q.local && !q.known && q.mark.strikes == 0 {
+		if q.local && !q.known && q.failedPolls == 0 {
 			return false
 		}
 	}
@@ -142,7 +144,11 @@
 		}
 	}
 	chosen := best[own]
-	if !chosen.found && p.idleFor(now, l) >= p.helpAfter() {
+	switch idle := p.idleFor(now, l); {
+	case chosen.found:
+	case idle >= p.set.takeover:
+		chosen = mostBehind(best, remaining, 0)
+	case idle >= p.helpAfter():
 		chosen = mostBehind(best, remaining, 2*l.slots)
 	}
 	p.noteIdle(now, l, best[own])
@@ -212,7 +218,7 @@
 		}
 	}
 	late := p.idleFor(now, l) >= p.set.takeover && !p.gainedAbroad(now)
-	o.origin = l.origin && p.origin.usable(now) && (p.direct || late)
+	o.origin = l.origin && p.origin.mark.usable(now) && (p.direct || late)
 	return o
 }
 
--- a/internal/coordination/swarm/exchange_test.go
+++ b/internal/coordination/swarm/exchange_test.go
@@ -30,8 +30,10 @@
 	originErr error
 	// cut reports whether two regions cannot reach each other.
 	cut func(a, b string) bool
+	// latency is how long a fetch takes to open.
+	latency time.Duration
 	// tamper changes what a sender gives; the sender "" is the origin.
-	tamper func(sender string, data []byte) io.Reader
+	tamper func(sender, receiver string, data []byte) io.Reader
 }
 
 type node struct {
@@ -42,8 +44,13 @@
 	uploads  *swarm.Uploads
 	exchange *swarm.Exchange
 	dead     bool
+	kill     context.CancelFunc
+	// origin returns why the node does not reach the origin.
+	origin func() error
 	// claimsAll makes the node announce chunks that it does not hold.
 	claimsAll bool
+	// sendsAnything makes it send them all the same.
+	sendsAnything bool
 }
 
 var errUnreachable = errors.New("unreachable")
@@ -69,7 +76,7 @@
 		nodes:  make(map[string]*node),
 		data:   data,
 		cut:    func(string, string) bool { return false },
-		tamper: func(_ string, data []byte) io.Reader { return bytes.NewReader(data) },
+		tamper: func(_, _ string, data []byte) io.Reader { return bytes.NewReader(data) },
 	}
 }
 
@@ -77,6 +84,7 @@
 	name := fmt.Sprintf("agent-%d", i)
 	self := member.New(name, member.RoleAgent, "127.0.0.1:1", member.WithPlace(region, region+"-a"))
 	n := &node{network: w, self: self, manifest: m, staged: make(map[digest.Digest]bool), uploads: swarm.NewUploads(m.Size())}
+	n.origin = func() error { return w.originErr }
 	random := rand.New(rand.NewPCG(uint64(i), 7))
 	n.exchange = swarm.NewExchange(m, self, swarm.WithPicker(options...), swarm.WithSeams(swarm.Seams{
 		ListPeers:   n.listPeers,
@@ -124,14 +132,27 @@
 	return b, q.uploads.Active(), nil
 }
 
-func (n *node) fetchPeer(_ context.Context, peer member.Member, chunk digest.Digest, offset int64) (io.ReadCloser, error) {
+// pause waits for the latency of the network.
+func (w *network) pause(ctx context.Context) error {
+	select {
+	case <-time.After(w.latency):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *node) fetchPeer(ctx context.Context, peer member.Member, chunk digest.Digest, offset int64) (io.ReadCloser, error) {
+	if err := n.network.pause(ctx); err != nil {
+		return nil, err
+	}
 	n.network.mu.Lock()
 	defer n.network.mu.Unlock()
 	q, err := n.reach(peer)
 	if err != nil {
 		return nil, err
 	}
-	if !q.staged[chunk] {
+	if !q.staged[chunk] && !q.sendsAnything {
 		return nil, swarm.ErrMissing
 	}
 	crossing := peer.Region() != n.self.Region()
@@ -140,16 +161,41 @@
 		return nil, &swarm.RefusedError{RetryAfter: a.RetryAfter}
 	}
 	q.uploads.Release(offset, crossing)
-	return io.NopCloser(n.network.tamper(peer.Name(), data[offset:])), nil
+	return closing(ctx, n.network.tamper(peer.Name(), n.self.Name(), data[offset:])), nil
+}
+
+// closing ends reads from r with ctx, as a connection does.
+func closing(ctx context.Context, r io.Reader) io.ReadCloser {
+	if s, ok := r.(*stallingReader); ok {
+		s.ctx = ctx
+	}
+	return io.NopCloser(r)
 }
 
-func (n *node) fetchOrigin(_ context.Context, chunk digest.Digest, offset int64) (io.ReadCloser, error) {
+// stallingReader gives its data and then nothing until its context ends.
+type stallingReader struct {
+	ctx  context.Context
+	data io.Reader
+}
+
+func (s *stallingReader) Read(p []byte) (int, error) {
+	if n, err := s.data.Read(p); err == nil {
+		return n, nil
+	}
+	<-s.ctx.Done()
+	return 0, s.ctx.Err()
+}
+
+func (n *node) fetchOrigin(ctx context.Context, chunk digest.Digest, offset int64) (io.ReadCloser, error) {
+	if err := n.network.pause(ctx); err != nil {
+		return nil, err
+	}
 	n.network.mu.Lock()
 	defer n.network.mu.Unlock()
-	if n.network.originErr != nil {
-		return nil, n.network.originErr
+	if err := n.origin(); err != nil {
+		return nil, err
 	}
-	return io.NopCloser(n.network.tamper("", n.network.data[chunk][offset:])), nil
+	return closing(ctx, n.network.tamper("", n.self.Name(), n.network.data[chunk][offset:])), nil
 }
 
 func (n *node) stage(_ context.Context, chunk model.Chunk, data []byte) error {
@@ -186,6 +232,9 @@
 	errs := make(map[string]error)
 	for _, n := range nodes {
 		wg.Go(func() {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			n.network.change(func() { n.kill = cancel })
 			err := n.exchange.Run(ctx)
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/coordination/swarm/marks.go
+++ b/internal/coordination/swarm/marks.go
@@ -6,9 +6,6 @@
 const (
 	firstBackoff = time.Second
 	maxBackoff   = 32 * time.Second
-	// deadStrikes is the number of strikes in a row from which a peer no longer
-	// counts as a gateway.
-	deadStrikes = 2
 )
 
 // mark remembers how a source behaved.
@@ -36,6 +33,3 @@
 
 // usable reports whether the source may be asked.
 func (m *mark) usable(now time.Time) bool { return !now.Before(m.until) }
-
-// dead reports whether the source failed repeatedly.
-func (m *mark) dead() bool { return m.strikes >= deadStrikes }
--- a/internal/coordination/swarm/members.go
+++ b/internal/coordination/swarm/members.go
@@ -13,6 +13,9 @@
 // included. The own member may be among them and does not count as a peer.
 // Members that leave are not asked for chunks any more.
 func (p *Picker) SetMembers(now time.Time, members []member.Member) {
+	if !p.listed {
+		p.gained = now
+	}
 	p.listed = p.listed || members != nil
 	live := make(map[string]bool)
 	for _, m := range members {
@@ -123,7 +126,7 @@
 	for _, q := range p.local {
 		name := q.member.Name()
 		switch {
-		case p.neighbour[name]:
+		case p.neighbour[name] || q.unreachable() || q.distrusted():
 		case q.member.FailureDomain() == p.self.FailureDomain():
 			near = append(near, name)
 		default:
@@ -147,7 +150,7 @@
 	var due []string
 	interval := p.pollInterval()
 	for _, q := range p.watching {
-		resting := now.Sub(q.polled) < interval || q.mark.strikes > 0 && !q.mark.usable(now)
+		resting := now.Sub(q.polled) < interval || q.failedPolls > 0 && !q.mark.usable(now)
 		if resting || q.held.Full() {
 			continue
 		}
@@ -172,6 +175,7 @@
 func (p *Picker) watch() {
 	p.watching = nil
 	p.near = nil
+	p.watchedLocal = nil
 	standby := p.gatewayRank(p.self) < standbyFactor*p.set.gateways
 	for _, group := range [][]*peer{p.local, p.foreign} {
 		for _, q := range group {
@@ -184,6 +188,9 @@
 			if q.watched {
 				p.watching = append(p.watching, q)
 			}
+			if q.watched && q.local {
+				p.watchedLocal = append(p.watchedLocal, q)
+			}
 		}
 	}
 }
@@ -204,22 +211,45 @@
 	if q == nil || held.Size() != len(p.chunks) {
 		return
 	}
-	if held.Count() > q.held.Count() {
-		q.gained = now
-	}
 	q.known = true
+	q.failedPolls = 0
 	q.uploads = uploads
-	p.replaceHeld(q, held)
+	if held.Count() > q.claimed {
+		q.claimed = held.Count()
+		q.gained = now
+	}
+	if !now.Before(q.ignoredUntil) {
+		p.replaceHeld(q, held)
+	}
 }
 
-// ObserveFailed records that the peer did not answer a poll.
+// ObserveFailed records that the peer did not answer a poll. What only an
+// unreachable peer holds counts as missing.
 func (p *Picker) ObserveFailed(now time.Time, name string) {
-	if q := p.peers[name]; q != nil {
-		q.mark.strike(now)
-		if q.mark.dead() && p.neighbour[name] {
-			delete(p.neighbour, name)
-			p.fillNeighbours()
-		}
+	q := p.peers[name]
+	if q == nil {
+		return
+	}
+	q.failedPolls++
+	q.mark.strike(now)
+	if q.unreachable() {
+		p.replaceHeld(q, NewBitmap(len(p.chunks)))
+		p.replaceNeighbour(name)
+	}
+}
+
+// ignore takes the chunk maps of the peer for empty until the given time, so that
+// a chunk which only it holds, or says so, is drawn from elsewhere.
+func (p *Picker) ignore(q *peer, until time.Time) {
+	q.ignoredUntil = until
+	p.replaceHeld(q, NewBitmap(len(p.chunks)))
+	p.replaceNeighbour(q.member.Name())
+}
+
+func (p *Picker) replaceNeighbour(name string) {
+	if p.neighbour[name] {
+		delete(p.neighbour, name)
+		p.fillNeighbours()
 	}
 }
 
--- a/internal/coordination/swarm/picker.go
+++ b/internal/coordination/swarm/picker.go
@@ -86,8 +86,27 @@
 	mark    mark
 	polled  time.Time
 	gained  time.Time
+	// claimed is the largest number of chunks announced.
+	claimed int
+	// failedPolls, wrong and stalls count failures in a row.
+	failedPolls  int
+	wrong        int
+	stalls       int
+	ignoredUntil time.Time
 }
 
+// Failures in a row from which a peer counts as unreachable, as distrusted for
+// the rest of the rollout, or as one to do without for a while.
+const (
+	unreachablePolls = 2
+	distrustWrong    = 3
+	ignoreStalls     = 2
+)
+
+func (q *peer) unreachable() bool { return q.failedPolls >= unreachablePolls }
+
+func (q *peer) distrusted() bool { return q.wrong >= distrustWrong }
+
 type flight struct {
 	Fetch
 	started  time.Time
@@ -113,14 +132,18 @@
 	watching []*peer
 	// near are the members of the region that are asked for chunks. Gateways
 	// are watched by more members than they could serve.
-	near      []*peer
-	neighbour map[string]bool
-	ranked    map[string][]string
-	regions   []string
-	direct    bool
-	listed    bool
+	near []*peer
+	// watchedLocal are the watched members of the region.
+	watchedLocal []*peer
+	neighbour    map[string]bool
+	ranked       map[string][]string
+	regions      []string
+	direct       bool
+	listed       bool
+	// gained is when the last chunk was staged.
+	gained    time.Time
 	meanFetch time.Duration
-	origin    mark
+	origin    peer
 	idleSince map[string]time.Time
 	flights   []*flight
 	nextID    int
@@ -184,9 +207,7 @@
 	f.Offset = c.partial
 	c.flights++
 	p.refreshOpen(f.Chunk)
-	if q := p.peers[f.Source.Peer]; q != nil {
-		q.flights++
-	}
+	p.senderOf(f.Source).flights++
 	p.flights = append(p.flights, &flight{
 		Fetch: f, started: now, progress: now, got: f.Offset, senders: c.senders,
 	})
@@ -231,14 +252,15 @@
 	p.flights = slices.Delete(p.flights, i, i+1)
 	p.chunks[f.Chunk].flights--
 	p.refreshOpen(f.Chunk)
-	if q := p.peers[f.Source.Peer]; q != nil {
-		q.flights--
-	}
-	m := p.markOf(f.Source.Peer)
+	q := p.senderOf(f.Source)
+	q.flights--
+	m := &q.mark
+	stalled := outcome == Dropped && p.stalled(now, f)
 	switch outcome {
 	case Verified:
 		m.credit()
 		p.learnDuration(now.Sub(f.started))
+		p.gained = now
 		p.MarkStaged(f.Chunk)
 	case Corrupt:
 		p.corrupt(now, f)
@@ -251,11 +273,50 @@
 		m.strike(now)
 		p.forget(f)
 	case Dropped:
-		if p.stalled(now, f) {
+		if stalled {
 			m.strike(now)
 		}
 		p.keepPartial(f)
 	}
+	p.judge(now, q, outcome, retryAfter, stalled)
+}
+
+// judge decides whether to go on believing the chunk maps of a sender.
+func (p *Picker) judge(now time.Time, q *peer, outcome Outcome, retryAfter time.Duration, stalled bool) {
+	switch {
+	case outcome == Verified:
+		q.wrong, q.stalls = 0, 0
+	case outcome == Corrupt || outcome == Missing:
+		q.wrong++
+	case outcome == Failed || stalled:
+		q.stalls++
+	}
+	if q.held.Size() == 0 {
+		return // the origin, or a peer that is gone
+	}
+	switch {
+	case q.distrusted():
+		p.ignore(q, now.Add(forever))
+	case q.stalls >= ignoreStalls:
+		p.ignore(q, now.Add(maxBackoff))
+	case outcome == Refused && retryAfter >= retrySpent:
+		p.ignore(q, now.Add(retryAfter))
+	}
+}
+
+// forever is longer than any rollout.
+const forever = 365 * 24 * time.Hour
+
+// senderOf returns the record of the sender: that of the origin, that of a peer,
+// or a blank one for a peer that is gone.
+func (p *Picker) senderOf(s Source) *peer {
+	if s.Origin() {
+		return &p.origin
+	}
+	if q := p.peers[s.Peer]; q != nil {
+		return q
+	}
+	return &peer{}
 }
 
 // learnDuration keeps a moving mean over about eight fetches.
@@ -272,20 +333,12 @@
 // fetched anew from one.
 func (p *Picker) corrupt(now time.Time, f *flight) {
 	if f.Offset == 0 {
-		p.markOf(f.Source.Peer).strike(now)
+		p.senderOf(f.Source).mark.strike(now)
 		return
 	}
 	for _, name := range append(f.senders, f.Source.Peer) {
-		p.markOf(name).rest(now, firstBackoff)
-	}
-}
-
-// markOf returns the mark of a peer or, for any other name, of the origin.
-func (p *Picker) markOf(name string) *mark {
-	if q := p.peers[name]; q != nil {
-		return &q.mark
+		p.senderOf(Source{Peer: name}).mark.rest(now, firstBackoff)
 	}
-	return &p.origin
 }
 
 // keepPartial remembers how far the chunk came, so that it resumes elsewhere.
@@ -366,10 +419,20 @@
 	}
 }
 
-// pickLocal picks the rarest chunk that a usable member of the region holds.
+// pickLocal picks a chunk from a member of the region. Members that are watched
+// only as gateways are asked when no neighbour has anything: one of them may be
+// the only holder, and nobody's neighbour.
 func (p *Picker) pickLocal(now time.Time) (Fetch, bool) {
+	if f, found := p.pickRarest(now, p.near); found {
+		return f, true
+	}
+	return p.pickRarest(now, p.watchedLocal)
+}
+
+// pickRarest picks the rarest chunk that a usable one of the peers holds.
+func (p *Picker) pickRarest(now time.Time, among []*peer) (Fetch, bool) {
 	available := NewBitmap(len(p.chunks))
-	for _, q := range p.near {
+	for _, q := range among {
 		if p.askable(now, q) {
 			available.union(q.held)
 		}
@@ -389,7 +452,7 @@
 	if best < 0 {
 		return Fetch{}, false
 	}
-	return Fetch{Chunk: best, Source: p.bestPeer(now, best, p.near, "")}, true
+	return Fetch{Chunk: best, Source: p.bestPeer(now, best, among, "")}, true
 }
 
 // pickDuplicate starts the endgame: with every missing chunk on its way, a chunk
--- a/internal/coordination/swarm/transfer.go
+++ b/internal/coordination/swarm/transfer.go
@@ -34,22 +34,25 @@
 		t.buffer = x.buffers.get()
 	}
 	t.got.Store(f.Offset)
-	ctx, t.cancel = context.WithCancel(ctx)
+	own, cancel := context.WithCancel(ctx)
+	t.cancel = cancel
 	x.transfers[f.ID] = t
 	peer := x.members[f.Source.Peer]
 	open := func() (io.ReadCloser, error) {
 		if f.Source.Origin() {
-			return x.seams.FetchOrigin(ctx, t.chunk.Digest(), f.Offset)
+			return x.seams.FetchOrigin(own, t.chunk.Digest(), f.Offset)
 		}
-		return x.seams.FetchPeer(ctx, peer, t.chunk.Digest(), f.Offset)
+		return x.seams.FetchPeer(own, peer, t.chunk.Digest(), f.Offset)
 	}
 	limiters := x.limiters(f)
 	x.tasks.Go(func() {
-		err := x.receive(ctx, t, open, limiters)
+		err := x.receive(own, t, open, limiters)
 		staged := err == nil
 		if staged {
-			err = x.seams.Stage(ctx, t.chunk, t.buffer.data[:t.chunk.Size()])
+			err = x.seams.Stage(own, t.chunk, t.buffer.data[:t.chunk.Size()])
 		}
+		// The end is reported under the context of the run: that of a dropped
+		// transfer has ended, and its slot must come back.
 		x.report(ctx, func(now time.Time) { x.finish(now, t, staged, err) })
 	})
 }
