--- a/internal/coordination/swarm/buffers.go
+++ b/internal/coordination/swarm/buffers.go
@@ -1,10 +1,6 @@
 package swarm
 
-import (
-	"sync"
-
-	"github.com/primrosetally/primrosetally/internal/state/model"
-)
+import "github.com/primrosetally/primrosetally/internal/state/model"
 
 // maxPartials bounds the chunks kept half received, and so the memory for them.
 const maxPartials = 4
@@ -14,20 +10,28 @@
 }
 
 // buffers hands out buffers of the size of the largest chunk and takes them back.
+// There are as many as transfers and partial chunks at a time, whatever the size
+// of the model. Only the goroutine that owns the picker uses it.
 type buffers struct {
-	pool *sync.Pool
+	size int64
+	free []*buffer
 }
 
 func newBuffers(m *model.Manifest) buffers {
-	var largest int64
+	var b buffers
 	for i := range m.Chunks() {
-		largest = max(largest, m.Chunk(i).Size())
+		b.size = max(b.size, m.Chunk(i).Size())
 	}
-	return buffers{pool: &sync.Pool{New: func() any {
-		return &buffer{data: make([]byte, largest)}
-	}}}
+	return b
 }
 
-func (b buffers) get() *buffer { return b.pool.Get().(*buffer) }
+func (b *buffers) get() *buffer {
+	if last := len(b.free) - 1; last >= 0 {
+		buf := b.free[last]
+		b.free = b.free[:last]
+		return buf
+	}
+	return &buffer{data: make([]byte, b.size)}
+}
 
-func (b buffers) put(buf *buffer) { b.pool.Put(buf) }
+func (b *buffers) put(buf *buffer) { b.free = append(b.free, buf) }
