Let a switch wait for attempts from before the endpoint was taken for down

Cause: a property test over random interleavings of orders, attempts, crashes, late probes and restarts found an order that loaded new weights while an attempt was in flight: the gate had gone down meanwhile (one probe of a busy endpoint that is not answered is enough), and the switch drained only the epoch before it, which had none.

A switch now waits for all attempts in flight. None is admitted meanwhile, so the counts by epoch had no further use and are gone.

--- a/internal/coordination/serving/gate.go
+++ b/internal/coordination/serving/gate.go
@@ -2,10 +2,9 @@
 // change the weights that it serves.
 //
 // A Gate is in one epoch at a time: empty, serving one digest, draining,
-// loading, down or leaving. Attempts are counted by epoch, so a switch waits
-// for exactly the attempts that were admitted before it, and no attempt is
-// admitted between the start of a drain and the confirmed read-back of the new
-// digest. Admission takes no lock.
+// loading, down or leaving. A switch waits for all attempts that were admitted
+// before it, and no attempt is admitted between the start of a drain and the
+// confirmed read-back of the new digest. Admission takes no lock.
 //
 // # Usage
 //
@@ -63,26 +62,21 @@
 	return names[p]
 }
 
-// epoch is a stretch of time with one phase and one digest. Its counter covers
-// the attempts admitted in it.
+// epoch is a stretch of time with one phase and one digest.
 type epoch struct {
-	phase    Phase
-	digest   digest.Digest
-	inFlight atomic.Int64
-	retired  atomic.Bool
-	drained  chan struct{}
-	once     sync.Once
+	phase  Phase
+	digest digest.Digest
 }
 
 func newEpoch(p Phase, d digest.Digest) *epoch {
-	return &epoch{phase: p, digest: d, drained: make(chan struct{})}
+	return &epoch{phase: p, digest: d}
 }
 
-// settle closes drained once the epoch is retired and empty.
-func (e *epoch) settle() {
-	if e.retired.Load() && e.inFlight.Load() == 0 {
-		e.once.Do(func() { close(e.drained) })
-	}
+// drain waits for the attempts of all epochs before a switch: also those of an
+// endpoint that was taken for down in between, since it may be running them.
+type drain struct {
+	done chan struct{}
+	once sync.Once
 }
 
 // Gate admits attempts and orders switches. It is safe for concurrent use.
@@ -90,6 +84,7 @@
 	current  atomic.Pointer[epoch]
 	inFlight atomic.Int64
 	limit    atomic.Int64
+	drain    atomic.Pointer[drain] // of the last switch
 
 	mu        sync.Mutex // serializes changes of epoch
 	fencing   uint64
@@ -130,8 +125,6 @@
 func (a *Admission) Done() {
 	a.once.Do(func() {
 		a.gate.inFlight.Add(-1)
-		a.epoch.inFlight.Add(-1)
-		a.epoch.settle()
 		a.gate.settle()
 	})
 }
@@ -147,7 +140,6 @@
 		g.settle()
 		return nil, ErrBusy
 	}
-	e.inFlight.Add(1)
 	a := &Admission{gate: g, epoch: e}
 	// The epoch may have been retired between the load and the count. The
 	// second look makes sure that a drain sees this attempt or refuses it.
@@ -202,7 +194,6 @@
 // Switch is a change of weights in progress.
 type Switch struct {
 	gate    *Gate
-	old     *epoch
 	drained <-chan struct{}
 }
 
@@ -225,8 +216,11 @@
 	}
 	g.fencing = fencing
 	g.switching = true
-	old := g.replace(newEpoch(PhaseDraining, digest.Digest{}))
-	return &Switch{gate: g, old: old, drained: old.drained}, nil
+	g.replace(newEpoch(PhaseDraining, digest.Digest{}))
+	d := &drain{done: make(chan struct{})}
+	g.drain.Store(d)
+	g.settle()
+	return &Switch{gate: g, drained: d.done}, nil
 }
 
 // Loading marks the end of the drain.
@@ -278,9 +272,15 @@
 	return g.idle
 }
 
-// settle closes idle once the gate is leaving and nothing is in flight.
+// settle reports to a switch or a leave that nothing is in flight any more.
 func (g *Gate) settle() {
-	if g.current.Load().phase == PhaseLeaving && g.inFlight.Load() == 0 {
+	if g.inFlight.Load() != 0 {
+		return
+	}
+	if d := g.drain.Load(); d != nil {
+		d.once.Do(func() { close(d.done) })
+	}
+	if g.current.Load().phase == PhaseLeaving {
 		g.idleOnce.Do(func() { close(g.idle) })
 	}
 }
@@ -303,10 +303,4 @@
 	}
 }
 
-// replace publishes e and retires the epoch before it.
-func (g *Gate) replace(e *epoch) *epoch {
-	old := g.current.Swap(e)
-	old.retired.Store(true)
-	old.settle()
-	return old
-}
+func (g *Gate) replace(e *epoch) { g.current.Store(e) }
