Retry one bad order and load restarted endpoints again

A report counts against an order only once it differs from the one before the order, since reports may be older. The second bad order of a section halts.

--- a/internal/coordination/rollout/doc.go
+++ b/internal/coordination/rollout/doc.go
@@ -8,13 +8,13 @@
 //   - a service moves only after every service that it depends on has moved;
 //   - an endpoint is ordered only when it has all chunks staged;
 //   - at most maxUnavailable endpoints of a service are unavailable at a time;
-//     endpoints that serve nothing yet are ordered at once, since that takes
-//     nothing away;
+//     endpoints that serve nothing, as after a restart, are ordered at once, since
+//     that takes nothing away;
 //   - no failure domain loses its last serving endpoint of a service, unless the
 //     domain has only that one; then no second domain is without one meanwhile,
 //     and another domain serves, if the service has any;
-//   - an order that ends in a fault or takes too long halts the service, with
-//     the reason. Nothing moves back: only a change of the service's section of
+//   - the second order that ends in a fault or takes too long halts the service,
+//     with the reason. Nothing moves back: only a change of the service's section of
 //     the configuration starts it again.
 //
 // What a Planner remembers only tells its own orders from other changes. A new
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -12,6 +12,7 @@
 const (
 	defaultLoadTimeout = 10 * time.Minute
 	defaultRepeatAfter = 5 * time.Second
+	defaultHaltAfter   = 2
 )
 
 // State is what an endpoint does.
@@ -89,12 +90,24 @@
 type Planner struct {
 	loadTimeout time.Duration
 	repeatAfter time.Duration
+	haltAfter   int
 	ordered     map[string]given
+	failures    map[string]failures
 	halts       map[string]halted
 }
 
+// failures counts the orders of a service that went bad.
+type failures struct {
+	count   int
+	section digest.Digest
+}
+
 type given struct {
-	order   Order
+	order Order
+	// before is the state when the order was given, and left tells that the
+	// endpoint was seen in another one since: a report may be older than the order.
+	before  State
+	left    bool
 	section digest.Digest
 	first   time.Time
 	last    time.Time
@@ -119,11 +132,19 @@
 	return func(p *Planner) { p.repeatAfter = d }
 }
 
+// WithHaltAfter sets how many orders of a service may go bad before it halts; below
+// that the endpoint is ordered again. One is no more than an instance that dies.
+func WithHaltAfter(n int) Option {
+	return func(p *Planner) { p.haltAfter = max(n, 1) }
+}
+
 // New returns a Planner that has given no orders.
 func New(options ...Option) *Planner {
 	p := &Planner{
 		loadTimeout: defaultLoadTimeout,
 		repeatAfter: defaultRepeatAfter,
+		haltAfter:   defaultHaltAfter,
+		failures:    make(map[string]failures),
 		ordered:     make(map[string]given),
 		halts:       make(map[string]halted),
 	}
@@ -218,6 +239,9 @@
 	if h, stopped := p.halts[s.Name]; stopped && h.section != s.Section {
 		delete(p.halts, s.Name)
 	}
+	if p.failures[s.Name].section != s.Section {
+		delete(p.failures, s.Name)
+	}
 	present := make(map[string]bool)
 	for _, e := range endpoints {
 		present[e.Name] = true
@@ -229,11 +253,10 @@
 			delete(p.ordered, e.Name)
 			continue
 		}
+		g.left = g.left || e.State != g.before
+		p.ordered[e.Name] = g
 		if reason := p.fault(now, g, e); reason != "" {
-			p.halts[s.Name] = halted{
-				Halt:    Halt{Service: s.Name, Endpoint: e.Name, Reason: reason},
-				section: s.Section,
-			}
+			p.fail(s, e, reason)
 		}
 	}
 	for name, g := range p.ordered {
@@ -243,13 +266,28 @@
 	}
 }
 
+// fail counts an order that went bad and halts the service when there are enough.
+func (p *Planner) fail(s Service, e Endpoint, reason string) {
+	f := failures{count: p.failures[s.Name].count + 1, section: s.Section}
+	p.failures[s.Name] = f
+	if f.count < p.haltAfter {
+		delete(p.ordered, e.Name)
+		return
+	}
+	p.halts[s.Name] = halted{
+		Halt:    Halt{Service: s.Name, Endpoint: e.Name, Reason: reason},
+		section: s.Section,
+	}
+}
+
 // fault returns why the order of the endpoint went bad, empty if it has not.
 func (p *Planner) fault(now time.Time, g given, e Endpoint) string {
+	stopped := g.left && (e.State == Down || e.State == Empty)
 	switch {
-	case e.State == Down && e.Fault != "":
+	case stopped && e.Fault != "":
 		return e.Fault
-	case e.State == Down:
-		return "endpoint is down after the order"
+	case stopped:
+		return "endpoint stopped serving after the order"
 	case now.Sub(g.first) >= p.loadTimeout:
 		return "endpoint does not serve the weights within the load timeout"
 	}
@@ -263,20 +301,21 @@
 	for _, e := range endpoints {
 		g, ordered := p.ordered[e.Name]
 		switch {
-		case moved(s, e) || e.Staged != s.Wanted || e.State == Down:
+		case moved(s, e) || e.Staged != s.Wanted:
 			continue
 		case ordered && now.Sub(g.last) < p.repeatAfter:
 			continue
 		case !ordered && e.State == Serving && !c.take(e):
 			continue
-		case !ordered && e.State != Serving && e.State != Empty:
+		case !ordered && (e.State == Draining || e.State == Loading):
 			continue
 		}
 		o := Order{Endpoint: e.Name, Service: s.Name, Digest: s.Wanted, Revision: in.Revision, Fencing: in.Fencing}
 		if !ordered {
 			g.first = now
+			g.before = e.State
 		}
-		p.ordered[e.Name] = given{order: o, section: s.Section, first: g.first, last: now}
+		p.ordered[e.Name] = given{order: o, before: g.before, left: g.left, section: s.Section, first: g.first, last: now}
 		orders = append(orders, o)
 	}
 	return orders
