--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -26,6 +26,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
+	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 )
 
 // Limits of the HTTP servers.
@@ -154,7 +155,8 @@
 			return err
 		}
 	}
-	return nil
+	c.callerListener, err = secure(c.callerListener, s.TLS())
+	return err
 }
 
 func listen(address netip.AddrPort) (net.Listener, error) {
@@ -195,6 +197,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         nodes.ServerProtocols(),
 	}
 	p.servers = append(p.servers, server)
 	go func() {
@@ -223,6 +226,8 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
+	// The background work ends first: it lets go of the reports that wait.
+	p.cancel()
 	for _, s := range p.servers {
 		if shutdown := s.Shutdown(ctx); err == nil {
 			err = shutdown
