Fit the fake agents of the tests to HTTP/2 between processes

Cause: control messages now travel over HTTP/2, which the tests' listeners did not speak, so no entry saw the fake agents.

--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -24,6 +24,7 @@
 	"github.com/primrosetally/primrosetally/internal/standin"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 	"github.com/primrosetally/primrosetally/internal/transport/once"
 	"github.com/primrosetally/primrosetally/pkg/adminv1"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
@@ -69,7 +70,9 @@
 }
 
 func (s *system) serve(h http.Handler) string {
-	server := httptest.NewServer(h)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.Protocols = nodes.ServerProtocols()
+	server.Start()
 	s.t.Cleanup(server.CloseClientConnections)
 	return server.URL
 }
