--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,7 @@
 	engineTimeout = 2 * time.Second
 	uploadBurst   = 1 << 20 // bytes
 	minLimit      = 2       // attempts in flight
-	initialLimit  = 32      // attempts in flight
+	initialLimit  = 16      // attempts in flight
 	defaultLimit  = 64      // attempts in flight
 	chunkMessage  = 256 << 10
 	answerMessage = 32 << 10
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -81,11 +81,12 @@
 	}
 	a.node.Telemetry().Metrics().Admissions.WithLabelValues(telemetry.DecisionAdmitted).Inc()
 	defer admission.Done()
-	if !a.limit.Acquire() {
+	permit, ok := a.limit.Acquire()
+	if !ok {
 		return out.notRun(serving.ErrBusy.Error(), a.limit.RetryAfter(), a.report())
 	}
 	var latency time.Duration
-	defer func() { a.limit.Release(latency) }()
+	defer func() { a.limit.Release(permit, latency) }()
 	if takeSuspectMark(r.Msg) {
 		if !a.suspects.Enter(a.node.Self().Name()) {
 			return out.notRun(suspects.ReasonOccupied, retryAfterBusy, a.report())
--- a/internal/coordination/limits/concurrency.go
+++ b/internal/coordination/limits/concurrency.go
@@ -13,24 +13,33 @@
 	// latencyTolerance is the factor over the baseline up to which the latency
 	// does not lower the limit. Times probeShare it stays below 1, so that a
 	// baseline that was measured under load cannot hold the limit up.
-	latencyTolerance = 1.5
-	probeShare       = 0.5
-	// windowSamples is the length of a window of the baseline.
-	windowSamples = 500
-	recentGain    = 0.1
-	limitGain     = 0.2
-	minGradient   = 0.5
+	latencyTolerance = 1.1
+	probeShare       = 0.8
+	// windowSamples lie between two measurements of the baseline, each of which
+	// takes probeSamples and counts the last half of them. The first comes after
+	// firstSamples.
+	windowSamples = 400
+	firstSamples  = 50
+	probeSamples  = 64
+	baselineGain  = 0.3
+	// Samples that came with less in flight make a measurement unnecessary.
+	lowSampleGain    = 0.02
+	enoughLowSamples = 20
+	recentGain       = 0.02
+	limitGain        = 0.5
+	minGradient      = 0.5
 	// headroom times the square root of the limit is its growth per round.
 	headroom = 0.5
 	// busyShare of the limit has to be in use for it to grow.
-	busyShare = 0.5
+	busyShare = 0.9
 )
 
 // Concurrency is the adaptive limit on the attempts that one agent admits. The
-// limit falls as the recent latency leaves the baseline, and grows while the
-// latency stays near that. The baseline is the lowest latency of two windows of
-// samples; each window begins with the limit cut to a share, so that the
-// baseline is measured with less in flight. It is safe for concurrent use.
+// limit falls as the mean latency leaves the baseline, and grows while it stays
+// near that. The baseline is the mean latency while less is in flight: by itself
+// where the load varies, else while the limit is cut for a short time. Means are compared with means, since the latency differs
+// from request to request by far more than load makes it. It is safe for
+// concurrent use.
 type Concurrency struct {
 	floor   float64
 	ceiling float64
@@ -39,13 +48,16 @@
 	limit    float64
 	inFlight int
 	recent   float64 // seconds
-	lowest   float64 // seconds, of this window
-	previous float64 // seconds, of the window before
-	samples  int     // of this window
+	baseline float64 // seconds, 0 before the first measurement
+	usage    float64 // mean of the attempts in flight
+	samples  int     // since the last measurement
 	// While probeLeft samples are awaited the limit is cut; afterwards it is
 	// restored.
 	probeLeft int
-	restored  float64
+	probeSum  float64 // seconds
+	// lowSamples came with less than probeShare of the usage in flight.
+	lowSamples int
+	restored   float64
 }
 
 // ConcurrencyOption sets an optional property of a Concurrency.
@@ -66,8 +78,7 @@
 
 // NewConcurrency returns a limit with nothing in flight.
 func NewConcurrency(options ...ConcurrencyOption) *Concurrency {
-	c := &Concurrency{floor: defaultFloor, ceiling: defaultCeiling, limit: defaultInitialLimit}
-	c.lowest, c.previous = math.Inf(1), math.Inf(1)
+	c := &Concurrency{floor: defaultFloor, ceiling: defaultCeiling, limit: defaultInitialLimit, samples: windowSamples - firstSamples}
 	for _, o := range options {
 		o(c)
 	}
@@ -75,26 +86,31 @@
 	return c
 }
 
+// Permit is one admitted attempt.
+type Permit struct {
+	inFlight int // with itself, when it was admitted
+}
+
 // Acquire admits one more attempt, or returns false.
-func (c *Concurrency) Acquire() bool {
+func (c *Concurrency) Acquire() (Permit, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inFlight >= int(c.limit) {
-		return false
+		return Permit{}, false
 	}
 	c.inFlight++
-	return true
+	return Permit{inFlight: c.inFlight}, true
 }
 
 // Release ends an attempt. The latency is the time to the first token, or the
 // whole time of a plain call; 0 gives no sample.
-func (c *Concurrency) Release(latency time.Duration) {
+func (c *Concurrency) Release(p Permit, latency time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	inFlight := c.inFlight
 	c.inFlight--
 	if latency > 0 {
-		c.sample(latency.Seconds(), inFlight)
+		c.sample(latency.Seconds(), float64(p.inFlight+inFlight)/2, max(p.inFlight, inFlight))
 	}
 }
 
@@ -120,20 +136,26 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-func (c *Concurrency) sample(seconds float64, inFlight int) {
+// sample takes in a latency with the mean and the greatest number in flight at
+// the two ends of the attempt.
+func (c *Concurrency) sample(seconds, mean float64, greatest int) {
+	if c.probeLeft > 0 {
+		c.probe(seconds)
+		return
+	}
 	if c.recent == 0 {
 		c.recent = seconds
 	}
 	c.recent += recentGain * (seconds - c.recent)
-	c.lowest = min(c.lowest, seconds)
+	c.usage += recentGain * (mean - c.usage)
 	c.samples++
-	switch {
-	case c.probeLeft > 0:
-		c.probe()
-	case c.samples >= windowSamples:
-		c.startWindow()
-	default:
-		c.follow(float64(inFlight))
+	if mean <= probeShare*c.usage {
+		c.lowSamples++
+		c.learnBaseline(seconds, lowSampleGain)
+	}
+	c.follow(float64(greatest))
+	if c.samples >= windowSamples {
+		c.endWindow()
 	}
 	c.limit = min(max(c.limit, c.floor), c.ceiling)
 }
@@ -141,9 +163,10 @@
 // follow moves the limit by one sample. A sample stands for one of the attempts
 // in flight, so that a whole round of them moves the limit by limitGain.
 func (c *Concurrency) follow(inFlight float64) {
-	baseline := min(c.lowest, c.previous)
-	gradient := baseline * latencyTolerance / c.recent
-	gradient = min(max(gradient, minGradient), 1)
+	gradient := 1.0
+	if c.baseline > 0 {
+		gradient = min(max(c.baseline*latencyTolerance/c.recent, minGradient), 1)
+	}
 	if gradient == 1 && inFlight < busyShare*c.limit {
 		return
 	}
@@ -151,20 +174,41 @@
 	c.limit += limitGain * (target - c.limit) / max(inFlight, 1)
 }
 
-// startWindow cuts the limit for as many samples as it takes to drain what is
-// above it and to see the latency below it.
-func (c *Concurrency) startWindow() {
-	c.previous = c.lowest
-	c.lowest = math.Inf(1)
+// endWindow cuts the limit for a measurement, unless enough samples came by
+// themselves while less was in flight.
+func (c *Concurrency) endWindow() {
+	if c.lowSamples < enoughLowSamples {
+		c.startProbe()
+	}
 	c.samples = 0
+	c.lowSamples = 0
+}
+
+func (c *Concurrency) learnBaseline(seconds, gain float64) {
+	if c.baseline == 0 {
+		c.baseline = seconds
+	}
+	c.baseline += gain * (seconds - c.baseline)
+}
+
+// startProbe cuts the limit below what is in use, for as many samples as it takes
+// to drain what is above it and to see the latency below it.
+func (c *Concurrency) startProbe() {
 	c.restored = c.limit
-	c.probeLeft = int(2 * c.limit)
-	c.limit *= probeShare
+	c.probeLeft = max(probeSamples, int(2*c.limit))
+	c.probeSum = 0
+	c.limit = max(min(c.limit, c.usage)*probeShare, c.floor)
 }
 
-func (c *Concurrency) probe() {
+func (c *Concurrency) probe(seconds float64) {
 	c.probeLeft--
-	if c.probeLeft == 0 {
-		c.limit = c.restored
+	counted := max(probeSamples, int(2*c.restored)) / 2
+	if c.probeLeft < counted {
+		c.probeSum += seconds
+	}
+	if c.probeLeft > 0 {
+		return
 	}
+	c.learnBaseline(c.probeSum/float64(counted), baselineGain)
+	c.limit = c.restored
 }
--- a/internal/coordination/limits/limits.go
+++ b/internal/coordination/limits/limits.go
@@ -34,10 +34,17 @@
 	serviceTimeGain    = 0.1 // weight of a new sample in the moving average
 	// The shortest time moves down by quickFall and up by quickRise of the
 	// distance to a sample.
-	quickFall     = 0.1
-	quickRise     = 0.005
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 30 * time.Second
+	quickFall = 0.1
+	quickRise = 0.005
+	// The margin grows by lateRise of the quick time with each request that ends
+	// after its deadline and shrinks by lateFall with each other one, so that
+	// about one in a hundred ends late.
+	lateRise = 0.1
+	lateFall = 0.001
+	// creditRequests is the credit of an account that used less than its share.
+	creditRequests = 4
+	minRetryAfter  = 50 * time.Millisecond
+	maxRetryAfter  = 30 * time.Second
 )
 
 // Reason says why a request was refused.
@@ -59,11 +66,12 @@
 	defaultShare Share
 
 	mu          sync.Mutex
-	slots       int
+	window      window
 	busy        int
 	virtualTime float64 // seconds of slot time at weight 1
 	serviceTime float64 // seconds, moving average over all accounts
 	quickTime   float64 // seconds, what short requests take
+	margin      float64 // seconds beyond the quick time that a deadline needs
 	accounts    map[string]*account
 	waiting     int
 }
@@ -73,7 +81,10 @@
 
 // WithSlots sets how many requests are in progress at once.
 func WithSlots(n int) Option {
-	return func(g *Gate) { g.slots = n }
+	return func(g *Gate) {
+		g.window.share = float64(n)
+		g.window.size = float64(n)
+	}
 }
 
 // WithQueueLength sets how many requests of one account wait at most.
@@ -107,9 +118,9 @@
 		now:          time.Now,
 		queueLength:  defaultQueueLength,
 		defaultShare: NewShare(1),
-		slots:        defaultSlots,
 		serviceTime:  defaultServiceTime.Seconds(),
 		accounts:     map[string]*account{},
+		window:       newWindow(defaultSlots),
 	}
 	for _, o := range options {
 		o(g)
@@ -155,6 +166,8 @@
 	t.state = finished
 	now := g.now()
 	held := now.Sub(t.admittedAt).Seconds()
+	g.window.released(g.busy)
+	g.learnMargin(now.After(t.request.deadline))
 	t.account.charge(held - t.charged)
 	t.account.inFlight--
 	g.busy--
@@ -162,6 +175,22 @@
 	g.dispatch(now)
 }
 
+func (g *Gate) learnMargin(late bool) {
+	if late {
+		g.margin += lateRise * g.quickTime
+		return
+	}
+	g.margin *= 1 - lateFall
+}
+
+// EndpointBusy tells the gate that an endpoint refused a request that it let
+// through, because the endpoint runs as many as it can.
+func (g *Gate) EndpointBusy() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window.refused()
+}
+
 // sample takes in how long a request held its slot.
 func (g *Gate) sample(held float64) {
 	g.serviceTime += serviceTimeGain * (held - g.serviceTime)
@@ -208,11 +237,13 @@
 	a.queue = kept
 }
 
-// SetSlots changes the number of slots, for instance when endpoints come or go.
+// SetSlots changes the even share of the endpoints' limits that this entry has.
+// The slots move between half of it and a multiple, with the demand here and at
+// the other entries.
 func (g *Gate) SetSlots(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = n
+	g.window.set(n)
 	g.dispatch(g.now())
 }
 
@@ -248,7 +279,7 @@
 
 // dispatch hands free slots to the accounts that have had the least.
 func (g *Gate) dispatch(now time.Time) {
-	for g.busy < g.slots {
+	for g.busy < g.window.slots() {
 		a := g.next()
 		if a == nil {
 			return
@@ -275,17 +306,17 @@
 	t.verdict <- Verdict{admitted: true}
 }
 
-// next returns the account whose turn it is. An account that was idle starts at
-// the virtual time of now: it gets no credit for the time it did not use.
+// next returns the account whose turn it is. An account that used less than its
+// share has credit for a few requests, so that those which come close together
+// do not wait for each other, and for no more.
 func (g *Gate) next() *account {
 	var best *account
 	for _, a := range g.accounts {
 		if len(a.queue) == 0 || a.full() {
 			continue
 		}
-		if a.inFlight == 0 {
-			a.virtualTime = max(a.virtualTime, g.virtualTime)
-		}
+		credit := creditRequests * g.serviceTime / a.share.weight
+		a.virtualTime = max(a.virtualTime, g.virtualTime-credit)
 		if best == nil || a.before(best) {
 			best = a
 		}
@@ -298,24 +329,24 @@
 // of minutes the mean would refuse every request with less time than that.
 func (g *Gate) late(t *Ticket, ahead int, now time.Time) bool {
 	wait := 0.0
-	if g.busy >= g.slots || t.account.full() {
+	if g.busy >= g.window.slots() || t.account.full() {
 		wait = g.expectedWait(t.account, ahead)
 	}
 	left := t.request.deadline.Sub(now).Seconds()
-	return left < wait+g.quickTime
+	return left < wait+g.quickTime+g.margin
 }
 
 // tooLate reports whether a request can no longer finish by its deadline even
 // if it starts now.
 func (g *Gate) tooLate(t *Ticket, now time.Time) bool {
-	return t.request.deadline.Sub(now).Seconds() < g.quickTime
+	return t.request.deadline.Sub(now).Seconds() < g.quickTime+g.margin
 }
 
 // expectedWait returns the seconds until the request behind ahead others of its
 // account gets a slot, with the slots shared by weight among the accounts that
 // use the gate now.
 func (g *Gate) expectedWait(a *account, ahead int) float64 {
-	if g.slots <= 0 {
+	if g.window.slots() <= 0 {
 		return math.Inf(1)
 	}
 	weights := a.share.weight
@@ -324,7 +355,7 @@
 			weights += other.share.weight
 		}
 	}
-	slots := max(float64(g.slots)*a.share.weight/weights, 1)
+	slots := max(float64(g.window.slots())*a.share.weight/weights, 1)
 	if a.share.inFlight > 0 {
 		slots = min(slots, float64(a.share.inFlight))
 	}
--- a/internal/coordination/limits/limits_test.go
+++ b/internal/coordination/limits/limits_test.go
@@ -22,6 +22,7 @@
 	options = append([]limits.Option{
 		limits.WithNow(func() time.Time { return g.now }),
 		limits.WithServiceTime(100 * time.Millisecond),
+		limits.WithWindow(1, 1),
 	}, options...)
 	g.Gate = limits.NewGate(options...)
 	return g
@@ -145,6 +146,50 @@
 	require.Zero(t, g.Waiting())
 }
 
+// TestSlotsFollowDemandAndRefusals lets the slots grow past the even share while
+// all are in use, and cuts them at refusals.
+func TestSlotsFollowDemandAndRefusals(t *testing.T) {
+	g := newGate(limits.WithSlots(10), limits.WithWindow(0.5, 2), limits.WithQueueLength(10000))
+	var running []*limits.Ticket
+	fill := func() {
+		running = append(running, g.offer("shop", time.Hour))
+		for g.Waiting() == 0 {
+			running = append(running, g.offer("shop", time.Hour))
+		}
+	}
+	fill()
+	for range 1200 {
+		g.now = g.now.Add(10 * time.Millisecond)
+		g.Release(running[0])
+		running = running[1:]
+		fill()
+	}
+	require.Equal(t, 20, g.InFlight(), "grown to the ceiling")
+	for range 2 {
+		g.EndpointBusy()
+	}
+	for range 5 {
+		g.Release(running[0])
+		running = running[1:]
+	}
+	fill()
+	require.Equal(t, 17, g.InFlight(), "cut by a slot and a half each")
+}
+
+// TestLateEndsRaiseTheMargin refuses requests whose like have ended late.
+func TestLateEndsRaiseTheMargin(t *testing.T) {
+	g := newGate(limits.WithSlots(1))
+	for range 40 {
+		ticket := g.offer("shop", 500*time.Millisecond)
+		if state(ticket) != "admitted" {
+			return
+		}
+		g.now = g.now.Add(600 * time.Millisecond)
+		g.Release(ticket)
+	}
+	t.Fatal("every request ended late and none was refused")
+}
+
 // TestConcurrencyFollowsCapacity drives the limit against a server whose
 // latency grows once more than its capacity is in flight.
 func TestConcurrencyFollowsCapacity(t *testing.T) {
@@ -162,13 +207,19 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := limits.NewConcurrency(limits.WithInitialLimit(20))
 			for range 2000 {
-				n := 0
-				for c.Acquire() {
-					n++
+				var permits []limits.Permit
+				for p, ok := c.Acquire(); ok; p, ok = c.Acquire() {
+					permits = append(permits, p)
 				}
+				n := len(permits)
 				latency := 100 * math.Max(1, float64(n)/tt.capacity)
-				for range n {
-					c.Release(time.Duration(latency) * time.Millisecond)
+				for i, p := range permits {
+					// One request in four takes four times as long as the others.
+					if i%4 == 0 {
+						c.Release(p, time.Duration(4*latency)*time.Millisecond)
+						continue
+					}
+					c.Release(p, time.Duration(latency)*time.Millisecond)
 				}
 			}
 			require.GreaterOrEqual(t, c.Limit(), tt.low)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/retry"
 	"github.com/primrosetally/primrosetally/internal/coordination/routing"
+	"github.com/primrosetally/primrosetally/internal/coordination/serving"
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -37,6 +38,7 @@
 	retryAfter time.Duration
 	crashed    bool // the endpoint or its agent died under the attempt
 	occupied   bool // refused because another suspect runs there
+	busy       bool // refused because the endpoint is at its limit
 	// digest and incarnation tell which weights and which start of the agent.
 	digest      string
 	incarnation uint64
@@ -171,6 +173,7 @@
 		r.kind, r.reason = resultRefused, v.NotRun.GetReason()
 		r.retryAfter = time.Duration(v.NotRun.GetRetryAfterMs()) * time.Millisecond
 		r.occupied = v.NotRun.GetReason() == suspects.ReasonOccupied
+		r.busy = v.NotRun.GetReason() == serving.ErrBusy.Error()
 		r.report = v.NotRun.GetReport()
 	case *nodev1.AttemptPart_Started:
 		r.digest = servedDigest(v.Started)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -17,6 +17,10 @@
 const (
 	// roomPause is the wait for room at an endpoint while all are full.
 	roomPause = 10 * time.Millisecond
+	// maxBusyTries bounds the refusals of busy endpoints that one request takes
+	// before it counts as refused. They are not paid from the budget of retries:
+	// the gate lets fewer requests in instead.
+	maxBusyTries = 100
 	// minAttemptTime is the least time left for which another attempt is made.
 	minAttemptTime = 5 * time.Millisecond
 )
@@ -81,19 +85,24 @@
 func (e *Entry) attempts(ctx context.Context, q *request, out *answerWriter, st *serviceTraffic) conclusion {
 	sequence := st.budget.Start(retry.WithIdempotent(q.idempotent), retry.WithMinTime(minAttemptTime))
 	var tried []string
+	busyTries := 0
 	for number := uint32(1); ; number++ {
 		verdict := e.admitSuspect(ctx, q)
 		if verdict.Kind() == suspects.Quarantined {
 			return concluded(sequence.GiveUp(verdict.RetryAfter()), "request crashed endpoints and is quarantined")
 		}
 		alone := verdict.Kind() == suspects.Alone
-		choice, err := e.pick(ctx, q, alone, tried)
+		choice, err := e.pick(ctx, q, st, alone, tried)
 		if err != nil {
 			return concluded(sequence.GiveUp(routing.RetryAfter(err)), err.Error())
 		}
 		r := e.attempt(ctx, q, choice, number, alone, out)
 		e.account(ctx, q, choice, r, alone)
-		if r.occupied && pause(ctx, roomPause) {
+		if r.busy {
+			st.gate.EndpointBusy()
+			busyTries++
+		}
+		if (r.occupied || r.busy) && busyTries <= maxBusyTries && pause(ctx, roomPause) {
 			continue
 		}
 		if r.kind != resultAnswered && !out.discard() {
@@ -134,12 +143,13 @@
 // pick chooses an endpoint, and waits for room while all are full. A suspect
 // goes to the endpoint that ranks first for it, where no other suspect of this
 // entry runs.
-func (e *Entry) pick(ctx context.Context, q *request, alone bool, tried []string) (routing.Choice, error) {
+func (e *Entry) pick(ctx context.Context, q *request, st *serviceTraffic, alone bool, tried []string) (routing.Choice, error) {
 	prefix := q.prefix
 	if alone {
 		prefix = binary.LittleEndian.Uint64(q.fingerprint[:8])
 	}
 	options := []routing.RequestOption{routing.WithPrefix(prefix)}
+	full := false
 	wanted := routing.NewRequest(q.service.Name(), append(options, routing.WithExclude(tried...))...)
 	for {
 		choice, err := e.traffic.router.Pick(wanted)
@@ -151,6 +161,10 @@
 		} else if err == nil || !routing.Saturated(err) {
 			return choice, err
 		}
+		if err != nil && !full {
+			full = true
+			st.gate.EndpointBusy()
+		}
 		if !pause(ctx, roomPause) {
 			return choice, routing.ErrNoEndpoint
 		}
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -26,10 +26,6 @@
 	minSuspectInterval = 250 * time.Millisecond
 )
 
-// slotShare is how much more than its even share of the endpoints' limits one
-// entry may use, so that unevenly used entries leave little idle.
-const slotShare = 1.25
-
 // traffic is what an entry keeps to decide on requests.
 type traffic struct {
 	router   *routing.Router
@@ -90,14 +86,14 @@
 	}
 }
 
-// setSlots gives the gate of a service this entry's share of what the endpoints
-// admit together.
+// setSlots gives the gate of a service this entry's even share of what the
+// endpoints admit together.
 func (t *traffic) setSlots(service string, limit, entries int) {
 	t.mu.Lock()
 	st := t.services[service]
 	t.mu.Unlock()
 	if st != nil {
-		st.gate.SetSlots(max(int(slotShare*float64(limit)/float64(max(entries, 1))), 1))
+		st.gate.SetSlots(max(limit/max(entries, 1), 1))
 	}
 }
 
