--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -54,7 +54,7 @@
 func commands() []*command {
 	return []*command{
 		entryCommand(), agentCommand(), demoCommand(), checkCommand(), submitCommand(), diffCommand(),
-		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), versionCommand(),
+		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), measureCommand(), versionCommand(),
 	}
 }
 
