--- a/internal/measure/spread/budget.go
+++ b/internal/measure/spread/budget.go
@@ -8,9 +8,9 @@
 	// listChangesPerDay is how often the list changes at the target: a leaving, a
 	// vanished and a new instance for each of 201 restarts and failures.
 	listChangesPerDay = 3 * 201
-	// reportSubset is the number of agents that an entry asks for reports, and
+	// reportSubset is the number of agents of one service that an entry watches, and
 	// reportIntervalSeconds how often.
-	reportSubset          = 20
+	reportSubset          = 24
 	reportIntervalSeconds = 10
 )
 
@@ -28,8 +28,9 @@
 // budget adds up all control traffic of an entry and of an agent. The last rows
 // are the totals with the list as it is and with a compressed list, and the same
 // for the process with the most traffic of spread.
-func budget(o Options, size Size) []BudgetRow {
-	one, two := steady(o, size, budgetLoss, HTTP1), steady(o, size, budgetLoss, HTTP2)
+func budget(o Options, rows []Row) []BudgetRow {
+	size := rows[len(rows)-1].Size
+	one, two := steadyAt(o, rows, size, HTTP1), steadyAt(o, rows, size, HTTP2)
 	same := func(kind string, http1, http2 float64) BudgetRow {
 		return BudgetRow{Kind: kind, Entry: http1, Agent: http1, EntryHTTP2: http2, AgentHTTP2: http2}
 	}
@@ -41,7 +42,7 @@
 		same("compares", one.BytesCompares, two.BytesCompares),
 		same("pushes", one.BytesPushes, two.BytesPushes),
 		same("fetches", one.BytesFetches, two.BytesFetches),
-		same("table", one.BytesTable, two.BytesTable),
+		same("table and objects", one.BytesPlatform, two.BytesPlatform),
 		same("membership list, unchanged", unchanged, unchanged),
 		reportsRow(size),
 	}
@@ -55,6 +56,16 @@
 		sum("busiest node with gzip", []BudgetRow{gzipTotal, busier}))
 }
 
+// steadyAt returns the traffic at budgetLoss, from the rows where they have it.
+func steadyAt(o Options, rows []Row, size Size, framing Framing) Steady {
+	for _, r := range rows {
+		if r.Size == size && r.Loss == budgetLoss && o.Framing == framing {
+			return r.Steady
+		}
+	}
+	return steady(o, size, budgetLoss, framing)
+}
+
 // reportsRow counts the reports that entries ask of their subsets of agents.
 func reportsRow(size Size) BudgetRow {
 	perAgent := float64(size.Entries*reportSubset) / float64(size.Agents)
