Help other gateways only when all own chunks are in the region

Cause: remote regions of daugava received 1.18 copies over the thin links where one is needed: a gateway whose one link had nothing for it helped over that link while its own chunks were coming over the other.

--- a/internal/coordination/swarm/crossing.go
+++ b/internal/coordination/swarm/crossing.go
@@ -148,7 +148,7 @@
 	case chosen.found:
 	case idle >= p.set.takeover:
 		chosen = mostBehind(best, remaining, 0)
-	case idle >= p.helpAfter():
+	case idle >= p.helpAfter() && remaining[own] == 0:
 		chosen = mostBehind(best, remaining, 2*l.slots)
 	}
 	p.noteIdle(now, l, best[own])
