Give the orders of a rollout by the planner

Cause: the thin loop kept maxUnavailable only. The planner adds failure domains, dependencies first, all chunks staged, and the halt with its reason (event 503).

Run: go test ./internal/demo ./internal/telemetry pass.

--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -36,6 +36,8 @@
 	service string
 	lease   *lease.Lease
 	stepped time.Time
+	planner *rollout.Planner
+	halt    rollout.Halt
 }
 
 // rolloutLoop keeps a leader for each service of which an endpoint waited for an
@@ -55,7 +57,7 @@
 		for _, service := range e.rollouts.names() {
 			if !started[service] {
 				started[service] = true
-				l := &leader{entry: e, service: service, lease: e.newLease(agent.RolloutLease(service))}
+				l := &leader{entry: e, service: service, lease: e.newLease(agent.RolloutLease(service)), planner: rollout.New()}
 				leaders.Go(func() { l.run(ctx) })
 			}
 		}
@@ -132,54 +134,66 @@
 	})
 }
 
-// giveOrders orders instances whose weights are staged to switch, at most
-// maxUnavailable at a time.
+// giveOrders carries out what the planner decides, as long as the lease holds.
 func (l *leader) giveOrders(ctx context.Context) {
 	s := l.entry.node.Snapshot()
 	if s == nil {
 		return
 	}
 	service, ok := s.Config().Service(l.service)
-	if !ok || service.Kind() != configtext.KindModel {
+	if !ok || service.Kind() != configtext.KindModel || !l.entry.allReported(service) {
 		return
 	}
-	ready, unavailable, known := l.entry.waiting(service)
-	if !known {
+	fencing, held := l.lease.Holding(time.Now())
+	if !held {
+		// Orders of another holder are not known here.
+		l.planner = rollout.New()
 		return
 	}
-	for _, p := range ready {
-		if p.admits() {
-			if unavailable >= service.MaxUnavailable() {
-				continue
-			}
-			unavailable++
-		}
-		fencing, ok := l.lease.Holding(time.Now())
-		if !ok {
+	decision := l.planner.Next(time.Now(), l.entry.rolloutInput(s.Config(), service, s.Revision(), fencing))
+	l.logHalts(ctx, decision.Halts)
+	byName := make(map[string]endpoint)
+	for _, p := range l.entry.reports.of(l.service) {
+		byName[p.member.Name()] = p
+	}
+	for _, o := range decision.Orders {
+		fencing, held := l.lease.Holding(time.Now())
+		if !held || fencing != o.Fencing {
 			return
 		}
-		l.entry.giveOrder(ctx, p, service.Model().Manifest(), s.Revision(), fencing)
+		if o.Service == l.service {
+			l.entry.giveOrder(ctx, byName[o.Endpoint], o.Digest, o.Revision, o.Fencing)
+		}
 	}
 }
 
-// waiting returns the endpoints that can switch now and the number of those that
-// admit nothing. It is not known before every endpoint was asked once.
-func (e *Entry) waiting(s configtext.Service) (ready []endpoint, unavailable int, known bool) {
-	wanted := s.Model().Manifest()
-	for _, p := range e.reports.of(s.Name()) {
-		switch {
-		case !p.observed:
-			return nil, 0, false
-		case serves(p, wanted):
-			continue
-		case staged(p, wanted) && idle(p):
-			ready = append(ready, p)
-		case !p.admits():
-			unavailable++
+// logHalts logs the halt of the service once.
+func (l *leader) logHalts(ctx context.Context, halts []rollout.Halt) {
+	var own rollout.Halt
+	for _, h := range halts {
+		if h.Service == l.service {
+			own = h
 		}
-		e.rollouts.note(s.Name())
 	}
-	return ready, unavailable, len(e.reports.of(s.Name())) >= e.agentsOf(s.Name())
+	if own != l.halt && own.Service != "" {
+		telemetry.RolloutHalted.Log(ctx, l.entry.node.Logger(), "service", own.Service, "instance", own.Endpoint, "reason", own.Reason)
+	}
+	l.halt = own
+}
+
+// allReported reports whether every endpoint of the service was asked once, and
+// notes that the rollout goes on while one of them does not serve what is wanted.
+func (e *Entry) allReported(s configtext.Service) bool {
+	list := e.reports.of(s.Name())
+	for _, p := range list {
+		if !p.observed {
+			return false
+		}
+		if !serves(p, s.Model().Manifest()) {
+			e.rollouts.note(s.Name())
+		}
+	}
+	return len(list) >= e.agentsOf(s.Name())
 }
 
 func (e *Entry) agentsOf(service string) int {
@@ -196,21 +210,6 @@
 	return p.admits() && string(p.report.GetDigest()) == string(wanted[:])
 }
 
-func staged(p endpoint, wanted digest.Digest) bool {
-	r := p.report
-	return string(r.GetWantedDigest()) == string(wanted[:]) && r.GetChunksTotal() > 0 && r.GetChunksStaged() == r.GetChunksTotal()
-}
-
-// idle reports whether no switch is in progress.
-func idle(p endpoint) bool {
-	switch p.report.GetState() {
-	case nodev1.EndpointState_ENDPOINT_STATE_EMPTY, nodev1.EndpointState_ENDPOINT_STATE_SERVING, nodev1.EndpointState_ENDPOINT_STATE_DOWN:
-		return true
-	default:
-		return false
-	}
-}
-
 func (e *Entry) giveOrder(ctx context.Context, p endpoint, wanted digest.Digest, revision, fencing uint64) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -95,6 +95,10 @@
 		502, "orderRefused", slog.LevelInfo,
 		"An agent refused an order; the attribute reason says why. It is given again when the agent can take it.",
 	}
+	RolloutHalted = Event{
+		503, "rolloutHalted", slog.LevelError,
+		"Orders of the rollout went bad; the attribute reason says how. Nothing moves on until the section of the service changes.",
+	}
 )
 
 // Events of requests.
@@ -124,7 +128,7 @@
 		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed, ConfigurationDiverged,
 		MembershipUnavailable,
 		WeightsIncomplete, WeightsInService, SwitchFailed, PeersNotListed, CorruptChunk,
-		RolloutLeaseLost, OrderNotDelivered, OrderRefused,
+		RolloutLeaseLost, OrderNotDelivered, OrderRefused, RolloutHalted,
 		OutcomesWait, SuspectsNotRead, SuspectNotWritten, OutcomeNotWritten,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
