Replay an old revision whole in its test

Cause: the replayed push lacked sections that nobody had any more, so it could not have come in force even without the check of the revision. It now carries all of them, which is stricter.

Trials with decisions taken out, each caught: the check of the revision (TestOldRevisionReplayed, and TestAcceptingEntryFrozenBeforePushDoesNotRevert), adopting polled heads (both tests of killed entries), asking elsewhere (TestListTwentySecondsLateWithAThirdReplaced), comparisons (the same and TestRegionCutAndHealed). Ruled out: nothing.

--- a/internal/measure/spread/faults_test.go
+++ b/internal/measure/spread/faults_test.go
@@ -153,13 +153,13 @@
 func TestOldRevisionReplayed(t *testing.T) {
 	eachSeed(t, func(t *testing.T, d *spread.Deployment) {
 		entry := d.AnyEntry()
-		old := entry.Node().Accepted(d.Now(), d.Write())
-		entry.Do(old)
+		old := d.Write()
+		entry.Do(entry.Node().Accepted(d.Now(), old))
 		d.Advance(target)
 		revision := d.Change(d.AnyEntry())
 		requireInForce(t, d, revision)
 		for _, p := range d.Processes() {
-			p.Replay(entry.Member().Name(), old.Pushes[0].Push)
+			p.Replay(entry.Member().Name(), wholePush(old))
 			require.Equal(t, revision, p.Revision())
 		}
 		d.Advance(target)
@@ -167,6 +167,17 @@
 	})
 }
 
+// wholePush is a push that lacks no section, so that nothing but its revision
+// stands against it.
+func wholePush(s *core.Snapshot) core.Push {
+	push := core.Push{Head: s.Head()}
+	for _, r := range s.Head().Refs() {
+		section, _ := s.Section(r.Digest())
+		push.Sections = append(push.Sections, section)
+	}
+	return push
+}
+
 func TestListTwentySecondsLateWithAThirdReplaced(t *testing.T) {
 	eachSeed(t, func(t *testing.T, d *spread.Deployment) {
 		for i, p := range d.Processes() {
