--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,8 +3,10 @@
 import (
 	"hash/fnv"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -39,8 +41,7 @@
 
 // Bounds of a caller's request.
 const (
-	maxBody        = 4 << 20 // bytes
-	defaultTimeout = 60 * time.Second
+	maxBody = 4 << 20 // bytes
 	// prefixBytes of a model request's body name its prompt prefix.
 	prefixBytes = 256
 )
@@ -95,6 +96,10 @@
 		out.notRun(http.StatusForbidden, "unknown client account", 0)
 		return
 	}
+	if !account.Admits(secretOf(r)) {
+		out.notRun(http.StatusForbidden, "secret of the client account is missing or wrong", 0)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		out.notRun(http.StatusBadRequest, "request body not read whole", 0)
@@ -111,6 +116,15 @@
 	e.dispatch(ctx, q, out)
 }
 
+// bearerScheme leads the account's secret in the Authorization header, which is
+// not passed on to endpoints.
+const bearerScheme = "Bearer "
+
+func secretOf(r *http.Request) string {
+	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerScheme)
+	return secret
+}
+
 // observe records the final answer of a request. The service is empty where the
 // configuration does not name it, so that callers cannot make up label values.
 func (e *Entry) observe(out *answerWriter, arrived time.Time) {
@@ -172,7 +186,7 @@
 		body:       body,
 		key:        r.Header.Get(HeaderIdempotencyKey),
 		idempotent: service.Idempotent(r.Method, path),
-		deadline:   time.Now().Add(timeoutOf(r)),
+		deadline:   time.Now().Add(timeoutOf(r, service.RequestTimeout())),
 	}
 	if r.URL.RawQuery != "" {
 		q.path += "?" + r.URL.RawQuery
@@ -204,10 +218,12 @@
 	return !telemetry.IsTraceHeader(name)
 }
 
-func timeoutOf(r *http.Request) time.Duration {
+// timeoutOf returns the time that the caller allows, most where it doesn't say
+// or allows more.
+func timeoutOf(r *http.Request, most time.Duration) time.Duration {
 	n, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
 	if err != nil || n <= 0 {
-		return defaultTimeout
+		return most
 	}
-	return min(time.Duration(n)*time.Millisecond, defaultTimeout)
+	return min(time.Duration(min(n, math.MaxInt32))*time.Millisecond, most)
 }
--- a/internal/entry/hop_test.go
+++ b/internal/entry/hop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosetally/primrosetally/internal/entry"
+	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/member"
@@ -54,29 +56,68 @@
 func (s *system) withAgents(fakes ...*fakeAgent) {
 	for _, p := range s.agents {
 		s.members.Remove(p.Self().Name())
+		p.Kill()
 	}
 	for i, f := range fakes {
-		mux := http.NewServeMux()
-		mux.Handle(nodev1connect.NewAgentServiceHandler(f))
-		address := strings.TrimPrefix(s.serve(mux), "http://")
-		f.self = member.New(fmt.Sprint("fake-", i), member.RoleAgent, address, member.WithService(service),
-			member.WithPlace("kolkata", "kolkata-a"), member.WithIncarnation(1))
-		s.members.Put(f.self)
+		s.startFake(fmt.Sprint("fake-", i), f)
 	}
-	s.eventually(func() bool {
-		before := s.runsOf()
-		for i := range s.entries {
-			for range 8 {
-				s.send(i, sending{method: http.MethodGet, body: newKey()})
+	s.eventually(func() bool { return s.usesOnly(fakes) })
+}
+
+// usesOnly reports whether every entry sees the fake agents alone and sends all
+// requests to them.
+func (s *system) usesOnly(fakes []*fakeAgent) bool {
+	for _, p := range s.entries {
+		for _, m := range p.Node().Members() {
+			if m.Name() == s.agents[0].Self().Name() || m.Name() == s.agents[1].Self().Name() {
+				return false
 			}
 		}
-		for _, f := range fakes {
-			if f.attempts.Load() == 0 {
+	}
+	before := attemptsOf(fakes)
+	sends := 0
+	for i := range s.entries {
+		for range 8 {
+			f := s.send(i, sending{method: http.MethodGet, body: newKey()})
+			if f.reason == "agent not reached" {
 				return false
 			}
+			sends++
+		}
+	}
+	for _, f := range fakes {
+		if f.attempts.Load() == 0 {
+			return false
 		}
-		return s.runsOf() == before
+	}
+	return attemptsOf(fakes)-before >= int64(sends)
+}
+
+func attemptsOf(fakes []*fakeAgent) int64 {
+	total := int64(0)
+	for _, f := range fakes {
+		total += f.attempts.Load()
+	}
+	return total
+}
+
+// startFake starts a process whose node is real and whose agent is f.
+func (s *system) startFake(name string, f *fakeAgent) {
+	mux := http.NewServeMux()
+	address := strings.TrimPrefix(s.serve(mux), "http://")
+	f.self = member.New(name, member.RoleAgent, address, member.WithService(service),
+		member.WithPlace("kolkata", "kolkata-a"), member.WithIncarnation(1))
+	platform := node.NewPlatform(s.urls[0], s.urls[1], s.urls[2], s.urls[3])
+	n := node.New(f.self, platform, node.WithLogger(slog.New(slog.DiscardHandler)))
+	n.Register(mux)
+	mux.Handle(nodev1connect.NewAgentServiceHandler(f))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := n.Start(ctx)
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
 	})
+	s.members.Put(f.self)
 }
 
 // TestTransportDoesNotRepeat breaks a kept connection to an agent after it read
@@ -118,7 +159,7 @@
 	}
 	s.withAgents(f)
 	got := s.send(0, sending{method: http.MethodPost, body: "seat"})
-	require.Equal(t, entry.OutcomeAnswered, got.outcome)
+	require.Equal(t, entry.OutcomeAnswered, got.outcome, got.reason)
 	require.EqualValues(t, 42, got.run)
 }
 
@@ -151,7 +192,7 @@
 				}
 			}
 			s.withAgents(fakes...)
-			before := fakes[0].attempts.Load() + fakes[1].attempts.Load()
+			before := attemptsOf(fakes)
 			var wg sync.WaitGroup
 			for c := range callers {
 				wg.Go(func() {
@@ -164,7 +205,7 @@
 				})
 			}
 			wg.Wait()
-			attempts := fakes[0].attempts.Load() + fakes[1].attempts.Load() - before
+			attempts := attemptsOf(fakes) - before
 			t.Logf("%d attempts of %d requests", attempts, requests)
 			require.LessOrEqual(t, float64(attempts), 1.1*requests)
 		})
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/claims"
@@ -26,17 +25,12 @@
 	minSuspectInterval = 250 * time.Millisecond
 )
 
-// slotShare is how much more than its even share of the endpoints' limits one
-// entry may use, so that unevenly used entries leave little idle.
-const slotShare = 1.25
-
 // traffic is what an entry keeps to decide on requests.
 type traffic struct {
 	router   *routing.Router
 	claims   *claims.Claims
 	suspects *suspects.Registry
 	alone    suspects.Isolation
-	dropped  atomic.Uint64 // parts of answers that fit no open attempt
 
 	mu       sync.Mutex
 	services map[string]*serviceTraffic
@@ -90,14 +84,14 @@
 	}
 }
 
-// setSlots gives the gate of a service this entry's share of what the endpoints
-// admit together.
+// setSlots gives the gate of a service this entry's even share of what the
+// endpoints admit together.
 func (t *traffic) setSlots(service string, limit, entries int) {
 	t.mu.Lock()
 	st := t.services[service]
 	t.mu.Unlock()
 	if st != nil {
-		st.gate.SetSlots(max(int(slotShare*float64(limit)/float64(max(entries, 1))), 1))
+		st.gate.SetSlots(max(limit/max(entries, 1), 1))
 	}
 }
 
