Flaky: log what an agent reports when it does not come into service

The agent that was killed and started anew gets the configuration but never logs weightsInService. In both failed runs the entry that was frozen had held the rollout's lease and logged rolloutLeaseLost after its thaw; the cause is not established.

The test is not eased. On failure it now logs each agent's report, which tells whether its chunks are staged. Not run after this change; vetted only.

--- a/cmd/primrosetally/operators_test.go
+++ b/cmd/primrosetally/operators_test.go
@@ -118,6 +118,11 @@
 func waitServing(t *testing.T, id digest.Digest, agents ...*proc) {
 	t.Helper()
 	for _, p := range agents {
+		t.Cleanup(func() {
+			if t.Failed() && p.running() {
+				t.Logf("%s reports %v", p.name, report(p))
+			}
+		})
 		waitFor(t, p.name+" serves "+id.Short(), func() bool { return serves(p, id) })
 	}
 }
