--- a/internal/measure/weights/baseline.go
+++ b/internal/measure/weights/baseline.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// bound is the lower bound of the issue: the larger of the time over the slowest
+// bound is the lower bound to compare with: the larger of the time over the slowest
 // link into a region and over the link of an instance, plus one chunk time a hop.
 // The hops are the fewest possible: from the origin into the region and on.
 func bound(p Place, chunk float64) time.Duration {
--- a/internal/measure/weights/faults.go
+++ b/internal/measure/weights/faults.go
@@ -29,7 +29,7 @@
 // NoFaults is a run without faults.
 func NoFaults() Faults { return Faults{} }
 
-// TargetFaults are those of the issue: 2% corrupt chunks, 5% of the agents
+// TargetFaults are those that the targets name: 2% corrupt chunks, 5% of the agents
 // killed and one stalled link.
 func TargetFaults() Faults {
 	return Faults{
