--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -109,7 +109,8 @@
 	q.snapshot = s
 	q.priority = uint32(max(account.Priority(), 0))
 	if err := q.setClaim(r); err != nil {
-		out.notRun(http.StatusBadRequest, err.Error(), 0)
+		// No entry ever took a malformed key, so nothing ran under it.
+		out.provenNotRun(http.StatusBadRequest, err.Error(), 0)
 		return
 	}
 	out.repeat = q.keyed() && !q.claim.First()
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -90,6 +90,14 @@
 	require.Zero(t, s.bodyRuns("two seats"))
 }
 
+func TestMalformedKeyIsRefused(t *testing.T) {
+	s := newSystem(t, shortWork)
+	f := s.send(0, sending{method: http.MethodPost, body: "malformed", key: "no time"})
+	require.Equal(t, http.StatusBadRequest, f.status)
+	require.Equal(t, entry.OutcomeNotRun, f.outcome)
+	require.Zero(t, s.bodyRuns("malformed"))
+}
+
 // TestEntryKilledWithClaimOpen kills the entry while the request runs, and sends
 // it again through the other.
 func TestEntryKilledWithClaimOpen(t *testing.T) {
