--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -174,6 +174,9 @@
 	if restarted {
 		a.weights.forget()
 	}
+	if s, ok := a.service(); ok {
+		a.gate.SetLimit(s.MaxConcurrency())
+	}
 	if a.plain() {
 		a.gate.OpenPlain()
 		a.setFault("")
--- a/pkg/configtext/keys.go
+++ b/pkg/configtext/keys.go
@@ -63,7 +63,7 @@
 	honoursFencing        = tomltext.Spec{Name: "honoursFencing", Kind: tomltext.Boolean, Default: "false"}
 	idempotentCompletions = tomltext.Spec{Name: "idempotentCompletions", Kind: tomltext.Boolean, Default: "false"}
 	calls                 = tomltext.Spec{Name: "calls", Kind: tomltext.Tables, Most: maxCalls}
-	maxOriginCopies       = tomltext.Spec{Name: "maxOriginCopies", Kind: tomltext.Float, Unit: "copies a region", Least: 1, Most: 4, Default: "1"}
+	maxOriginCopies       = tomltext.Spec{Name: "maxOriginCopies", Kind: tomltext.Float, Unit: "copies", Least: 1, Most: 4, Default: "1"}
 	requestTimeout        = tomltext.Spec{Name: "requestTimeout", Kind: tomltext.Duration, Least: 0.001, Most: 3600, Default: "30s"}
 	maxConcurrency        = tomltext.Spec{Name: "maxConcurrency", Kind: tomltext.Integer, Unit: "requests", Least: 1, Most: 100_000, Default: "64"}
 	keyRetention          = tomltext.Spec{Name: "keyRetention", Kind: tomltext.Duration, Least: 60, Most: 30 * 86400, Default: "24h"}
