--- a/internal/command/changes.go
+++ b/internal/command/changes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strings"
@@ -97,14 +96,7 @@
 			if err != nil {
 				return e.fail(statusFailed, err)
 			}
-			if asJSON {
-				if err := json.NewEncoder(e.stdout).Encode(answer.Msg); err != nil {
-					return e.fail(statusFailed, err)
-				}
-				return statusOK
-			}
-			printHistory(e, answer.Msg)
-			return statusOK
+			return e.print(asJSON, answer.Msg, func() { printHistory(e, answer.Msg) })
 		},
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"os/signal"
@@ -42,6 +43,18 @@
 	return status
 }
 
+// print writes a message as one JSON object, or else by the given function.
+func (e env) print(asJSON bool, message any, text func()) int {
+	if !asJSON {
+		text()
+		return statusOK
+	}
+	if err := json.NewEncoder(e.stdout).Encode(message); err != nil {
+		return e.fail(statusFailed, err)
+	}
+	return statusOK
+}
+
 // command is one subcommand.
 type command struct {
 	name        string
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -121,14 +120,7 @@
 			if err != nil {
 				return e.fail(statusFailed, err)
 			}
-			if asJSON {
-				if err := json.NewEncoder(e.stdout).Encode(answer.Msg); err != nil {
-					return e.fail(statusFailed, err)
-				}
-				return statusOK
-			}
-			printStatus(e, answer.Msg)
-			return statusOK
+			return e.print(asJSON, answer.Msg, func() { printStatus(e, answer.Msg) })
 		},
 	}
 }
--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"text/tabwriter"
 	"time"
@@ -38,14 +37,7 @@
 			if err != nil {
 				return e.fail(statusFailed, err)
 			}
-			if asJSON {
-				if err := json.NewEncoder(e.stdout).Encode(answer.Msg); err != nil {
-					return e.fail(statusFailed, err)
-				}
-				return statusOK
-			}
-			printQuarantine(e, answer.Msg)
-			return statusOK
+			return e.print(asJSON, answer.Msg, func() { printQuarantine(e, answer.Msg) })
 		},
 	}
 }
