--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
 )
 
 // Reach tells how far a peer is suspected.
@@ -50,7 +51,7 @@
 
 // Rank returns the member's rendezvous hash under a seed. All processes compute
 // the same one from the name alone.
-func (p Peer) Rank(seed uint64) uint64 { return mix(p.hash ^ mix(seed)) }
+func (p Peer) Rank(seed uint64) uint64 { return rendezvous.Mix(p.hash ^ rendezvous.Mix(seed)) }
 
 // View is the members at one moment, sorted by name. It is immutable.
 type View struct {
@@ -102,7 +103,7 @@
 func NewStaticView(members []member.Member) *View {
 	peers := make([]Peer, len(members))
 	for i, m := range members {
-		peers[i] = Peer{member: m, listed: true, hash: hashName(m.Name())}
+		peers[i] = Peer{member: m, listed: true, hash: rendezvous.Hash(m.Name())}
 	}
 	return newView(1, peers)
 }
@@ -142,33 +143,12 @@
 		reach:        e.reach(),
 		ownSuspicion: own,
 		listed:       e.listed,
-		hash:         hashName(e.member.Name()),
+		hash:         rendezvous.Hash(e.member.Name()),
 	}
 }
 
-// The constants of 64-bit FNV-1a.
-const (
-	fnvOffset = 14695981039346656037
-	fnvPrime  = 1099511628211
-)
-
-func hashName(name string) uint64 {
-	h := uint64(fnvOffset)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * fnvPrime
-	}
-	return mix(h)
-}
-
-// mix spreads every bit of x over the result (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // RankOf returns the rendezvous hash of the member called name under a seed; see
 // Peer.Rank.
-func RankOf(name string, seed uint64) uint64 { return mix(hashName(name) ^ mix(seed)) }
+func RankOf(name string, seed uint64) uint64 {
+	return rendezvous.Mix(rendezvous.Hash(name) ^ rendezvous.Mix(seed))
+}
--- a/internal/coordination/routing/addresses.go
+++ b/internal/coordination/routing/addresses.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
 )
 
 const (
@@ -116,13 +117,13 @@
 }
 
 func (a *Addresses) ranked(account string) []int {
-	own := hashText(account)
+	own := rendezvous.Hash(account)
 	order := make([]int, len(a.entries))
 	for i := range order {
 		order[i] = i
 	}
 	slices.SortFunc(order, func(i, j int) int {
-		return cmp.Compare(mix(own^hashText(a.entries[j].Name())), mix(own^hashText(a.entries[i].Name())))
+		return cmp.Compare(rendezvous.Mix(own^rendezvous.Hash(a.entries[j].Name())), rendezvous.Mix(own^rendezvous.Hash(a.entries[i].Name())))
 	})
 	return order
 }
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -1,6 +1,10 @@
 package routing
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
+)
 
 const (
 	// maxCandidates bounds the endpoints that one Pick weighs.
@@ -81,7 +85,7 @@
 	first, second := -1, -1
 	var firstRank, secondRank uint64
 	for i := range s.n {
-		rank := mix(prefix ^ s.endpoints[i].hash)
+		rank := rendezvous.Mix(prefix ^ s.endpoints[i].hash)
 		switch {
 		case first < 0 || rank > firstRank:
 			second, secondRank = first, firstRank
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -35,6 +35,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
 )
 
 // ErrNoEndpoint means that no endpoint of the service can take the request now.
@@ -156,7 +158,7 @@
 	if known != nil && known.Endpoint == e {
 		return known
 	}
-	next := &endpoint{Endpoint: e, hash: hashText(e.name), counters: &counters{}}
+	next := &endpoint{Endpoint: e, hash: rendezvous.Hash(e.name), counters: &counters{}}
 	next.local = e.failureDomain == r.failureDomain
 	switch {
 	case known != nil && known.incarnation == e.incarnation:
--- a/internal/coordination/routing/subset.go
+++ b/internal/coordination/routing/subset.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
 )
 
 // localShareOfSubset is the part of the subset that is filled from the own
@@ -38,35 +40,13 @@
 }
 
 func (r *Router) rank(endpoints []Endpoint) []Endpoint {
-	own := hashText(r.entry)
+	own := rendezvous.Hash(r.entry)
 	ranked := slices.Clone(endpoints)
 	slices.SortFunc(ranked, func(a, b Endpoint) int {
 		return cmp.Or(
-			cmp.Compare(mix(own^hashText(b.name)), mix(own^hashText(a.name))),
+			cmp.Compare(rendezvous.Mix(own^rendezvous.Hash(b.name)), rendezvous.Mix(own^rendezvous.Hash(a.name))),
 			cmp.Compare(a.name, b.name),
 		)
 	})
 	return ranked
 }
-
-// hashText is FNV-1a, finished by mix.
-func hashText(text string) uint64 {
-	const (
-		offset = 14695981039346656037
-		prime  = 1099511628211
-	)
-	h := uint64(offset)
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * prime
-	}
-	return mix(h)
-}
-
-// mix spreads every bit of x over the whole word.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
