Measure what both hops add to a request

Cause: the added latency and the tokens a second of an entry were not measured.

Ruled out by a profile: reads of the table on the path of an idempotent request.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -7,6 +7,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/primrosetally/primrosetally/internal/measure/capacity"
+	"github.com/primrosetally/primrosetally/internal/measure/path"
 	"github.com/primrosetally/primrosetally/internal/measure/requests"
 	"github.com/primrosetally/primrosetally/internal/measure/spread"
 	"github.com/primrosetally/primrosetally/internal/measure/weights"
@@ -17,9 +18,9 @@
 	var asJSON bool
 	return &command{
 		name:        "measure",
-		description: "Regenerate the figures of the docs: spread, weights, requests or capacity.",
+		description: "Regenerate the figures of the docs: spread, weights, requests, path or capacity.",
 		flags: func(sub *flaggy.Subcommand) {
-			sub.AddPositionalValue(&what, "WHAT", 1, true, "spread, weights, requests or capacity")
+			sub.AddPositionalValue(&what, "WHAT", 1, true, "spread, weights, requests, path or capacity")
 			sub.Bool(&asJSON, "j", "json", "print one JSON object")
 			sub.String(&plots, "", "plots", "folder to write the plots of weights to")
 		},
@@ -46,6 +47,12 @@
 			}
 		}
 		return report.Table(e.stdout, asJSON)
+	case "path":
+		report, err := path.Measure(ctx)
+		if err != nil {
+			return err
+		}
+		return report.Table(e.stdout, asJSON)
 	case "capacity":
 		report, err := capacity.Measure(ctx, capacity.WithTimed(true))
 		if err != nil {
