Order the start of a request against the leaving of an entry

Cause: a repeated run of the process tests ended an entry with status 66, the race detector's: serveRequest raised the count of requests in progress from zero while Leave waited for it. The count is now raised under a read lock, and only while the entry is not leaving.

Ruled out: a request cut off by it (whoever raised the count late saw that the entry was leaving and was refused); the finding is of the misuse of the wait group.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -69,17 +69,16 @@
 func (q *request) keyed() bool { return q.key != "" && !q.idempotent }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
 	out := &answerWriter{writer: w, requestID: e.nextRequestID(), outcome: OutcomeUnknown}
 	out.repeat = mayBeRepeat(r)
 	ctx, span := e.node.Telemetry().Tracing().StartServer(r.Context(), telemetry.SpanEntry, r.Header)
 	defer span.End()
 	defer e.observe(out, time.Now())
-	if e.leaving.Load() {
+	if !e.enter() {
 		out.notRun(http.StatusServiceUnavailable, "entry is leaving", time.Second)
 		return
 	}
+	defer e.inFlight.Done()
 	s := e.node.Snapshot()
 	if s == nil {
 		out.notRun(http.StatusServiceUnavailable, "no configuration yet", time.Second)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,7 @@
 	requests atomic.Uint64
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
+	entering sync.RWMutex // orders the start of a request against Leave
 }
 
 // Option sets a property of an entry.
@@ -86,7 +87,9 @@
 // Leave refuses new requests. The returned channel is closed when the requests
 // in progress have ended.
 func (e *Entry) Leave() <-chan struct{} {
+	e.entering.Lock()
 	e.leaving.Store(true)
+	e.entering.Unlock()
 	idle := make(chan struct{})
 	go func() {
 		defer close(idle)
@@ -95,6 +98,17 @@
 	return idle
 }
 
+// enter counts a request as in progress, unless the entry is leaving.
+func (e *Entry) enter() bool {
+	e.entering.RLock()
+	defer e.entering.RUnlock()
+	if e.leaving.Load() {
+		return false
+	}
+	e.inFlight.Add(1)
+	return true
+}
+
 // Ready reports whether the entry has a configuration and accepts requests.
 func (e *Entry) Ready() bool {
 	return !e.leaving.Load() && e.node.Ready()
