--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -15,11 +15,15 @@
 	// misplacedClosed is the time in which the platform's list corrects a wrong
 	// belief about an endpoint.
 	misplacedClosed = 600 * time.Millisecond
-	// remotePenalty is the load that an endpoint of another failure domain counts
-	// as having in addition, in requests for each slot.
-	remotePenalty = 0.06
+	// remotePenalty and awayPenalty are added to what is predicted for an endpoint
+	// of another failure domain, and for one that another entry uses first: what
+	// that entry has just sent there is not known yet.
+	remotePenalty = 25 * time.Millisecond
+	awayPenalty   = 45 * time.Millisecond
+	// failurePenalty is added for each failure in a row.
+	failurePenalty = 200 * time.Millisecond
 	// tieBreak spreads requests over endpoints of about equal load.
-	tieBreak = 0.04
+	tieBreak = 8 * time.Millisecond
 	// gapWeight is the weight of one pause in the moving mean.
 	gapWeight = 1.0 / 16
 )
@@ -27,32 +31,47 @@
 // endpoint is what the pool knows of an endpoint.
 type endpoint struct {
 	Candidate
-	own         int
-	others      int
+	own         Work
+	others      Work
 	failures    int
 	closedUntil time.Duration
-	pace        float64 // 1 is usual, 2 is half as fast
 	gap         time.Duration
 }
 
+// Work is what an endpoint has to do for some requests.
+type Work struct {
+	// InFlight is the number of requests that were placed and have not ended.
+	InFlight int
+	// Unread are the prompt tokens of those whose answer has not begun.
+	Unread int
+}
+
 // room reports whether another request may be placed.
 func (e *endpoint) room(now time.Duration, overfill int) bool {
 	if now < e.closedUntil {
 		return false
 	}
-	if e.MaxInFlight > 0 && e.own >= e.MaxInFlight {
+	if e.MaxInFlight > 0 && e.own.InFlight >= e.MaxInFlight {
 		return false
 	}
-	return e.own+e.others < e.Slots+overfill
+	return e.own.InFlight+e.others.InFlight < e.Slots+overfill
+}
+
+// first predicts the time until the answer of a request begins.
+func (e *endpoint) first(m Model, prompt int) time.Duration {
+	return m.First(e.own.InFlight+e.others.InFlight, e.own.Unread+e.others.Unread, prompt)
 }
 
 // score orders the endpoints that have room; the smallest is best.
-func (e *endpoint) score(domain string, draw float64) float64 {
-	score := float64(e.own+e.others) / float64(max(e.Slots, 1)) * e.pace
+func (e *endpoint) score(first time.Duration, domain string, draw float64) time.Duration {
+	score := first + time.Duration(draw*float64(tieBreak)) + time.Duration(e.failures)*failurePenalty
 	if e.Domain != domain {
 		score += remotePenalty
 	}
-	return score + tieBreak*draw + 0.25*float64(e.failures)
+	if !e.Home {
+		score += awayPenalty
+	}
+	return score
 }
 
 // learn takes the end of a request in.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -64,6 +64,9 @@
 	MaxInFlight int
 	// Version is the version of the weights there, 0 for plain endpoints.
 	Version int64
+	// Home marks an endpoint that this entry uses first. Each endpoint is the home
+	// of few entries, so that what is on its way there is known where it matters.
+	Home bool
 }
 
 // Request is what the decision needs to know of a request.
@@ -76,8 +79,8 @@
 	Deadline time.Duration
 	// Priority is the rank; 0 is the highest.
 	Priority int
-	// Expected is the time from placement to the first byte, if known.
-	Expected time.Duration
+	// Prompt is the number of prompt tokens, 0 for plain endpoints.
+	Prompt int
 	// Exclude are endpoints that were tried.
 	Exclude []string
 	// Again marks a request that was placed before and goes ahead of others.
@@ -87,9 +90,31 @@
 // Choice is the endpoint that a request is placed on.
 type Choice struct {
 	Candidate
-	placed time.Duration
+	placed   time.Duration
+	prompt   int
+	first    time.Duration
+	inFlight int
+	unread   int
+	began    bool
 }
 
+// unreadLeft returns the prompt tokens that still count as unread.
+func (c *Choice) unreadLeft() int {
+	if c.began {
+		return 0
+	}
+	return c.prompt
+}
+
+// First returns the predicted time from placement until the answer begins.
+func (c Choice) First() time.Duration { return c.first }
+
+// InFlight returns the requests that the endpoint was believed to have.
+func (c Choice) InFlight() int { return c.inFlight }
+
+// Unread returns the prompt tokens that were believed to wait there.
+func (c Choice) Unread() int { return c.unread }
+
 // Reason tells why a request is refused.
 type Reason string
 
@@ -140,10 +165,10 @@
 // Verdict delivers the decision once.
 func (t *Ticket) Verdict() <-chan Verdict { return t.verdict }
 
-// Load is the number of own requests at an endpoint.
+// Load is the own work at an endpoint.
 type Load struct {
-	ID       string
-	InFlight int
+	ID string
+	Work
 }
 
 // Pool places the requests of one service. It is safe for concurrent use.
@@ -151,6 +176,7 @@
 	domain   string
 	overfill int
 	random   func() float64
+	model    Model
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -173,6 +199,13 @@
 // WithRandom sets the source of random numbers in [0, 1).
 func WithRandom(random func() float64) Option { return func(p *Pool) { p.random = random } }
 
+// SetModel sets how the endpoints work.
+func (p *Pool) SetModel(m Model) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.model = m
+}
+
 // New returns a Pool without endpoints.
 func New(options ...Option) *Pool {
 	p := &Pool{random: rand.Float64, endpoints: make(map[string]*endpoint)}
@@ -205,7 +238,7 @@
 		listed[c.ID] = true
 		e := p.endpoints[c.ID]
 		if e == nil {
-			e = &endpoint{pace: 1}
+			e = &endpoint{}
 			p.endpoints[c.ID] = e
 		}
 		if e.Candidate.Address != c.Address {
@@ -215,19 +248,19 @@
 		p.order = append(p.order, e)
 	}
 	for id, e := range p.endpoints {
-		if !listed[id] && e.own == 0 {
+		if !listed[id] && e.own.InFlight == 0 {
 			delete(p.endpoints, id)
 		}
 	}
 	p.pump(now)
 }
 
-// SetOthers replaces what the other entries have in flight, by endpoint.
-func (p *Pool) SetOthers(now time.Duration, inFlight func(id string) int) {
+// SetOthers replaces the work of the other entries, by endpoint.
+func (p *Pool) SetOthers(now time.Duration, work func(id string) Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.order {
-		e.others = inFlight(e.ID)
+		e.others = work(e.ID)
 	}
 	p.pump(now)
 }
@@ -240,12 +273,12 @@
 	p.pump(now)
 	t.queued = p.ahead(t)
 	if t.queued == 0 {
-		if e := p.best(now, r); e != nil {
-			p.place(now, t, e)
+		if e, first := p.best(now, r); e != nil {
+			p.place(now, t, e, first)
 			return t
 		}
 	}
-	t.expires = min(r.Arrived+r.Target-r.Expected, r.Deadline)
+	t.expires = min(r.Arrived+r.Target-p.model.First(p.usualLoad(), 0, r.Prompt), r.Deadline)
 	switch {
 	case !p.possible(r):
 		p.refuse(now, t, ReasonNoEndpoint)
@@ -277,7 +310,8 @@
 	if e == nil {
 		return
 	}
-	e.own--
+	e.own.InFlight--
+	e.own.Unread -= c.unreadLeft()
 	p.inFlight--
 	e.learn(now, outcome)
 	if outcome == Succeeded {
@@ -324,13 +358,24 @@
 	defer p.mu.Unlock()
 	var loads []Load
 	for id, e := range p.endpoints {
-		if e.own > 0 {
-			loads = append(loads, Load{ID: id, InFlight: e.own})
+		if e.own.InFlight > 0 {
+			loads = append(loads, Load{ID: id, Work: e.own})
 		}
 	}
 	return loads
 }
 
+// Began records that the answer of a request has begun.
+func (p *Pool) Began(now time.Duration, c *Choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.endpoints[c.ID]; e != nil {
+		e.own.Unread -= c.unreadLeft()
+	}
+	c.began = true
+	p.pump(now)
+}
+
 // Pace records the time between two events of a stream at an endpoint.
 func (p *Pool) Pace(c Choice, gap time.Duration) {
 	p.mu.Lock()
@@ -405,7 +450,7 @@
 func (p *Pool) pump(now time.Duration) {
 	for i := 0; i < len(p.waiting); {
 		t := p.waiting[i]
-		e := p.best(now, t.request)
+		e, first := p.best(now, t.request)
 		if e == nil {
 			if len(t.request.Exclude) == 0 {
 				return
@@ -414,19 +459,23 @@
 			continue
 		}
 		p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-		p.place(now, t, e)
+		p.place(now, t, e, first)
 	}
 }
 
-func (p *Pool) place(now time.Duration, t *Ticket, e *endpoint) {
-	e.own++
-	p.inFlight++
-	t.verdict <- Verdict{
-		choice: Choice{Candidate: e.Candidate, placed: now},
-		placed: true,
-		waited: now - t.offered,
-		queued: t.queued,
+func (p *Pool) place(now time.Duration, t *Ticket, e *endpoint, first time.Duration) {
+	choice := Choice{
+		Candidate: e.Candidate,
+		placed:    now,
+		prompt:    t.request.Prompt,
+		first:     first,
+		inFlight:  e.own.InFlight + e.others.InFlight,
+		unread:    e.own.Unread + e.others.Unread,
 	}
+	e.own.InFlight++
+	e.own.Unread += t.request.Prompt
+	p.inFlight++
+	t.verdict <- Verdict{choice: choice, placed: true, waited: now - t.offered, queued: t.queued}
 }
 
 func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason) {
@@ -444,18 +493,29 @@
 	return shortestReturn + time.Duration(p.random()*float64(longestReturn-shortestReturn))
 }
 
-// best returns the endpoint with the most room, nil where all are full.
-func (p *Pool) best(now time.Duration, r Request) *endpoint {
+// usualLoad returns the mean number of requests at an endpoint.
+func (p *Pool) usualLoad() int {
+	n := 0
+	for _, e := range p.order {
+		n += e.own.InFlight + e.others.InFlight
+	}
+	return n / max(len(p.order), 1)
+}
+
+// best returns the endpoint at which the answer should begin soonest, and when; nil
+// where all are full.
+func (p *Pool) best(now time.Duration, r Request) (*endpoint, time.Duration) {
 	var best *endpoint
-	bestScore := 0.0
+	var bestScore, bestFirst time.Duration
 	for _, e := range p.order {
 		if !e.room(now, p.overfill) || r.excludes(e.ID) {
 			continue
 		}
-		score := e.score(p.domain, p.random())
+		first := e.first(p.model, r.Prompt)
+		score := e.score(first, p.domain, p.random())
 		if best == nil || score < bestScore {
-			best, bestScore = e, score
+			best, bestScore, bestFirst = e, score, first
 		}
 	}
-	return best
+	return best, bestFirst
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
@@ -41,8 +42,13 @@
 	lastNumber int64
 	events     int
 	endpoint   string
+	first      time.Duration // from arrival to the first event
+	verdict    placement.Verdict
 }
 
+// placed remembers the last placement for the log.
+func (a *answerWriter) placed(v placement.Verdict) { a.verdict = v }
+
 // begin writes the head of an endpoint's answer. Length is -1 where the answer is
 // framed anew.
 func (a *answerWriter) begin(_ *request, status int, from http.Header, length int64) {
@@ -147,6 +153,10 @@
 		a.gateway.metrics.RequestSeconds.WithLabelValues(service).Observe((a.gateway.now() - a.arrived).Seconds())
 	}
 	args = append(args, "route", q.route.Name(), "account", q.account, "endpoint", a.endpoint, "attempts", q.attempts)
+	if c := a.verdict.Choice(); a.verdict.Placed() {
+		args = append(args, "first", a.first, "waited", a.verdict.Waited(), "predicted", c.First(),
+			"inFlight", c.InFlight(), "unread", c.Unread(), "prompt", q.call.PromptTokens, "home", c.Home)
+	}
 	a.logID(q.call.ID, service, outcome, status, reason, args...)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,13 +49,12 @@
 }
 
 // attempt sends the request to one endpoint and passes a whole answer on.
-func (g *Gateway) attempt(ctx context.Context, q *request, v placement.Verdict, out *answerWriter) result {
+func (g *Gateway) attempt(ctx context.Context, q *request, c *placement.Choice, out *answerWriter) result {
 	q.attempts++
 	idle := onceIdle
 	if q.route.Repeatable() {
 		idle = repeatableIdle
 	}
-	c := v.Choice()
 	x, err := g.pool.Begin(ctx, c.Address, idle)
 	if errors.Is(err, endpoints.ErrNoConnection) {
 		return result{outcome: placement.Full, notRun: true, reason: err.Error()}
@@ -66,14 +65,14 @@
 	defer x.End()
 	q.sent = append(q.sent, c.ID)
 	out.endpoint = c.ID
-	response, err := x.Send(ctx, g.headFor(q, c, out), q.body, func(h http.Header) bool { return g.codec.Echo(h, q.call.ID) })
+	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) bool { return g.codec.Echo(h, q.call.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
 	}
 	if err != nil {
 		return g.broken(ctx, err, true)
 	}
-	return g.answer(ctx, q, v, response, out)
+	return g.answer(ctx, q, c, response, out)
 }
 
 func (g *Gateway) unreachable(ctx context.Context, err error) result {
@@ -107,7 +106,7 @@
 }
 
 // answer takes the head of an endpoint's answer and passes on what follows.
-func (g *Gateway) answer(ctx context.Context, q *request, v placement.Verdict, response *http.Response, out *answerWriter) result {
+func (g *Gateway) answer(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *answerWriter) result {
 	a := g.codec.ReadAnswer(response.StatusCode, response.Header)
 	if a.NotExecuted {
 		// The body of a refusal only matters for the connection.
@@ -122,7 +121,7 @@
 		return g.broken(ctx, errUnsealed, false)
 	}
 	if success && isEvents(response.Header) {
-		return g.stream(ctx, q, v, response, out)
+		return g.stream(ctx, q, c, response, out)
 	}
 	if out.begun {
 		return g.broken(ctx, errNoEvents, false)
@@ -168,14 +167,24 @@
 // stream passes the whole events of an answer on as they arrive. It begins the
 // caller's answer with the first one, so that a stream without any can still be
 // replaced whole.
-func (g *Gateway) stream(ctx context.Context, q *request, v placement.Verdict, response *http.Response, out *answerWriter) result {
+func (g *Gateway) stream(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *answerWriter) result {
 	var events eventReader
 	buf := make([]byte, 4<<10)
-	last := g.now()
+	last := time.Duration(0) // of the last event from this endpoint
 	for {
 		n, err := response.Body.Read(buf)
 		batch := events.take(buf[:n], out.lastNumber)
 		if len(batch.bytes) > 0 {
+			now := g.now()
+			if out.events == 0 {
+				out.first = now - out.arrived
+			}
+			if last == 0 {
+				q.traffic.placement.Began(now, c)
+			} else {
+				q.traffic.placement.Pace(*c, (now-last)/time.Duration(batch.count))
+			}
+			last = now
 			if !out.begun {
 				out.begin(q, response.StatusCode, response.Header, -1)
 			}
@@ -185,9 +194,6 @@
 			out.flush()
 			out.events += batch.count
 			out.lastEvent, out.lastNumber = batch.lastEvent, batch.lastNumber
-			now := g.now()
-			q.traffic.placement.Pace(v.Choice(), (now-last)/time.Duration(batch.count))
-			last = now
 		}
 		if err == io.EOF && events.partial() {
 			err = io.ErrUnexpectedEOF
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
@@ -31,7 +33,7 @@
 	summary  *nodev1.EntrySummary // nil before the first
 	heard    time.Duration
 	learned  time.Duration
-	inFlight map[uint32]int
+	work     map[uint32]placement.Work
 	fetching bool
 }
 
@@ -119,22 +121,41 @@
 	return p.confirmedT
 }
 
-// inFlight returns the requests of the live peers by hash of the endpoint.
-func (p *peers) inFlight(now time.Duration) map[uint32]int {
+// work returns the work of the live peers by hash of the endpoint.
+func (p *peers) work(now time.Duration) map[uint32]placement.Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sum := make(map[uint32]int)
+	sum := make(map[uint32]placement.Work)
 	for _, q := range p.known {
 		if !p.alive(q, now) {
 			continue
 		}
-		for h, n := range q.inFlight {
-			sum[h] += n
+		for h, w := range q.work {
+			s := sum[h]
+			sum[h] = placement.Work{InFlight: s.InFlight + w.InFlight, Unread: s.Unread + w.Unread}
 		}
 	}
 	return sum
 }
 
+// entriesByDomain returns the peer addresses of the live ready entries, the own
+// one included, by failure domain and in order.
+func (g *Gateway) entriesByDomain(now time.Duration) map[string][]string {
+	byDomain := map[string][]string{g.self.FailureDomain: {g.self.PeerAddress}}
+	p := g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, q := range p.known {
+		if p.alive(q, now) && q.summary.GetReady() {
+			byDomain[q.summary.GetFailureDomain()] = append(byDomain[q.summary.GetFailureDomain()], address)
+		}
+	}
+	for _, list := range byDomain {
+		slices.Sort(list)
+	}
+	return byDomain
+}
+
 // Learn adds the address of another entry.
 func (g *Gateway) Learn(address string) { g.peers.learn(address) }
 
@@ -173,10 +194,10 @@
 	}
 	q.summary = m
 	q.heard = now
-	q.inFlight = make(map[uint32]int, len(m.GetEndpoints()))
+	q.work = make(map[uint32]placement.Work, len(m.GetEndpoints()))
 	for i, h := range m.GetEndpoints() {
-		if i < len(m.GetInFlight()) {
-			q.inFlight[h] = int(m.GetInFlight()[i])
+		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
+			q.work[h] = placement.Work{InFlight: int(m.GetInFlight()[i]), Unread: int(m.GetUnread()[i])}
 		}
 	}
 	p.confirm(m, now)
@@ -223,9 +244,9 @@
 }
 
 func (g *Gateway) shareLoads(now time.Duration) {
-	sum := g.peers.inFlight(now)
+	sum := g.peers.work(now)
 	g.traffic.each(func(_ string, s *serviceTraffic) {
-		s.placement.SetOthers(now, func(id string) int { return sum[endpointHash(id)] })
+		s.placement.SetOthers(now, func(id string) placement.Work { return sum[endpointHash(id)] })
 	})
 }
 
@@ -265,6 +286,7 @@
 		for _, l := range s.placement.Loads() {
 			m.Endpoints = append(m.Endpoints, endpointHash(l.ID))
 			m.InFlight = append(m.InFlight, uint32(l.InFlight))
+			m.Unread = append(m.Unread, uint32(max(l.Unread, 0)))
 		}
 	})
 	m.Suspects, m.Crashes = g.traffic.suspects.ownCounts()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -25,9 +25,6 @@
 	// unknownRetryAfter is when to come back to an entry that knows no
 	// configuration yet, or none that is young enough.
 	unknownRetryAfter = 700 * time.Millisecond
-	// firstPass is the time from placement to the first event of a stream beside
-	// the reading of the prompt: the rest of the pass in progress, and its own.
-	firstPasses = 2.0
 )
 
 // request is one call of a caller on its way.
@@ -217,8 +214,10 @@
 		if !g.keyStillUsable(q, v.Choice(), sequence, out) {
 			return
 		}
-		r := g.attempt(ctx, q, v, out)
-		q.traffic.placement.Release(g.now(), v.Choice(), r.outcome)
+		c := v.Choice()
+		out.placed(v)
+		r := g.attempt(ctx, q, &c, out)
+		q.traffic.placement.Release(g.now(), c, r.outcome)
 		g.logAttempt(ctx, q, v, r)
 		if !sequence.again(ctx, q, r, out) {
 			return
@@ -258,7 +257,7 @@
 		Target:   target,
 		Deadline: q.deadline,
 		Priority: q.priority,
-		Expected: expectedFirst(q),
+		Prompt:   q.call.PromptTokens,
 		Exclude:  q.sent,
 		Again:    again,
 	})
@@ -279,17 +278,6 @@
 	return placement.Verdict{}, false
 }
 
-// expectedFirst returns the time from placement to the first event.
-func expectedFirst(q *request) time.Duration {
-	e := q.service.Engine()
-	if e == nil || q.route.Kind() != fleet.Streaming {
-		return 0
-	}
-	pass := float64(e.Stride) * float64(e.Step+time.Duration(e.Slots)*e.StepPerRequest)
-	prompt := float64(q.call.PromptTokens) / max(e.PrefillPerSecond, 1) * float64(time.Second)
-	return time.Duration(firstPasses*pass + prompt)
-}
-
 // isTimeout reports whether the context ended because the time was over.
 func isTimeout(ctx context.Context) bool {
 	return errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -168,8 +168,27 @@
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
 	}
-	for name := range v.configuration.Services() {
-		g.trafficOf(name).placement.SetEndpoints(now, candidates[name])
+	entries := g.entriesByDomain(now)
+	for name, s := range v.configuration.Services() {
+		list := candidates[name]
+		placement.AssignHomes(list, entries, g.self.FailureDomain, g.self.PeerAddress)
+		pool := g.trafficOf(name).placement
+		pool.SetModel(modelOf(s.Engine()))
+		pool.SetEndpoints(now, list)
+	}
+}
+
+// modelOf returns how the endpoints of a service work.
+func modelOf(e *fleet.Engine) placement.Model {
+	if e == nil {
+		return placement.Model{}
+	}
+	stride := time.Duration(e.Stride)
+	context := time.Duration((e.UsualPrompt + e.UsualOutput/2) / 1000 * float64(e.StepPerContext))
+	return placement.Model{
+		Pass:           stride * e.Step,
+		PassPerRequest: stride * (e.StepPerRequest + context),
+		Read:           time.Duration(float64(time.Second) / max(e.PrefillPerSecond, 1)),
 	}
 }
 
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -156,6 +156,10 @@
 	if !admission.Admitted {
 		return chunks.Refuse(admission.RetryAfter)
 	}
+	if err := r.awaitLink(ctx, int(left)); err != nil {
+		uploads.Release(left, false)
+		return chunks.Refuse(maxLinkWait)
+	}
 	data, err := r.seams.Staged(ctx, held.manifest.Name(), i)
 	if err != nil || int64(len(data)) < offset {
 		uploads.Release(left, false)
@@ -165,3 +169,14 @@
 	uploads.Release(0, false)
 	return err
 }
+
+// maxLinkWait bounds how long an upload waits for its share of the link.
+const maxLinkWait = 700 * time.Millisecond
+
+// awaitLink paces uploads. The events of live streams leave over the same link, so
+// that a chunk must not queue behind others in it.
+func (r *Replica) awaitLink(ctx context.Context, size int) error {
+	ctx, cancel := context.WithTimeout(ctx, maxLinkWait)
+	defer cancel()
+	return r.uplink.WaitN(ctx, size)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/swarm"
@@ -71,7 +72,7 @@
 	logger *slog.Logger
 	now    func() time.Duration
 	bound  time.Duration
-	link   float64
+	uplink *rate.Limiter
 	origin string
 	wake   chan struct{}
 
@@ -106,6 +107,19 @@
 // may start work; 0 for none.
 func WithVersionBound(d time.Duration) Option { return func(r *Replica) { r.bound = d } }
 
+// WithLink sets the bandwidth of the machine's link, in bytes a second, of which
+// uploads take a share.
+func WithLink(bytesPerSecond float64) Option {
+	return func(r *Replica) {
+		if bytesPerSecond > 0 {
+			r.uplink = rate.NewLimiter(rate.Limit(uploadShare*bytesPerSecond), 0)
+		}
+	}
+}
+
+// uploadShare of the link is for chunks; the rest is for answers.
+const uploadShare = 0.85
+
 // WithOriginRegion names the region in which the origin stands.
 func WithOriginRegion(region string) Option { return func(r *Replica) { r.origin = region } }
 
@@ -119,6 +133,7 @@
 		seams:  seams,
 		logger: slog.New(slog.DiscardHandler),
 		now:    boottime.Now,
+		uplink: rate.NewLimiter(rate.Inf, 0),
 		wake:   make(chan struct{}, 1),
 	}
 	for _, o := range options {
@@ -262,13 +277,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.held = next
+	r.uplink.SetBurst(int(m.Chunk(0).Size())) // one chunk at a time
 	r.uploads = swarm.NewUploads(m.Size(), swarm.WithSlots(uploadSlots))
 	return m, nil
 }
 
-// uploadSlots is the number of chunks that are sent at a time. More would share
-// the same link and each arrive later.
-const uploadSlots = 4
+// uploadSlots is the number of uploads that wait for the link at a time; the next
+// are refused and turn to other peers.
+const uploadSlots = 8
 
 // verifyHeld reads back what is staged of whatever version and marks the chunks
 // that the manifest has at the same place.
