Keep when versions were named; tell entries which endpoints load

Entries now date a version by the last moment at which it was not named, tell each other, and two of them write it into the store by version. (2) requests queued at endpoints that held off for a load: agents announce it.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -95,7 +95,7 @@
 	lapsed   map[string]time.Duration // rows kept although removed, until when
 	holdTill time.Duration
 	dated    bool
-	offset   time.Duration // local time at which the store's clock was zero, at the earliest
+	offset   atomic.Int64 // local time at which the store's clock was zero, at the earliest
 
 	confirmed atomic.Int64 // boottime nanoseconds, 0 before the first answer
 	calls     atomic.Int64
@@ -151,6 +151,18 @@
 // answer.
 func (w *Watcher) Confirmed() time.Duration { return time.Duration(w.confirmed.Load()) }
 
+// StoreTime returns the store's clock at a local time, and LocalTime the local
+// time of a value of the store's clock, at the earliest. Both hold once Confirmed
+// is not 0.
+func (w *Watcher) StoreTime(local time.Duration) time.Duration {
+	return local - time.Duration(w.offset.Load())
+}
+
+// LocalTime is the inverse of StoreTime.
+func (w *Watcher) LocalTime(store time.Duration) time.Duration {
+	return store + time.Duration(w.offset.Load())
+}
+
 // Calls returns how many calls were made.
 func (w *Watcher) Calls() int64 { return w.calls.Load() }
 
@@ -283,11 +295,11 @@
 // clock is at least the start of a call that was answered with it; the largest
 // such bound holds for all answers.
 func (w *Watcher) date(page Page, begun time.Duration) {
-	if offset := begun - page.StoreTime; !w.dated || offset > w.offset {
-		w.offset = offset
+	if offset := int64(begun - page.StoreTime); !w.dated || offset > w.offset.Load() {
+		w.offset.Store(offset)
 		w.dated = true
 	}
-	at := int64(page.StoreTime + w.offset)
+	at := int64(page.StoreTime) + w.offset.Load()
 	if at > w.confirmed.Load() {
 		w.confirmed.Store(at)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,17 +104,19 @@
 	logger     *slog.Logger
 	metrics    *telemetry.Metrics
 	now        func() time.Duration
-	send       func(address string, m *nodev1.EntrySummary) error
+	send       func(address string, m *nodev1.Datagram) error
 	fetch      func(ctx context.Context, address string) error
 	confirmed  func() time.Duration
 	revocation time.Duration
-	version    time.Duration
+	record     func(model string, version int64, named time.Duration)
 	ratio      float64
 	reserve    float64
 	maxTTL     time.Duration
 
 	view    atomic.Pointer[view]
 	viewMu  sync.Mutex // held by writers of view
+	weights *weightsBook
+	notices *noticeList
 	pool    *endpoints.Pool
 	traffic traffic
 	peers   *peers
@@ -133,7 +135,7 @@
 
 // WithPeers sets how summaries are sent to other entries, the addresses to begin
 // with, and how a newer configuration is fetched from one.
-func WithPeers(seeds []string, send func(address string, m *nodev1.EntrySummary) error, fetch func(ctx context.Context, address string) error) Option {
+func WithPeers(seeds []string, send func(address string, m *nodev1.Datagram) error, fetch func(ctx context.Context, address string) error) Option {
 	return func(g *Gateway) {
 		g.send = send
 		g.fetch = fetch
@@ -151,8 +153,14 @@
 }
 
 // WithVersionBound sets how long after a version of weights was named requests
-// may still be sent to older ones.
-func WithVersionBound(d time.Duration) Option { return func(g *Gateway) { g.version = d } }
+// may still be sent to older ones, and what is called to keep when this entry saw
+// a version named, in boottime, for processes that start later.
+func WithVersionBound(d time.Duration, record func(model string, version int64, named time.Duration)) Option {
+	return func(g *Gateway) {
+		g.weights.bound = d
+		g.record = record
+	}
+}
 
 // WithRetries sets the repeats of a service: those that each request pays for,
 // and those that all entries together may make without any.
@@ -177,8 +185,11 @@
 		logger:    slog.New(slog.DiscardHandler),
 		metrics:   telemetry.New().Metrics(),
 		now:       boottime.Now,
-		send:      func(string, *nodev1.EntrySummary) error { return nil },
+		send:      func(string, *nodev1.Datagram) error { return nil },
 		fetch:     func(context.Context, string) error { return nil },
+		record:    func(string, int64, time.Duration) {},
+		weights:   newWeightsBook(),
+		notices:   newNoticeList(),
 		confirmed: func() time.Duration { return 0 },
 		ratio:     defaultRatio,
 		maxTTL:    defaultTTL,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -156,6 +156,21 @@
 	return byDomain
 }
 
+// rank returns the place of this entry among the live ones by address.
+func (g *Gateway) rank() int {
+	now := g.now()
+	p := g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rank := 0
+	for address, q := range p.known {
+		if address < p.self && p.alive(q, now) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Learn adds the address of another entry.
 func (g *Gateway) Learn(address string) { g.peers.learn(address) }
 
@@ -176,6 +191,7 @@
 			g.traffic.suspects.told(m.GetAddress(), f, m.GetCrashes()[i], now)
 		}
 	}
+	g.hearWeights(m, now)
 	g.shareLoads(now)
 	if behind {
 		go g.catchUp(ctx, m.GetAddress())
@@ -212,8 +228,7 @@
 // so it wrote the summary after that stamp, and its confirmation was then as old
 // as it says. However long the summary was under way, that date holds.
 func (p *peers) confirm(m *nodev1.EntrySummary, now time.Duration) {
-	mine := m.GetEchoIncarnation() == p.incarnation && m.GetEcho() != 0
-	if !mine || m.ConfirmedAgeUs == nil || m.GetEcho() > uint64(now) {
+	if !p.echoes(m, now) || m.ConfirmedAgeUs == nil {
 		return
 	}
 	at := time.Duration(m.GetEcho()) - time.Duration(m.GetConfirmedAgeUs())*time.Microsecond
@@ -223,6 +238,11 @@
 	}
 }
 
+// echoes reports whether a summary was written after a stamp of this process.
+func (p *peers) echoes(m *nodev1.EntrySummary, now time.Duration) bool {
+	return m.GetEcho() != 0 && m.GetEchoIncarnation() == p.incarnation && m.GetEcho() <= uint64(now)
+}
+
 // catchUp fetches a newer configuration from a peer.
 func (g *Gateway) catchUp(ctx context.Context, address string) {
 	err := g.fetch(ctx, address)
@@ -259,7 +279,8 @@
 	for _, to := range g.peers.targets(now, m) {
 		m.Echo = to.echo
 		m.EchoIncarnation = to.incarnation
-		if err := g.send(to.address, m); err != nil {
+		datagram := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: m}}
+		if err := g.send(to.address, datagram); err != nil {
 			g.metrics.SummariesNotSent.Inc()
 		}
 	}
@@ -289,6 +310,7 @@
 			m.Unread = append(m.Unread, uint32(max(l.Unread, 0)))
 		}
 	})
+	m.Weights = g.weights.newest(now)
 	m.Suspects, m.Crashes = g.traffic.suspects.ownCounts()
 	return m
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
@@ -15,22 +14,6 @@
 	configuration *fleet.Configuration
 	text          []byte
 	endpoints     []*fleet.Endpoint
-	weights       map[string]named
-}
-
-// named is the newest version of a model's weights and when it was first seen.
-type named struct {
-	version int64
-	since   time.Duration
-	// required is the oldest version that may start work.
-	required int64
-	// next are versions that become required later, oldest first.
-	next []requirement
-}
-
-type requirement struct {
-	version int64
-	from    time.Duration
 }
 
 func (v *view) version() int64 {
@@ -53,20 +36,14 @@
 		next.text = text
 		telemetry.FleetConfigurationInForce.Log(context.Background(), g.logger, "version", c.Version(), "before", old.version())
 	}
-	next.weights = g.nameWeights(old.weights, versions)
+	g.nameWeights(versions)
 	g.view.Store(&next)
 	g.place(&next)
 }
 
 // ApplyConfiguration takes in a configuration that another entry has.
 func (g *Gateway) ApplyConfiguration(c *fleet.Configuration, text []byte) {
-	g.viewMu.Lock()
-	versions := make(map[string]int64)
-	for model, n := range g.view.Load().weights {
-		versions[model] = n.version
-	}
-	g.viewMu.Unlock()
-	g.ApplyOperator(c, text, versions)
+	g.ApplyOperator(c, text, nil)
 }
 
 // Configuration returns the configuration in force and its text.
@@ -75,44 +52,6 @@
 	return v.configuration, v.text
 }
 
-func (g *Gateway) nameWeights(old map[string]named, versions map[string]int64) map[string]named {
-	now := g.now()
-	weights := make(map[string]named, len(versions))
-	for model, n := range old {
-		weights[model] = n
-	}
-	for model, version := range versions {
-		n := weights[model]
-		if version <= n.version {
-			continue
-		}
-		n.next = append(slices.Clone(n.next), requirement{version: version, from: now + g.version - versionMargin})
-		n.version = version
-		n.since = now
-		weights[model] = n
-		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version)
-	}
-	return weights
-}
-
-// versionMargin covers the time from the operator's write to its arrival here and
-// the time that a request may wait at an endpoint.
-const versionMargin = 900 * time.Millisecond
-
-// required returns the oldest version of a model that may start work.
-func (v *view) required(model string, now, bound time.Duration) int64 {
-	required := int64(0)
-	if bound == 0 {
-		return 0
-	}
-	for _, r := range v.weights[model].next {
-		if now >= r.from {
-			required = r.version
-		}
-	}
-	return required
-}
-
 // ApplyEndpoints takes in the endpoints that the platform lists.
 func (g *Gateway) ApplyEndpoints(list []*fleet.Endpoint) {
 	g.viewMu.Lock()
@@ -178,20 +117,6 @@
 	}
 }
 
-// modelOf returns how the endpoints of a service work.
-func modelOf(e *fleet.Engine) placement.Model {
-	if e == nil {
-		return placement.Model{}
-	}
-	stride := time.Duration(e.Stride)
-	context := time.Duration((e.UsualPrompt + e.UsualOutput/2) / 1000 * float64(e.StepPerContext))
-	return placement.Model{
-		Pass:           stride * e.Step,
-		PassPerRequest: stride * (e.StepPerRequest + context),
-		Read:           time.Duration(float64(time.Second) / max(e.PrefillPerSecond, 1)),
-	}
-}
-
 // candidate describes an endpoint for placement; usable is false where it has no
 // weights that may start work.
 func (g *Gateway) candidate(v *view, s *fleet.Service, e *fleet.Endpoint, now time.Duration) (c placement.Candidate, usable bool) {
@@ -208,8 +133,9 @@
 		return c, true
 	}
 	for _, model := range s.Engine().Models {
-		c.Version = e.Version(model)
-		if c.Version > 0 && c.Version >= v.required(model, now, g.version) {
+		version, holding := g.notices.version(e, model, now)
+		c.Version = version
+		if !holding && version > 0 && version >= g.weights.required(model, now) {
 			return c, true
 		}
 	}
--- /dev/null
+++ b/internal/gateway/weights.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
+)
+
+// Times of versions of weights.
+const (
+	// versionMargin covers what a request may wait at an endpoint before it begins
+	// to work.
+	versionMargin = 600 * time.Millisecond
+	// promptly is the longest time from the naming of a version until an entry
+	// whose calls to the store are answered sees it.
+	promptly = 300 * time.Millisecond
+	// confirmedLately is the age of a confirmation up to which that holds.
+	confirmedLately = 2500 * time.Millisecond
+	// holdingTimeout bounds the belief that an endpoint loads: an agent may die
+	// before it says that it is done.
+	holdingTimeout = 10 * time.Second
+	// recorders is the number of entries that write down when a version was named.
+	recorders = 2
+)
+
+// weightsBook knows when the versions of weights were named. The time of each is
+// the latest at which it is known not to have been named yet, so that the bound
+// on older versions is never met too late. It is safe for concurrent use.
+type weightsBook struct {
+	bound time.Duration
+
+	mu     sync.Mutex
+	models map[string][]namedWeights // oldest version first
+}
+
+type namedWeights struct {
+	version int64
+	named   time.Duration
+}
+
+func newWeightsBook() *weightsBook {
+	return &weightsBook{models: make(map[string][]namedWeights)}
+}
+
+// name records a version, and reports whether it is the newest that is known.
+func (b *weightsBook) name(model string, version int64, named time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.models[model]
+	i, known := slices.BinarySearchFunc(list, version, func(n namedWeights, v int64) int { return cmp.Compare(n.version, v) })
+	if known {
+		list[i].named = max(list[i].named, named)
+		return false
+	}
+	b.models[model] = slices.Insert(list, i, namedWeights{version: version, named: named})
+	return i == len(list)
+}
+
+// required returns the oldest version that may start work, 0 for any.
+func (b *weightsBook) required(model string, now time.Duration) int64 {
+	if b.bound == 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	required := int64(0)
+	for _, n := range b.models[model] {
+		if now >= n.named+b.bound-versionMargin {
+			required = n.version
+		}
+	}
+	return required
+}
+
+// newest returns the newest version of each model, for the other entries.
+func (b *weightsBook) newest(now time.Duration) []*nodev1.NamedWeights {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*nodev1.NamedWeights
+	for model, versions := range b.models {
+		n := versions[len(versions)-1]
+		if n.named <= 0 {
+			continue // nothing is known of the time
+		}
+		age := uint64((now - n.named) / time.Microsecond)
+		list = append(list, &nodev1.NamedWeights{Model: model, Version: n.version, AgeUs: age})
+	}
+	return list
+}
+
+// nameWeights takes in the newest versions that the store shows.
+func (g *Gateway) nameWeights(versions map[string]int64) {
+	now := g.now()
+	seen := g.confirmed()
+	if seen > 0 && now-seen < confirmedLately {
+		seen = now - promptly
+	}
+	for model, version := range versions {
+		if !g.weights.name(model, version, seen) {
+			continue
+		}
+		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version, "named", now-seen)
+		if seen == now-promptly && g.rank() < recorders {
+			g.record(model, version, seen)
+		}
+	}
+}
+
+// NameWeights takes in when, in boottime, a version was named at the earliest, as
+// an entry has written it down.
+func (g *Gateway) NameWeights(model string, version int64, named time.Duration) {
+	g.weights.name(model, version, named)
+}
+
+// hearWeights takes in when another entry saw versions named. The sender wrote its
+// summary after the own stamp that it echoes, which dates the ages.
+func (g *Gateway) hearWeights(m *nodev1.EntrySummary, now time.Duration) {
+	if !g.peers.echoes(m, now) {
+		return
+	}
+	for _, n := range m.GetWeights() {
+		named := time.Duration(m.GetEcho()) - time.Duration(n.GetAgeUs())*time.Microsecond
+		g.weights.name(n.GetModel(), n.GetVersion(), named)
+	}
+}
+
+// noticeList holds what agents said of their endpoints. It is safe for concurrent
+// use.
+type noticeList struct {
+	mu        sync.Mutex
+	byAddress map[string]notice
+}
+
+type notice struct {
+	model   string
+	version int64
+	holding bool
+	until   time.Duration
+	started int64 // of the endpoint that it is about
+}
+
+func newNoticeList() *noticeList {
+	return &noticeList{byAddress: make(map[string]notice)}
+}
+
+// version returns the version of an endpoint, and whether it takes no new work.
+func (l *noticeList) version(e *fleet.Endpoint, model string, now time.Duration) (version int64, holding bool) {
+	version = e.Version(model)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, found := l.byAddress[e.Address()]
+	if !found || n.model != model || n.version <= version {
+		return version, false
+	}
+	if now > n.until || n.started != e.Started() {
+		delete(l.byAddress, e.Address())
+		return version, false
+	}
+	if n.holding {
+		return version, true
+	}
+	return n.version, false
+}
+
+// Notice takes in what an agent says of its endpoint.
+func (g *Gateway) Notice(ctx context.Context, m *nodev1.EndpointNotice) {
+	var endpoint *fleet.Endpoint
+	for _, e := range g.view.Load().endpoints {
+		if e.Address() == m.GetAddress() {
+			endpoint = e
+		}
+	}
+	if endpoint == nil {
+		return
+	}
+	n := notice{
+		model:   m.GetModel(),
+		version: m.GetVersion(),
+		holding: m.GetHolding(),
+		until:   g.now() + holdingTimeout,
+		started: endpoint.Started(),
+	}
+	if g.notices.put(m.GetAddress(), n) {
+		telemetry.EndpointNoticed.Log(ctx, g.logger, "endpoint", endpoint.ID(), "version", n.version, "holding", n.holding)
+		g.Refresh()
+	}
+}
+
+// put records a notice and reports whether it says something new. A late one that
+// the endpoint began to load does not undo that it has loaded.
+func (l *noticeList) put(address string, n notice) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, known := l.byAddress[address]
+	same := known && old.model == n.model && old.started == n.started
+	if same && (old.version > n.version || old.version == n.version && (!old.holding || n.holding)) {
+		return false
+	}
+	l.byAddress[address] = n
+	return true
+}
+
+// modelOf returns how the endpoints of a service work.
+func modelOf(e *fleet.Engine) placement.Model {
+	if e == nil {
+		return placement.Model{}
+	}
+	stride := time.Duration(e.Stride)
+	context := time.Duration((e.UsualPrompt + e.UsualOutput/2) / 1000 * float64(e.StepPerContext))
+	return placement.Model{
+		Pass:           stride * e.Step,
+		PassPerRequest: stride * (e.StepPerRequest + context),
+		Read:           time.Duration(float64(time.Second) / max(e.PrefillPerSecond, 1)),
+	}
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -34,7 +34,7 @@
 	return swarm.NewExchange(m, r.self,
 		swarm.WithLogger(r.logger),
 		swarm.WithPicker(
-			swarm.WithOriginRegion(r.origin),
+			swarm.WithOriginRegion(r.seams.OriginRegion()),
 			swarm.WithMaxOriginCopies(1),
 			swarm.WithConcurrency(concurrency),
 			swarm.WithPollInterval(pollInterval),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,12 @@
 	Chunk    func(ctx context.Context, model string, version int64, chunk int) (io.ReadCloser, error)
 	// Peers lists the agents of the service.
 	Peers func(ctx context.Context) ([]member.Member, error)
+	// Announce tells the entries that the endpoint begins to load a version and takes
+	// no new work, or that it has loaded it. What is lost shows in the platform's
+	// list later.
+	Announce func(ctx context.Context, model string, version int64, holding bool)
+	// OriginRegion returns the region in which the origin stands.
+	OriginRegion func() string
 	// ChunkMap and FetchPeer ask a peer, as in package swarm.
 	ChunkMap  func(ctx context.Context, peer member.Member, m *model.Manifest) (swarm.Bitmap, int, error)
 	FetchPeer func(ctx context.Context, peer member.Member, chunk digest.Digest, offset int64) (io.ReadCloser, error)
@@ -73,11 +79,11 @@
 	now    func() time.Duration
 	bound  time.Duration
 	uplink *rate.Limiter
-	origin string
 	wake   chan struct{}
 
 	mu      sync.Mutex
 	wanted  want
+	named   []want // every version that was named, oldest first
 	held    holding
 	uploads *swarm.Uploads
 }
@@ -118,10 +124,7 @@
 }
 
 // uploadShare of the link is for chunks; the rest is for answers.
-const uploadShare = 0.85
-
-// WithOriginRegion names the region in which the origin stands.
-func WithOriginRegion(region string) Option { return func(r *Replica) { r.origin = region } }
+const uploadShare = 0.95
 
 // WithClock sets the clock; the default is boottime.Now.
 func WithClock(now func() time.Duration) Option { return func(r *Replica) { r.now = now } }
@@ -148,6 +151,8 @@
 	checkInterval = time.Second
 	retryInterval = 300 * time.Millisecond
 	loadPoll      = 60 * time.Millisecond
+	// announceTime lets the entries' last requests arrive before the order.
+	announceTime = 30 * time.Millisecond
 	// loadTimeout bounds the wait for an endpoint to load: it first finishes the
 	// requests that it runs.
 	loadTimeout = 12 * time.Second
@@ -165,6 +170,7 @@
 		return
 	}
 	r.wanted = want{model: model, version: version, since: r.now(), first: first}
+	r.named = append(r.named, r.wanted)
 	telemetry.WeightsNamed.Log(context.Background(), r.logger, "model", model, "version", version)
 	select {
 	case r.wake <- struct{}{}:
@@ -238,10 +244,16 @@
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan error, 1)
-	go func() { ended <- r.newExchange(m, w).Run(run) }()
+	exchange := r.newExchange(m, w)
+	go func() { ended <- exchange.Run(run) }()
 	for {
 		select {
 		case err := <-ended:
+			if err == nil {
+				c := exchange.Counters()
+				telemetry.WeightsStaged.Log(ctx, r.logger, "model", w.model, "version", w.version, "after", r.now()-w.since,
+					"bytesOrigin", c.BytesOrigin, "bytesPeers", c.BytesPeers, "corrupt", c.CorruptChunks)
+			}
 			return err
 		case <-r.wake:
 			if r.current() != w {
@@ -347,6 +359,8 @@
 	if !r.readBack(ctx, w) {
 		return eris.New("staged chunks are spoilt")
 	}
+	r.seams.Announce(ctx, w.model, w.version, true)
+	r.sleep(ctx, announceTime)
 	if err := r.seams.Load(ctx, w.model, w.version); err != nil {
 		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", w.model, "version", w.version, "error", err)
 		return err
@@ -360,6 +374,7 @@
 			return err
 		}
 		if report.Version >= w.version {
+			r.seams.Announce(ctx, w.model, report.Version, false)
 			telemetry.WeightsInService.Log(ctx, r.logger, "model", w.model, "version", w.version, "after", r.now()-w.since)
 			return nil
 		}
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -11,21 +11,36 @@
 )
 
 // Shares of the version bound in which endpoints begin to load. Before the first
-// the transfer fills the links anyway; after the last an endpoint still has to
-// finish the requests that it runs.
+// the transfer fills the links anyway; with the last the endpoint takes no more
+// work, and finishes on the old version what it runs.
 const (
-	firstWave = 0.35
-	lastWave  = 0.70
+	firstWave = 0.42
+	lastWave  = 0.90
 )
 
-// waveAt returns when, after a version was named, the endpoint at a rank among n
-// may begin to load.
-func waveAt(bound time.Duration, rank, n int) time.Duration {
-	if bound == 0 || n < 2 {
-		return 0
+// waveAt returns when the endpoint at a rank among n may begin to load a version
+// that was named at named, while what it has loaded may be used until the limit.
+// The endpoints are spread over the time between.
+func waveAt(bound, named, limit time.Duration, rank, n int) time.Duration {
+	begin := named + time.Duration(firstWave*float64(bound))
+	end := limit - time.Duration((1-lastWave)*float64(bound))
+	if bound == 0 || n < 2 || end <= begin {
+		return begin
 	}
-	share := firstWave + (lastWave-firstWave)*float64(rank)/float64(n-1)
-	return time.Duration(share * float64(bound))
+	return begin + (end-begin)*time.Duration(rank)/time.Duration(n-1)
+}
+
+// usableUntil returns when work may no longer begin on a loaded version: the bound
+// runs from the naming of the next one.
+func (r *Replica) usableUntil(w want, loaded int64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.named {
+		if n.model == w.model && n.version > loaded && !n.first {
+			return n.since + r.bound
+		}
+	}
+	return w.since + r.bound
 }
 
 // rankAmong returns the place of self among the members, by a hash over the
@@ -60,7 +75,8 @@
 	if !slices.ContainsFunc(peers, func(m member.Member) bool { return m.Name() == r.self.Name() }) {
 		n++
 	}
-	at := w.since + waveAt(r.bound, rankAmong(r.self.Name(), peers, w.version), n)
+	rank := rankAmong(r.self.Name(), peers, w.version)
+	at := waveAt(r.bound, w.since, r.usableUntil(w, report.Version), rank, n)
 	for r.now() < at && ctx.Err() == nil {
 		r.pause(ctx, min(at-r.now(), retryInterval))
 		if r.current() != w {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -207,6 +207,14 @@
 		720, "manifestNotFetched", slog.LevelWarn,
 		"The manifest of a named version could not be had; the agent tries again.",
 	}
+	EndpointNoticed = Event{
+		722, "endpointNoticed", slog.LevelInfo,
+		"An agent says that its endpoint begins to load a version and takes no new work, or that it has loaded it.",
+	}
+	WeightsStaged = Event{
+		721, "weightsStaged", slog.LevelInfo,
+		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
+	}
 )
 
 // Catalogue returns all events in the order of their numbers.
@@ -221,7 +229,7 @@
 		FleetConfigurationInForce, WeightsNamed, EndpointListed, EndpointGone, EndpointRowMalformed, OperatorRowMalformed,
 		StoreLost, StoreRegained, PeerHeard, PeerConfigurationNotFetched, FleetRequestEnded, FleetAttemptFailed, EntryLeaving,
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
-		SettingsNotReloaded, ManifestNotFetched,
+		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -264,7 +264,9 @@
 // error wraps ErrNotSent where nothing was written. The end of ctx closes the
 // connection.
 func (x *Exchange) Send(ctx context.Context, head Head, body []byte, accept func(http.Header) bool) (*http.Response, error) {
-	x.stop = context.AfterFunc(ctx, func() { x.conn.net.Close() })
+	// The callback may run after End has given the connection up.
+	c := x.conn
+	x.stop = context.AfterFunc(ctx, func() { c.net.Close() })
 	if ctx.Err() != nil {
 		return nil, eris.Wrap(ErrNotSent, ctx.Err().Error())
 	}
--- a/internal/transport/entries/entries.go
+++ b/internal/transport/entries/entries.go
@@ -1,4 +1,5 @@
-// Package entries carries the datagrams that entries send to each other.
+// Package entries carries the datagrams that entries send to each other, and that
+// agents send to them.
 //
 // Sums of what is in flight and confirmations of the configuration are of use for
 // some hundred milliseconds and are sent again anyway, so that a datagram without
@@ -8,8 +9,8 @@
 // # Usage
 //
 //	c, err := entries.Listen("10.1.0.40:7700")
-//	err = c.Send("10.1.0.41:7700", summary)
-//	err = c.Receive(ctx, func(m *nodev1.EntrySummary) { ... })
+//	err = c.Send("10.1.0.41:7700", datagram)
+//	err = c.Receive(ctx, func(m *nodev1.Datagram) { ... })
 package entries
 
 import (
@@ -26,10 +27,10 @@
 // maxDatagram bounds a datagram, in bytes; larger ones are not sent.
 const maxDatagram = 8 << 10
 
-// ErrTooLarge is returned for a summary that does not fit a datagram.
-var ErrTooLarge = eris.New("summary is too large for a datagram")
+// ErrTooLarge is returned for a message that does not fit a datagram.
+var ErrTooLarge = eris.New("message is too large for a datagram")
 
-// Conn sends and receives summaries. It is safe for concurrent use.
+// Conn sends and receives datagrams. It is safe for concurrent use.
 type Conn struct {
 	udp *net.UDPConn
 }
@@ -47,8 +48,8 @@
 	return &Conn{udp: udp}, nil
 }
 
-// Send sends a summary to the entry at an address.
-func (c *Conn) Send(address string, m *nodev1.EntrySummary) error {
+// Send sends a datagram to the entry at an address.
+func (c *Conn) Send(address string, m *nodev1.Datagram) error {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return eris.Wrap(err, "entries")
@@ -64,9 +65,9 @@
 	return eris.Wrap(err, "entries")
 }
 
-// Receive hands on each summary until ctx ends. What does not decode is dropped:
+// Receive hands on each datagram until ctx ends. What does not decode is dropped:
 // anyone may send a datagram.
-func (c *Conn) Receive(ctx context.Context, take func(m *nodev1.EntrySummary)) error {
+func (c *Conn) Receive(ctx context.Context, take func(m *nodev1.Datagram)) error {
 	stop := context.AfterFunc(ctx, func() { c.udp.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram)
@@ -78,7 +79,7 @@
 		if err != nil {
 			return eris.Wrap(err, "entries")
 		}
-		m := &nodev1.EntrySummary{}
+		m := &nodev1.Datagram{}
 		if proto.Unmarshal(buf[:n], m) == nil {
 			take(m)
 		}
