Rest sources of chunks for tenths of a second where transfers take seconds

Cause: with the origin down for 6 s, the exchange rested it for up to 8 s more; version 3 was staged 5 s after its return.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -481,16 +481,21 @@
 func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason) {
 	t.verdict <- Verdict{
 		reason:     reason,
-		retryAfter: p.retryAfter(),
+		retryAfter: p.retryAfter(reason),
 		waited:     now - t.offered,
 		queued:     t.queued,
 	}
 }
 
 // retryAfter spreads returns evenly, so that those who were refused together do
-// not meet again.
-func (p *Pool) retryAfter() time.Duration {
-	return shortestReturn + time.Duration(p.random()*float64(longestReturn-shortestReturn))
+// not meet again. While no endpoint can take work at all, they come late: endpoints
+// come back one after the other.
+func (p *Pool) retryAfter(reason Reason) time.Duration {
+	shortest := shortestReturn
+	if reason == ReasonNoEndpoint {
+		shortest = longestReturn / 2
+	}
+	return shortest + time.Duration(p.random()*float64(longestReturn-shortest))
 }
 
 // usualLoad returns the mean number of requests at an endpoint.
--- a/internal/coordination/swarm/exchange.go
+++ b/internal/coordination/swarm/exchange.go
@@ -18,10 +18,10 @@
 
 // Intervals and bounds of an exchange.
 const (
-	tickInterval    = 50 * time.Millisecond
-	membersInterval = 2 * time.Second
-	pollTimeout     = 2 * time.Second
-	blockSize       = 64 << 10 // bytes read between two looks at the pace
+	tickInterval       = 50 * time.Millisecond
+	membersInterval    = 2 * time.Second
+	defaultPollTimeout = 2 * time.Second
+	blockSize          = 64 << 10 // bytes read between two looks at the pace
 )
 
 // Counters are the totals of an exchange.
@@ -57,6 +57,7 @@
 
 	listing     bool
 	nextMembers time.Time
+	pollTimeout time.Duration
 
 	bytesOrigin, bytesPeers, corrupt, staged atomic.Int64
 }
@@ -80,6 +81,12 @@
 	return func(x *Exchange) { x.fullRate = bytesPerSecond }
 }
 
+// WithPollTimeout bounds the wait for the chunk map of a peer. Nothing is drawn
+// from outside of the region before every peer has answered or been given up.
+func WithPollTimeout(d time.Duration) Option {
+	return func(x *Exchange) { x.pollTimeout = d }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l *slog.Logger) Option {
 	return func(x *Exchange) { x.log = l }
@@ -97,6 +104,8 @@
 		pace:      make(map[string]*rate.Limiter),
 		download:  rate.NewLimiter(rate.Inf, blockSize),
 		events:    make(chan func(time.Time), 64),
+
+		pollTimeout: defaultPollTimeout,
 	}
 	for _, o := range options {
 		o(x)
@@ -226,7 +235,7 @@
 }
 
 func (x *Exchange) poll(ctx context.Context, m member.Member) {
-	pollContext, cancel := context.WithTimeout(ctx, pollTimeout)
+	pollContext, cancel := context.WithTimeout(ctx, x.pollTimeout)
 	defer cancel()
 	held, uploads, err := x.seams.ChunkMap(pollContext, m)
 	x.report(ctx, func(now time.Time) {
--- a/internal/coordination/swarm/marks.go
+++ b/internal/coordination/swarm/marks.go
@@ -2,11 +2,13 @@
 
 import "time"
 
-// Backoff of a source after strikes.
-const (
-	firstBackoff = time.Second
-	maxBackoff   = 32 * time.Second
-)
+// backoff is how long a source rests after a strike, at first and at most.
+type backoff struct {
+	first, longest time.Duration
+}
+
+// defaultBackoff suits models of minutes.
+var defaultBackoff = backoff{first: time.Second, longest: 32 * time.Second}
 
 // mark remembers how a source behaved.
 type mark struct {
@@ -15,8 +17,8 @@
 }
 
 // strike rests the source, twice as long with every strike in a row.
-func (m *mark) strike(now time.Time) {
-	pause := min(firstBackoff<<min(m.strikes, 10), maxBackoff)
+func (m *mark) strike(now time.Time, b backoff) {
+	pause := min(b.first<<min(m.strikes, 10), b.longest)
 	m.strikes++
 	m.until = now.Add(pause)
 }
--- a/internal/coordination/swarm/members.go
+++ b/internal/coordination/swarm/members.go
@@ -231,7 +231,7 @@
 		return
 	}
 	q.failedPolls++
-	q.mark.strike(now)
+	q.mark.strike(now, p.set.backoff)
 	if q.unreachable() {
 		p.replaceHeld(q, NewBitmap(len(p.chunks)))
 		p.replaceNeighbour(name)
--- a/internal/coordination/swarm/options.go
+++ b/internal/coordination/swarm/options.go
@@ -31,6 +31,7 @@
 	uploadSlots   int
 	rand          func(n int) int
 	maxDuplicates int
+	backoff       backoff
 }
 
 // PickerOption changes a property of a Picker.
@@ -51,6 +52,7 @@
 		uploadSlots:   DefaultUploadSlots,
 		rand:          random.IntN,
 		maxDuplicates: 2,
+		backoff:       defaultBackoff,
 	}
 	for _, o := range options {
 		o(&s)
@@ -114,6 +116,12 @@
 	return func(s *settings) { s.takeover = d }
 }
 
+// WithBackoff sets how long a source rests after it failed: at first, doubling
+// with each failure in a row, and at most.
+func WithBackoff(first, longest time.Duration) PickerOption {
+	return func(s *settings) { s.backoff = backoff{first: first, longest: longest} }
+}
+
 // WithRand sets the source of random numbers: n gives one in [0, n).
 func WithRand(random func(n int) int) PickerOption {
 	return func(s *settings) { s.rand = random }
--- a/internal/coordination/swarm/outcome.go
+++ b/internal/coordination/swarm/outcome.go
@@ -47,16 +47,16 @@
 	case Corrupt:
 		p.corrupt(now, f)
 	case Failed:
-		m.strike(now)
+		m.strike(now, p.set.backoff)
 		p.keepPartial(f)
 	case Refused:
 		m.rest(now, retryAfter)
 	case Missing:
-		m.strike(now)
+		m.strike(now, p.set.backoff)
 		p.forget(f)
 	case Dropped:
 		if stalled {
-			m.strike(now)
+			m.strike(now, p.set.backoff)
 		}
 		p.keepPartial(f)
 	}
@@ -80,7 +80,7 @@
 	case q.distrusted():
 		p.ignore(q, now.Add(forever))
 	case q.stalls >= ignoreStalls:
-		p.ignore(q, now.Add(maxBackoff))
+		p.ignore(q, now.Add(p.set.backoff.longest))
 	case outcome == Refused && retryAfter >= retrySpent:
 		p.ignore(q, now.Add(retryAfter))
 	}
@@ -115,11 +115,11 @@
 // fetched anew from one.
 func (p *Picker) corrupt(now time.Time, f *flight) {
 	if f.Offset == 0 {
-		p.senderOf(f.Source).mark.strike(now)
+		p.senderOf(f.Source).mark.strike(now, p.set.backoff)
 		return
 	}
 	for _, name := range append(f.senders, f.Source.Peer) {
-		p.senderOf(Source{Peer: name}).mark.rest(now, firstBackoff)
+		p.senderOf(Source{Peer: name}).mark.rest(now, p.set.backoff.first)
 	}
 }
 
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -26,6 +26,11 @@
 	// chunk in the place of its gateway.
 	takeover    = 900 * time.Millisecond
 	concurrency = 4
+	// firstBackoff and longestBackoff rest a source that failed. An origin that is
+	// back must be drawn from at once: the whole transfer takes four seconds.
+	firstBackoff   = 150 * time.Millisecond
+	longestBackoff = 600 * time.Millisecond
+	pollTimeout    = 400 * time.Millisecond
 )
 
 // newExchange joins the decisions of the exchange to the functions that move
@@ -40,7 +45,9 @@
 			swarm.WithPollInterval(pollInterval),
 			swarm.WithStallTimeout(stallTimeout),
 			swarm.WithTakeover(takeover),
+			swarm.WithBackoff(firstBackoff, longestBackoff),
 		),
+		swarm.WithPollTimeout(pollTimeout),
 		swarm.WithSeams(swarm.Seams{
 			ListPeers: r.seams.Peers,
 			ChunkMap: func(ctx context.Context, p member.Member) (swarm.Bitmap, int, error) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -283,7 +283,9 @@
 	for i := range m.Chunks() {
 		next.index[m.Chunk(i).Digest()] = i
 	}
-	if err := r.verifyHeld(ctx, w, next); err != nil {
+	if h.manifest != nil {
+		next.carry(h)
+	} else if err := r.verifyHeld(ctx, w, next); err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
@@ -298,6 +300,15 @@
 // are refused and turn to other peers.
 const uploadSlots = 8
 
+// carry marks the chunks that the version before has staged at the same place.
+func (h holding) carry(before holding) {
+	for i := range h.staged {
+		if i < len(before.staged) && before.staged[i] {
+			h.staged[i] = before.manifest.Chunk(i).Digest() == h.manifest.Chunk(i).Digest()
+		}
+	}
+}
+
 // verifyHeld reads back what is staged of whatever version and marks the chunks
 // that the manifest has at the same place.
 func (r *Replica) verifyHeld(ctx context.Context, w want, h holding) error {
