Sample the endpoints of other entries instead of taking the best

Cause: half of the requests of liepaja went to endpoints that are other entries' homes, chosen on sums up to 432 ms old: the best endpoint was the best for all entries at once, above all one that had just joined. First events came 100 ms or more after their prediction for 59% of those, 17% at home. Ruled out: links (riga's entries show the same for away endpoints only).

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -247,6 +247,7 @@
 		e.Candidate = c
 		p.order = append(p.order, e)
 	}
+	p.shuffle()
 	for id, e := range p.endpoints {
 		if !listed[id] && e.own.InFlight == 0 {
 			delete(p.endpoints, id)
@@ -255,6 +256,15 @@
 	p.pump(now)
 }
 
+// shuffle puts the endpoints into an order of this entry's own, so that a sample
+// taken from a random place on has endpoints of every failure domain.
+func (p *Pool) shuffle() {
+	for i := len(p.order) - 1; i > 0; i-- {
+		j := int(p.random() * float64(i+1))
+		p.order[i], p.order[j] = p.order[j], p.order[i]
+	}
+}
+
 // SetOthers replaces the work of the other entries, by endpoint.
 func (p *Pool) SetOthers(now time.Duration, work func(id string) Work) {
 	p.mu.Lock()
@@ -507,15 +517,26 @@
 	return n / max(len(p.order), 1)
 }
 
+// awaySample is how many endpoints that are other entries' homes are looked at for
+// one request. What is known of them is old, so that the best of all would be the
+// best for every entry at the same moment.
+const awaySample = 3
+
 // best returns the endpoint at which the answer should begin soonest, and when; nil
 // where all are full.
 func (p *Pool) best(now time.Duration, r Request) (*endpoint, time.Duration) {
 	var best *endpoint
 	var bestScore, bestFirst time.Duration
-	for _, e := range p.order {
-		if !e.room(now, p.overfill) || r.excludes(e.ID) {
+	away := 0
+	start := int(p.random() * float64(len(p.order)))
+	for i := range p.order {
+		e := p.order[(start+i)%len(p.order)]
+		if !e.Home && away >= awaySample || !e.room(now, p.overfill) || r.excludes(e.ID) {
 			continue
 		}
+		if !e.Home {
+			away++
+		}
 		first := e.first(p.model, r.Prompt)
 		score := e.score(first, p.domain, p.random())
 		if best == nil || score < bestScore {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -264,12 +264,12 @@
 			g.pool.Sweep()
 			g.traffic.forgetSuspects(g.now())
 		case <-summary.C:
-			g.sendSummaries()
+			g.sendSummaries(false)
 			g.tellAgents()
-			summary.Reset(g.peers.interval())
+			summary.Reset(nearInterval)
 		case <-g.kick:
-			g.sendSummaries()
-			summary.Reset(g.peers.interval())
+			g.sendSummaries(true)
+			summary.Reset(nearInterval)
 		}
 	}
 }
@@ -283,7 +283,7 @@
 // caller's connection after its next answer.
 func (g *Gateway) Leave() {
 	g.leaving.Store(true)
-	g.sendSummaries()
+	g.sendSummaries(true)
 }
 
 // Active returns how many requests are in progress.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,13 +14,15 @@
 
 // Times of what entries tell each other.
 const (
-	// summaryInterval and peerInterval set how often summaries are sent: the sums of
-	// a small fleet are at most summaryInterval old, and a large one sends no more
-	// datagrams a second than one to each peer every peerInterval.
-	summaryInterval = 150 * time.Millisecond
-	peerInterval    = 12 * time.Millisecond
+	// nearInterval is how often entries of the own region are told: an endpoint ends
+	// one of its requests in about that time. All are told every farInterval, or less
+	// often where there are many, so that an entry sends no more datagrams a second
+	// than one every peerInterval.
+	nearInterval = 100 * time.Millisecond
+	farInterval  = 300 * time.Millisecond
+	peerInterval = 12 * time.Millisecond
 	// silentAfter summaries, and at least silentTime, a peer is left out.
-	silentAfter = 6
+	silentAfter = 4
 	silentTime  = 1200 * time.Millisecond
 	// forgottenAfter a silent peer is not sent to any more.
 	forgottenAfter = 60 * time.Second
@@ -46,7 +48,8 @@
 	mu         sync.Mutex
 	known      map[string]*peer
 	sent       int
-	confirmedV int64 // version of the best confirmation
+	toldAll    time.Duration // when all peers were told
+	confirmedV int64         // version of the best confirmation
 	confirmedT time.Duration
 	copies     map[nodev1.Table]*copyState
 }
@@ -66,19 +69,14 @@
 	}
 }
 
-func (p *peers) interval() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.intervalLocked()
-}
-
-func (p *peers) intervalLocked() time.Duration {
-	return max(summaryInterval, time.Duration(len(p.known))*peerInterval)
+// farInterval returns how often all peers are told.
+func (p *peers) farInterval() time.Duration {
+	return max(farInterval, time.Duration(len(p.known))*peerInterval)
 }
 
 // alive reports whether a peer was heard from lately.
 func (p *peers) alive(q *peer, now time.Duration) bool {
-	limit := max(silentAfter*p.intervalLocked(), silentTime)
+	limit := max(silentAfter*p.farInterval(), silentTime)
 	return q.summary != nil && now-q.heard < limit
 }
 
@@ -320,13 +318,14 @@
 	})
 }
 
-// sendSummaries tells every peer what this entry knows.
-func (g *Gateway) sendSummaries() {
+// sendSummaries tells the peers of the own region what this entry knows, and all
+// peers when it is time or when it is said to be.
+func (g *Gateway) sendSummaries(all bool) {
 	now := g.now()
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
 	g.Refresh()
 	m := g.summary(now)
-	for _, to := range g.peers.targets(now, m) {
+	for _, to := range g.peers.targets(now, m, all) {
 		m.Echo = to.echo
 		m.EchoIncarnation = to.incarnation
 		datagram := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: m}}
@@ -376,11 +375,16 @@
 
 // targets returns the peers to send to, and adds the known addresses to the
 // message now and then.
-func (p *peers) targets(now time.Duration, m *nodev1.EntrySummary) []target {
+func (p *peers) targets(now time.Duration, m *nodev1.EntrySummary, all bool) []target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sent++
-	tell := p.sent%tellPeersEvery == 1
+	all = all || now-p.toldAll >= p.farInterval()
+	tell := false
+	if all {
+		p.toldAll = now
+		p.sent++
+		tell = p.sent%tellPeersEvery == 1
+	}
 	var list []target
 	for address, q := range p.known {
 		if q.learned == 0 {
@@ -393,6 +397,9 @@
 		if tell && p.alive(q, now) {
 			m.Peers = append(m.Peers, address)
 		}
+		if !all && q.summary.GetRegion() != m.GetRegion() {
+			continue
+		}
 		list = append(list, target{
 			address:     address,
 			echo:        q.summary.GetStamp(),
