--- a/cmd/primrosetally-fleet/main.go
+++ b/cmd/primrosetally-fleet/main.go
@@ -7,9 +7,9 @@
 import (
 	"os"
 
-	"github.com/primrosetally/primrosetally/platform"
+	"github.com/primrosetally/primrosetally/internal/fleetprocess"
 )
 
 func main() {
-	os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(fleetprocess.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/platform/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -1,4 +1,4 @@
-package platform
+package fleetprocess
 
 import (
 	"context"
@@ -22,6 +22,7 @@
 	"github.com/primrosetally/primrosetally/internal/transport/chunks"
 	"github.com/primrosetally/primrosetally/internal/transport/entries"
 	"github.com/primrosetally/primrosetally/internal/transport/nodes"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // errNoOrigin is returned while the configuration names no origin.
@@ -30,7 +31,7 @@
 // Agent is a running agent.
 type Agent struct {
 	*process
-	engine    *Engine
+	engine    *platform.Engine
 	replica   *replica.Replica
 	pool      *nodes.Pool
 	conn      *entries.Conn
@@ -44,16 +45,16 @@
 type originClient struct {
 	address string
 	domain  string
-	engine  *Engine
+	engine  *platform.Engine
 }
 
 // RunAgent runs an agent until ctx ends.
-func RunAgent(ctx context.Context, s *Settings, logger *slog.Logger) error {
+func RunAgent(ctx context.Context, s *platform.Settings, logger *slog.Logger) error {
 	conn, err := entries.Listen(s.PeerAddress())
 	if err != nil {
 		return err
 	}
-	a := &Agent{process: newProcess(s, logger), engine: NewEngine(s.EndpointAddress()), pool: nodes.NewPool(), conn: conn}
+	a := &Agent{process: newProcess(s, logger), engine: platform.NewEngine(s.EndpointAddress()), pool: nodes.NewPool(), conn: conn}
 	a.copies = newCopies(a)
 	self := a.memberAt(s.PeerAddress(), s.FailureDomain())
 	a.replica = replica.New(self, a.seams(),
@@ -115,7 +116,7 @@
 }
 
 func (a *Agent) applyOperator(rows map[string]watch.Row) {
-	a.operator(rows, func(o Operator) {
+	a.operator(rows, func(o platform.Operator) {
 		if o.Configuration == nil {
 			return
 		}
@@ -145,13 +146,13 @@
 			continue
 		}
 		if o := a.origin.Load(); o == nil || o.address != address {
-			a.origin.Store(&originClient{address: address, domain: domain, engine: NewEngine(address)})
+			a.origin.Store(&originClient{address: address, domain: domain, engine: platform.NewEngine(address)})
 		}
 		return
 	}
 }
 
-func (a *Agent) originEngine() (*Engine, error) {
+func (a *Agent) originEngine() (*platform.Engine, error) {
 	if o := a.origin.Load(); o != nil {
 		return o.engine, nil
 	}
@@ -234,7 +235,7 @@
 	if c == nil {
 		return
 	}
-	list, _ := DecodeEndpoints(rows, c) // the entries report rows that can't be read
+	list, _ := platform.DecodeEndpoints(rows, c) // the entries report rows that can't be read
 	a.endpoints.Store(&list)
 }
 
@@ -250,7 +251,7 @@
 	}
 	var list []member.Member
 	for _, e := range *known {
-		if address := a.settings.peerBeside(e.Address()); e.Service() == a.settings.Service() && address != "" {
+		if address := a.settings.PeerBeside(e.Address()); e.Service() == a.settings.Service() && address != "" {
 			list = append(list, a.memberAt(address, e.FailureDomain()))
 		}
 	}
--- a/platform/copies.go
+++ b/internal/fleetprocess/copies.go
@@ -1,4 +1,4 @@
-package platform
+package fleetprocess
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/entries"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // Times of an agent's copies.
@@ -40,8 +41,8 @@
 	return &copies{
 		agent:     a,
 		client:    entries.NewClient(),
-		operators: a.watch(TableOperator, a.applyOperator, watch.WithWait(0)),
-		listed:    a.watch(TableEndpoints, a.applyEndpoints, watch.WithWait(0)),
+		operators: a.watch(platform.TableOperator, a.applyOperator, watch.WithWait(0)),
+		listed:    a.watch(platform.TableEndpoints, a.applyEndpoints, watch.WithWait(0)),
 		known:     a.settings.Seeds(),
 	}
 }
--- a/platform/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -1,4 +1,4 @@
-package platform
+package fleetprocess
 
 import (
 	"context"
@@ -9,14 +9,13 @@
 	"sync"
 	"time"
 
-	"github.com/julienschmidt/httprouter"
-
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/gateway"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/entries"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // Times of an entry.
@@ -63,15 +62,15 @@
 
 // RunEntry runs an entry until ctx ends, and then until its requests are
 // answered.
-func RunEntry(ctx context.Context, s *Settings, logger *slog.Logger) error {
+func RunEntry(ctx context.Context, s *platform.Settings, logger *slog.Logger) error {
 	conn, err := entries.Listen(s.PeerAddress())
 	if err != nil {
 		return err
 	}
 	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), faults: make(map[string]int64)}
 	watching := watch.WithActive(func() bool { return e.gateway.Watching() })
-	e.operators = e.watch(TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
-	e.listed = e.watch(TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithHold(lapseHold), watching)
+	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
+	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithHold(lapseHold), watching)
 	e.gateway = e.newGateway()
 	if err := e.listen(); err != nil {
 		return err
@@ -105,12 +104,12 @@
 		CallerAddress: s.CallerAddress(),
 		Incarnation:   uint64(time.Now().UnixNano()),
 	}
-	return gateway.New(self, Codec(),
+	return gateway.New(self, platform.Codec(),
 		gateway.WithLogger(e.logger),
 		gateway.WithMetrics(e.telemetry.Metrics()),
 		gateway.WithPeers(s.Seeds(), e.conn.Send),
 		gateway.WithCopies(e.content, e.syncCopy),
-		gateway.WithAgents(s.peerBeside, s.RegionOf),
+		gateway.WithAgents(s.PeerBeside, s.RegionOf),
 		gateway.WithConfirmation(e.operators.Table().Confirmed, s.RevocationBound()),
 		gateway.WithVersionBound(s.VersionBound(), e.recordWeights),
 		gateway.WithRetries(s.RetryRatio(), s.RetryReserve()),
@@ -122,10 +121,10 @@
 	if err := e.serve(s.CallerAddress(), e.gateway); err != nil {
 		return err
 	}
-	if err := e.serve(s.ReadyAddress(), e.readyHandler()); err != nil {
+	if err := e.serve(s.ReadyAddress(), platform.ReadyHandler(e.gateway.Ready)); err != nil {
 		return err
 	}
-	if err := e.serve(s.DirectoryAddress(), e.directoryHandler()); err != nil {
+	if err := e.serve(s.DirectoryAddress(), platform.DirectoryHandler(e.gateway.Addresses)); err != nil {
 		return err
 	}
 	peers := http.NewServeMux()
@@ -136,35 +135,8 @@
 	return e.serveMetrics()
 }
 
-func (e *Entry) readyHandler() http.Handler {
-	router := httprouter.New()
-	router.GET("/primrosetally/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		if !e.gateway.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return router
-}
-
-// wireAddresses answers a caller that asks where to connect.
-type wireAddresses struct {
-	Addresses []string `json:"addresses"`
-	TTL       float64  `json:"ttl-s"`
-}
-
-func (e *Entry) directoryHandler() http.Handler {
-	router := httprouter.New()
-	router.GET("/primrosetally/resolve", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		addresses, ttl := e.gateway.Addresses(r.URL.Query().Get("zone"))
-		w.Header().Set("Content-Type", "application/json")
-		// A caller that is gone needs no answer.
-		_ = json.NewEncoder(w).Encode(wireAddresses{Addresses: addresses, TTL: ttl.Seconds()})
-	})
-	return router
-}
-
 func (e *Entry) applyOperator(rows map[string]watch.Row) {
-	e.operator(rows, func(o Operator) { e.gateway.ApplyOperator(o.Configuration, o.Versions) })
+	e.operator(rows, func(o platform.Operator) { e.gateway.ApplyOperator(o.Configuration, o.Versions) })
 	e.decodeEndpoints()
 	e.gateway.Changed()
 }
@@ -187,7 +159,7 @@
 	if c == nil || e.rows == nil {
 		return
 	}
-	list, failures := DecodeEndpoints(e.rows, c)
+	list, failures := platform.DecodeEndpoints(e.rows, c)
 	for _, f := range failures {
 		if e.faults[f.Key] == f.Version {
 			continue
@@ -264,18 +236,18 @@
 func (e *Entry) announce(ctx context.Context) bool {
 	row, err := json.Marshal(entryRow{PeerAddress: e.settings.PeerAddress()})
 	if err == nil {
-		err = e.store.Put(ctx, TableEntries, e.settings.Name(), row)
+		err = e.store.Put(ctx, platform.TableEntries, e.settings.Name(), row)
 	}
 	if err != nil {
-		telemetry.StoreLost.Log(ctx, e.logger, "table", TableEntries, "error", err)
+		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableEntries, "error", err)
 	}
 	return err == nil
 }
 
 func (e *Entry) readEntries(ctx context.Context) bool {
-	page, err := e.store.List(ctx, TableEntries)
+	page, err := e.store.List(ctx, platform.TableEntries)
 	if err != nil {
-		telemetry.StoreLost.Log(ctx, e.logger, "table", TableEntries, "error", err)
+		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableEntries, "error", err)
 		return false
 	}
 	for _, r := range page.Rows {
--- a/platform/main.go
+++ b/internal/fleetprocess/main.go
@@ -1,4 +1,4 @@
-package platform
+package fleetprocess
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/primrosetally/primrosetally/internal/telemetry"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // Exit statuses.
@@ -25,7 +26,7 @@
 type role struct {
 	name        string
 	description string
-	run         func(ctx context.Context, s *Settings, logger *slog.Logger) error
+	run         func(ctx context.Context, s *platform.Settings, logger *slog.Logger) error
 }
 
 func roles() []role {
@@ -68,9 +69,9 @@
 		return statusUsage
 	}
 	if file == "" {
-		file = os.Getenv(SettingsVariable)
+		file = os.Getenv(platform.SettingsVariable)
 	}
-	s, err := LoadSettings(file)
+	s, err := platform.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return statusUsage
@@ -82,7 +83,7 @@
 	return runRole(r, s, file, stdout)
 }
 
-func runRole(r role, s *Settings, file string, stdout io.Writer) int {
+func runRole(r role, s *platform.Settings, file string, stdout io.Writer) int {
 	logs, closeLogs := context.WithCancel(context.Background())
 	lines := telemetry.NewBoundedWriter(logs, stdout)
 	logger := slog.New(slog.NewJSONHandler(lines, nil))
@@ -113,7 +114,7 @@
 			return
 		case <-hangups:
 		}
-		if _, err := LoadSettings(file); err != nil {
+		if _, err := platform.LoadSettings(file); err != nil {
 			telemetry.SettingsNotReloaded.Log(ctx, logger, "error", err)
 			continue
 		}
--- a/platform/process.go
+++ b/internal/fleetprocess/process.go
@@ -1,4 +1,12 @@
-package platform
+// Package fleetprocess starts and stops one process of a deployment on the users'
+// platform: the entry and the agent, from the platform's settings to a running
+// role. Package platform decodes what the platform says; what a role decides is in
+// packages gateway and replica.
+//
+// # Usage
+//
+//	os.Exit(fleetprocess.Main(os.Args[1:], os.Stdout, os.Stderr))
+package fleetprocess
 
 import (
 	"context"
@@ -15,6 +23,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // Bounds of the listeners.
@@ -30,15 +39,15 @@
 
 // process is what both roles have in common.
 type process struct {
-	settings  *Settings
+	settings  *platform.Settings
 	logger    *slog.Logger
 	telemetry *telemetry.Telemetry
-	store     *Store
+	store     *platform.Store
 	servers   []*http.Server
 	failed    chan error
 }
 
-func newProcess(s *Settings, logger *slog.Logger) *process {
+func newProcess(s *platform.Settings, logger *slog.Logger) *process {
 	if s.MemoryBytes() > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes())))
 	}
@@ -46,7 +55,7 @@
 		settings:  s,
 		logger:    logger.With("process", s.Name()),
 		telemetry: telemetry.New(),
-		store:     NewStore(s.StoreAddress()),
+		store:     platform.NewStore(s.StoreAddress()),
 		failed:    make(chan error, 8), // one for each listener at most
 	}
 }
@@ -112,8 +121,8 @@
 }
 
 // operator decodes the operators' table and hands it on.
-func (p *process) operator(rows map[string]watch.Row, apply func(Operator)) {
-	o, err := DecodeOperator(rows)
+func (p *process) operator(rows map[string]watch.Row, apply func(platform.Operator)) {
+	o, err := platform.DecodeOperator(rows)
 	if err != nil {
 		telemetry.OperatorRowMalformed.Log(context.Background(), p.logger, "error", err)
 	}
--- /dev/null
+++ b/internal/fleetprocess/system_test.go
@@ -0,0 +1,317 @@
+package fleetprocess
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/platform"
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// runLog collects the runs at all servers.
+type runLog struct {
+	mu   sync.Mutex
+	runs []standin.Run
+}
+
+func (l *runLog) add(r standin.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+}
+
+// of returns the runs of an attempt.
+func (l *runLog) of(attempt string) []standin.Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []standin.Run
+	for _, r := range l.runs {
+		if r.Attempt == attempt {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// system is a deployment with its roles in this process.
+type system struct {
+	*standin.Deployment
+	t      *testing.T
+	runs   *runLog
+	cancel context.CancelFunc
+	ended  []chan error
+	next   int
+}
+
+// network gives each deployment addresses of its own.
+var network byte = 100
+
+func startSystem(t *testing.T, options ...standin.DeploymentOption) *system {
+	t.Helper()
+	network++
+	s := &system{t: t, runs: &runLog{}}
+	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add))...)
+	require.NoError(t, err)
+	s.Deployment = d
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	for _, m := range d.Entries {
+		s.start(ctx, m, RunEntry)
+	}
+	for _, m := range d.Agents {
+		s.start(ctx, m, RunAgent)
+	}
+	t.Cleanup(s.stop)
+	for _, m := range d.Entries {
+		require.Eventually(t, func() bool { return s.ready(m) }, 10*time.Second, 20*time.Millisecond, m.Name)
+	}
+	return s
+}
+
+func (s *system) start(ctx context.Context, m standin.Machine, run func(context.Context, *platform.Settings, *slog.Logger) error) {
+	settings, err := platform.ParseSettings(s.Settings(m))
+	require.NoError(s.t, err)
+	ended := make(chan error, 1)
+	s.ended = append(s.ended, ended)
+	go func() { ended <- run(ctx, settings, slog.New(slog.DiscardHandler)) }()
+}
+
+func (s *system) stop() {
+	s.cancel()
+	for _, ended := range s.ended {
+		require.NoError(s.t, <-ended)
+	}
+	s.Close()
+}
+
+func (s *system) ready(m standin.Machine) bool {
+	response, err := http.Get("http://" + s.Ready(m) + "/primrosetally/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	broken  error
+	attempt string
+}
+
+// call sends one request to the first entry.
+func (s *system) call(method, path, key string) reply {
+	s.next++
+	attempt := fmt.Sprintf("attempt-%d", s.next)
+	request, err := http.NewRequest(method, "http://"+s.Front(s.Entries[0])+path, strings.NewReader(""))
+	require.NoError(s.t, err)
+	request.Host = standin.Host
+	request.Header.Set("Primrosetally-Attempt-Id", attempt)
+	request.Header.Set("Primrosetally-Deadline-Ms", "2500")
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{broken: err, attempt: attempt}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), broken: err, attempt: attempt}
+}
+
+func wholeStream(path string) string {
+	var b strings.Builder
+	for n := range standin.Events(path) {
+		b.WriteString(standin.Event(path, n+1))
+	}
+	return b.String()
+}
+
+func TestRequestsOfEachKind(t *testing.T) {
+	s := startSystem(t)
+	for _, test := range []struct {
+		name, method, path, key string
+		status                  int
+		body                    string
+		runs                    int
+	}{
+		{"stream", "POST", standin.PathStream + "a", standin.Key, 200, wholeStream(standin.PathStream + "a"), 1},
+		{"read", "GET", standin.PathRead + "a?x=%20y", standin.Key, 200, standin.Body(standin.PathRead + "a?x=%20y"), 1},
+		{"publish", "POST", standin.PathPublish + "a", standin.Key, 200, standin.Body(standin.PathPublish + "a"), 1},
+		{"no route", "GET", "/other/", standin.Key, 404, "", 0},
+		{"unknown key", "GET", standin.PathRead, "wrong", 401, "", 0},
+	} {
+		r := s.call(test.method, test.path, test.key)
+		require.NoError(t, r.broken, test.name)
+		require.Equal(t, test.status, r.status, test.name)
+		require.Equal(t, test.body, r.body, test.name)
+		runs := s.runs.of(r.attempt)
+		require.Len(t, runs, test.runs, test.name)
+		for _, run := range runs {
+			require.Equal(t, standin.Account, run.Account, test.name)
+			require.Empty(t, run.Key, test.name)
+		}
+	}
+}
+
+// A request whose answer is lost may have run. What is not idempotent is neither
+// repeated nor said not to have run; a stream goes on at another endpoint.
+func TestBrokenAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path string
+		broken             standin.Breakage
+		status             int
+		runs               int
+	}{
+		{"publish, no answer", "POST", standin.PathPublish + "b", standin.BreakBefore, 502, 1},
+		{"publish, half an answer", "POST", standin.PathPublish + "c", standin.BreakMidway, 502, 1},
+		{"publish, 500", "POST", standin.PathPublish + "d", standin.BreakError, 500, 1},
+		{"read, no answer", "GET", standin.PathRead + "b", standin.BreakBefore, 200, 2},
+		{"read, 500", "GET", standin.PathRead + "c", standin.BreakError, 200, 2},
+		{"stream, no answer", "POST", standin.PathStream + "b", standin.BreakBefore, 200, 2},
+		{"stream, broken in an event", "POST", standin.PathStream + "c", standin.BreakMidway, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startSystem(t)
+			var mu sync.Mutex
+			left := 1
+			once := func() standin.Breakage {
+				mu.Lock()
+				defer mu.Unlock()
+				if left == 0 {
+					return standin.BreakNone
+				}
+				left--
+				return test.broken
+			}
+			for _, server := range s.Servers {
+				server.SetBroken(once)
+			}
+			r := s.call(test.method, test.path, standin.Key)
+			require.NoError(t, r.broken)
+			require.Equal(t, test.status, r.status)
+			require.Len(t, s.runs.of(r.attempt), test.runs)
+			if test.status == http.StatusOK && strings.HasPrefix(test.path, standin.PathStream) {
+				require.Equal(t, wholeStream(test.path), r.body)
+			}
+		})
+	}
+}
+
+// Bytes after an answer belong to no request, and the next one must not get them.
+func TestExtraAnswersAreDropped(t *testing.T) {
+	s := startSystem(t)
+	for _, server := range s.Servers {
+		server.SetBroken(func() standin.Breakage { return standin.BreakExtra })
+	}
+	for i := range 20 {
+		path := fmt.Sprintf("%s%d", standin.PathRead, i)
+		r := s.call("GET", path, standin.Key)
+		require.NoError(t, r.broken)
+		require.Equal(t, standin.Body(path), r.body)
+	}
+}
+
+// An entry that the store turns away lives on the confirmation of another one, and
+// takes the configuration over from it.
+func TestStoreTurnsOneEntryAway(t *testing.T) {
+	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
+	away := s.Entries[0].IP
+	s.Store.SetFault(func(r *http.Request) standin.Fault {
+		if strings.HasPrefix(r.RemoteAddr, away+":") {
+			return standin.FaultBusy
+		}
+		return standin.FaultNone
+	})
+	s.SetKeys("new-key")
+	require.Eventually(t, func() bool {
+		return s.call("GET", standin.PathRead, "new-key").status == http.StatusOK &&
+			s.call("GET", standin.PathRead, standin.Key).status == http.StatusUnauthorized
+	}, 4*time.Second, 50*time.Millisecond)
+}
+
+// Without any confirmation requests with a key are refused as not run, before the
+// bound on revoked keys is over.
+func TestKeysWithoutConfirmation(t *testing.T) {
+	s := startSystem(t, standin.WithSize(1, 1, 1, 1))
+	s.Store.SetFault(func(*http.Request) standin.Fault { return standin.FaultSilent })
+	cut := time.Now()
+	var r reply
+	require.Eventually(t, func() bool {
+		r = s.call("GET", standin.PathRead, standin.Key)
+		return r.status == http.StatusServiceUnavailable
+	}, 5*time.Second, 20*time.Millisecond)
+	require.Less(t, time.Since(cut), 5*time.Second)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Empty(t, s.runs.of(r.attempt))
+	s.Store.SetFault(func(*http.Request) standin.Fault { return standin.FaultNone })
+	require.Eventually(t, func() bool {
+		return s.call("GET", standin.PathRead, standin.Key).status == http.StatusOK
+	}, 5*time.Second, 20*time.Millisecond)
+}
+
+// A version of weights reaches every endpoint whole, from about one copy of the
+// origin, although some chunks come spoilt and one rots in the staging area.
+func TestWeightsReachEveryEndpoint(t *testing.T) {
+	s := startSystem(t, standin.WithSize(2, 1, 3, 1))
+	var mu sync.Mutex
+	calls := 0
+	s.Origin.SetBroken(func() standin.Breakage {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		if calls%7 == 6 {
+			return standin.BreakError
+		}
+		return standin.BreakNone
+	})
+	s.NameWeights(2)
+	for id, server := range s.Servers {
+		if !strings.HasPrefix(id, "i-engine") {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			version, whole := server.Version()
+			require.True(t, whole, id)
+			return version == 2
+		}, 9*time.Second, 20*time.Millisecond, id)
+	}
+	r := s.call("POST", standin.PathStream+"v", standin.Key)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, int64(2), s.runs.of(r.attempt)[0].Version)
+}
+
+// An endpoint that says that it leaves gets no new work.
+func TestDrainingEndpoint(t *testing.T) {
+	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
+	s.Servers["i-plain-1-1"].Drain()
+	require.Eventually(t, func() bool {
+		r := s.call("GET", standin.PathRead, standin.Key)
+		return r.status == http.StatusOK && s.runs.of(r.attempt)[0].Server == "i-plain-2-1"
+	}, 2*time.Second, 20*time.Millisecond)
+	for range 20 {
+		r := s.call("GET", standin.PathRead, standin.Key)
+		require.Equal(t, "i-plain-2-1", s.runs.of(r.attempt)[0].Server)
+	}
+}
+
+// A configuration is in force after the history of the store was dropped.
+func TestCompactedStore(t *testing.T) {
+	s := startSystem(t)
+	s.Store.Compact()
+	s.AddRoutes(1)
+	require.Eventually(t, func() bool {
+		return s.call("GET", standin.PathExtra(1), standin.Key).status == http.StatusOK
+	}, 2*time.Second, 20*time.Millisecond)
+}
--- a/platform/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -1,4 +1,4 @@
-package platform
+package fleetprocess
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/telemetry"
+	"github.com/primrosetally/primrosetally/platform"
 )
 
 // weightsKept is how long the row of a version is kept after it was named. Only
@@ -31,10 +32,10 @@
 		ctx := context.Background()
 		value, err := json.Marshal(row)
 		if err == nil {
-			err = e.store.Put(ctx, TableWeights, row.key(), value)
+			err = e.store.Put(ctx, platform.TableWeights, row.key(), value)
 		}
 		if err != nil {
-			telemetry.StoreLost.Log(ctx, e.logger, "table", TableWeights, "error", err)
+			telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableWeights, "error", err)
 			return
 		}
 		e.readWeights(ctx)
@@ -47,9 +48,9 @@
 	if e.operators.Table().Confirmed() == 0 {
 		return false
 	}
-	page, err := e.store.List(ctx, TableWeights)
+	page, err := e.store.List(ctx, platform.TableWeights)
 	if err != nil {
-		telemetry.StoreLost.Log(ctx, e.logger, "table", TableWeights, "error", err)
+		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableWeights, "error", err)
 		return false
 	}
 	for _, r := range page.Rows {
@@ -61,7 +62,7 @@
 		named := time.Duration(row.NamedMS) * time.Millisecond
 		if page.StoreTime-named > weightsKept {
 			// Another entry may have removed it; the next reading tries again.
-			_ = e.store.Remove(ctx, TableWeights, r.Key, r.Version)
+			_ = e.store.Remove(ctx, platform.TableWeights, r.Key, r.Version)
 			continue
 		}
 		e.gateway.NameWeights(row.Model, row.Version, e.operators.Table().LocalTime(named))
