Share room of away endpoints; take manifests over from peers

Each entry is allotted its share of the room it believes away endpoints to have. (2) 66 agents read the manifest at an origin with 48 connections: 1300 failures. The first in rank of a region reads it (twice, as nothing else proves it). (3) requests that waited at endpoints began on old weights 36 ms after the bound (VERSION, 48 requests): margin 600 -> 900 ms.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -36,6 +36,7 @@
 	failures    int
 	closedUntil time.Duration
 	gap         time.Duration
+	allowance   int // requests that may still be placed before the next allotment
 }
 
 // Work is what an endpoint has to do for some requests.
@@ -54,7 +55,23 @@
 	if e.MaxInFlight > 0 && e.own.InFlight >= e.MaxInFlight {
 		return false
 	}
-	return e.own.InFlight+e.others.InFlight < e.Slots+overfill
+	if !e.Home && e.allowance <= 0 {
+		return false
+	}
+	return e.free(overfill) > 0
+}
+
+// free returns how many more requests fit.
+func (e *endpoint) free(overfill int) int {
+	return e.Slots + overfill - e.own.InFlight - e.others.InFlight
+}
+
+// share returns a part of the room, divided between entries that do not know of
+// each other's placements. Fractions are drawn, so that the sum over all entries is
+// right on the average.
+func (e *endpoint) share(part float64, entries, overfill int, draw float64) int {
+	free := max(e.free(overfill), 0)
+	return int(part*float64(free)/float64(max(entries, 1)) + draw)
 }
 
 // first predicts the time until the answer of a request begins.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -67,6 +67,8 @@
 	// Home marks an endpoint that this entry uses first. Each endpoint is the home
 	// of few entries, so that what is on its way there is known where it matters.
 	Home bool
+	// Near marks an endpoint of the own region.
+	Near bool
 }
 
 // Request is what the decision needs to know of a request.
@@ -275,6 +277,34 @@
 	p.pump(now)
 }
 
+// Sharers are the entries that may use an endpoint beside those whose home it is.
+type Sharers struct {
+	// Near is the number of entries in a region, Far that of all others.
+	Near, Far int
+}
+
+// Allot allows this entry a share of the room that it believes the other entries'
+// homes to have, until the next call: the entries do not know what the others place
+// in between. Far endpoints are allotted with far set, which follows the longer
+// interval at which regions tell each other.
+func (p *Pool) Allot(now time.Duration, n Sharers, far bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.order {
+		switch {
+		case e.Home:
+		case e.Near:
+			e.allowance = e.share(nearShare, n.Near, p.overfill, p.random())
+		case far:
+			e.allowance = e.share(1-nearShare, n.Far, p.overfill, p.random())
+		}
+	}
+	p.pump(now)
+}
+
+// nearShare of the room goes to the entries of the endpoint's region.
+const nearShare = 0.7
+
 // Offer asks for an endpoint.
 func (p *Pool) Offer(now time.Duration, r Request) *Ticket {
 	t := &Ticket{request: r, offered: now, verdict: make(chan Verdict, 1)}
@@ -484,6 +514,7 @@
 	}
 	e.own.InFlight++
 	e.own.Unread += t.request.Prompt
+	e.allowance--
 	p.inFlight++
 	t.verdict <- Verdict{choice: choice, placed: true, waited: now - t.offered, queued: t.queued}
 }
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -62,7 +62,7 @@
 		replica.WithVersionBound(s.VersionBound()),
 		replica.WithLink(s.LinkBytesPerSecond()))
 	peers := http.NewServeMux()
-	peers.Handle(a.replica.Handler())
+	a.replica.Register(peers)
 	if err := a.serve(s.PeerAddress(), peers); err != nil {
 		return err
 	}
@@ -221,6 +221,11 @@
 		Peers:        a.peers,
 		Announce:     a.announce,
 		OriginRegion: a.originRegion,
+		PeerManifest: func(ctx context.Context, p member.Member, name string, version int64) (*model.Manifest, error) {
+			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+			defer cancel()
+			return chunks.Manifest(ctx, http.DefaultClient, p.Address(), name, version)
+		},
 		ChunkMap: func(ctx context.Context, p member.Member, m *model.Manifest) (swarm.Bitmap, int, error) {
 			return chunks.Map(ctx, a.pool.Agent(p.Address()), m)
 		},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,7 @@
 	traffic traffic
 	peers   *peers
 	kick    chan struct{}
+	tellNow atomic.Bool   // a version was named that agents do not know
 	told    time.Duration // when agents were told last; used by run alone
 	leaving atomic.Bool
 	active  atomic.Int64
@@ -269,6 +270,7 @@
 			summary.Reset(nearInterval)
 		case <-g.kick:
 			g.sendSummaries(true)
+			g.tellAgents()
 			summary.Reset(nearInterval)
 		}
 	}
@@ -321,9 +323,13 @@
 // Changed tells the other entries at once that a copy has changed, if this entry
 // follows the store.
 func (g *Gateway) Changed() {
-	if !g.Watching() {
-		return
+	if g.Watching() {
+		g.wake()
 	}
+}
+
+// wake has the background work tell the others at once.
+func (g *Gateway) wake() {
 	select {
 	case g.kick <- struct{}{}:
 	default:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -325,7 +325,8 @@
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
 	g.Refresh()
 	m := g.summary(now)
-	for _, to := range g.peers.targets(now, m, all) {
+	targets, all := g.peers.targets(now, m, all)
+	for _, to := range targets {
 		m.Echo = to.echo
 		m.EchoIncarnation = to.incarnation
 		datagram := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: m}}
@@ -334,6 +335,26 @@
 		}
 	}
 	g.shareLoads(now)
+	sharers := g.sharers(now)
+	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, all) })
+}
+
+// sharers returns how many entries share the endpoints of a region.
+func (g *Gateway) sharers(now time.Duration) placement.Sharers {
+	n := placement.Sharers{Near: 1}
+	p := g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.known {
+		switch {
+		case !p.alive(q, now):
+		case q.summary.GetRegion() == g.self.Region:
+			n.Near++
+		default:
+			n.Far++
+		}
+	}
+	return n
 }
 
 func (g *Gateway) summary(now time.Duration) *nodev1.EntrySummary {
@@ -375,7 +396,7 @@
 
 // targets returns the peers to send to, and adds the known addresses to the
 // message now and then.
-func (p *peers) targets(now time.Duration, m *nodev1.EntrySummary, all bool) []target {
+func (p *peers) targets(now time.Duration, m *nodev1.EntrySummary, all bool) (list []target, toAll bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all = all || now-p.toldAll >= p.farInterval()
@@ -385,7 +406,6 @@
 		p.sent++
 		tell = p.sent%tellPeersEvery == 1
 	}
-	var list []target
 	for address, q := range p.known {
 		if q.learned == 0 {
 			q.learned = now
@@ -406,5 +426,5 @@
 			incarnation: q.summary.GetIncarnation(),
 		})
 	}
-	return list
+	return list, all
 }
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -117,6 +117,7 @@
 		Address: e.Address(),
 		Domain:  e.FailureDomain(),
 		Slots:   max(e.Slots(), 1),
+		Near:    g.region(e.FailureDomain()) == g.self.Region,
 	}
 	if s.MaxConnections() > 0 {
 		c.MaxInFlight = min(max(s.MaxConnections()*9/10/max(g.peers.count()+1, 1), 2), maxConnections)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -17,7 +17,7 @@
 const (
 	// versionMargin covers what a request may wait at an endpoint before it begins
 	// to work.
-	versionMargin = 600 * time.Millisecond
+	versionMargin = 900 * time.Millisecond
 	// promptly is the longest time from the naming of a version until an entry
 	// whose calls to the store are answered sees it.
 	promptly = 300 * time.Millisecond
@@ -108,6 +108,8 @@
 			continue
 		}
 		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version, "named", now-seen)
+		g.tellNow.Store(true)
+		g.wake()
 		if _, rank := g.ranks(); seen == now-promptly && rank < recorders {
 			g.record(model, version, seen)
 		}
@@ -137,9 +139,10 @@
 func (g *Gateway) tellAgents() {
 	now := g.now()
 	region, _ := g.ranks()
-	if region >= tellers || now-g.told < tellInterval {
+	if region >= tellers || now-g.told < tellInterval && !g.tellNow.Load() {
 		return
 	}
+	g.tellNow.Store(false)
 	g.told = now
 	newest := g.weights.newest(now)
 	if len(newest) == 0 {
--- a/internal/protocol/nodev1/nodev1connect/entry.connect.go
+++ b/internal/protocol/nodev1/nodev1connect/entry.connect.go
@@ -25,6 +25,8 @@
 const (
 	// EntryServiceName is the fully-qualified name of the EntryService service.
 	EntryServiceName = "primrosetally.node.v1.EntryService"
+	// ReplicaServiceName is the fully-qualified name of the ReplicaService service.
+	ReplicaServiceName = "primrosetally.node.v1.ReplicaService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -37,6 +39,9 @@
 const (
 	// EntryServiceFetchRowsProcedure is the fully-qualified name of the EntryService's FetchRows RPC.
 	EntryServiceFetchRowsProcedure = "/primrosetally.node.v1.EntryService/FetchRows"
+	// ReplicaServiceFetchManifestProcedure is the fully-qualified name of the ReplicaService's
+	// FetchManifest RPC.
+	ReplicaServiceFetchManifestProcedure = "/primrosetally.node.v1.ReplicaService/FetchManifest"
 )
 
 // EntryServiceClient is a client for the primrosetally.node.v1.EntryService service.
@@ -108,3 +113,73 @@
 func (UnimplementedEntryServiceHandler) FetchRows(context.Context, *connect.Request[nodev1.FetchRowsRequest]) (*connect.Response[nodev1.FetchRowsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosetally.node.v1.EntryService.FetchRows is not implemented"))
 }
+
+// ReplicaServiceClient is a client for the primrosetally.node.v1.ReplicaService service.
+type ReplicaServiceClient interface {
+	FetchManifest(context.Context, *connect.Request[nodev1.FetchManifestRequest]) (*connect.Response[nodev1.FetchManifestResponse], error)
+}
+
+// NewReplicaServiceClient constructs a client for the primrosetally.node.v1.ReplicaService service.
+// By default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped
+// responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewReplicaServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ReplicaServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	replicaServiceMethods := nodev1.File_primrosetally_node_v1_entry_proto.Services().ByName("ReplicaService").Methods()
+	return &replicaServiceClient{
+		fetchManifest: connect.NewClient[nodev1.FetchManifestRequest, nodev1.FetchManifestResponse](
+			httpClient,
+			baseURL+ReplicaServiceFetchManifestProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("FetchManifest")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// replicaServiceClient implements ReplicaServiceClient.
+type replicaServiceClient struct {
+	fetchManifest *connect.Client[nodev1.FetchManifestRequest, nodev1.FetchManifestResponse]
+}
+
+// FetchManifest calls primrosetally.node.v1.ReplicaService.FetchManifest.
+func (c *replicaServiceClient) FetchManifest(ctx context.Context, req *connect.Request[nodev1.FetchManifestRequest]) (*connect.Response[nodev1.FetchManifestResponse], error) {
+	return c.fetchManifest.CallUnary(ctx, req)
+}
+
+// ReplicaServiceHandler is an implementation of the primrosetally.node.v1.ReplicaService service.
+type ReplicaServiceHandler interface {
+	FetchManifest(context.Context, *connect.Request[nodev1.FetchManifestRequest]) (*connect.Response[nodev1.FetchManifestResponse], error)
+}
+
+// NewReplicaServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewReplicaServiceHandler(svc ReplicaServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	replicaServiceMethods := nodev1.File_primrosetally_node_v1_entry_proto.Services().ByName("ReplicaService").Methods()
+	replicaServiceFetchManifestHandler := connect.NewUnaryHandler(
+		ReplicaServiceFetchManifestProcedure,
+		svc.FetchManifest,
+		connect.WithSchema(replicaServiceMethods.ByName("FetchManifest")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/primrosetally.node.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ReplicaServiceFetchManifestProcedure:
+			replicaServiceFetchManifestHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedReplicaServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedReplicaServiceHandler struct{}
+
+func (UnimplementedReplicaServiceHandler) FetchManifest(context.Context, *connect.Request[nodev1.FetchManifestRequest]) (*connect.Response[nodev1.FetchManifestResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primrosetally.node.v1.ReplicaService.FetchManifest is not implemented"))
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -111,9 +111,11 @@
 	return list
 }
 
-// Handler returns the path and the handler at which peers ask for chunks.
-func (r *Replica) Handler() (string, http.Handler) {
-	return nodev1connect.NewAgentServiceHandler(handler{replica: r})
+// Register adds the handlers at which peers ask for chunks and manifests.
+func (r *Replica) Register(mux *http.ServeMux) {
+	h := handler{replica: r}
+	mux.Handle(nodev1connect.NewAgentServiceHandler(h))
+	mux.Handle(nodev1connect.NewReplicaServiceHandler(h))
 }
 
 type handler struct {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,7 +13,7 @@
 //	r := replica.New(self, seams, replica.WithVersionBound(8*time.Second))
 //	ended := r.Start(ctx)
 //	r.Want("faq-model", 2)
-//	mux.Handle(r.Handler())
+//	r.Register(mux)
 package replica
 
 import (
@@ -66,6 +66,8 @@
 	Announce func(ctx context.Context, model string, version int64, holding bool)
 	// OriginRegion returns the region in which the origin stands.
 	OriginRegion func() string
+	// PeerManifest asks a peer for a manifest; nil where it has none.
+	PeerManifest func(ctx context.Context, peer member.Member, model string, version int64) (*model.Manifest, error)
 	// ChunkMap and FetchPeer ask a peer, as in package swarm.
 	ChunkMap  func(ctx context.Context, peer member.Member, m *model.Manifest) (swarm.Bitmap, int, error)
 	FetchPeer func(ctx context.Context, peer member.Member, chunk digest.Digest, offset int64) (io.ReadCloser, error)
@@ -277,7 +279,7 @@
 	if h.manifest != nil && h.manifest.Name() == w.model && h.manifest.Version() == versionText(w.version) {
 		return h.manifest, nil
 	}
-	m, err := r.seams.Manifest(ctx, w.model, w.version)
+	m, err := r.fetchManifest(ctx, w)
 	if err != nil {
 		telemetry.ManifestNotFetched.Log(ctx, r.logger, "model", w.model, "version", w.version, "error", err)
 		return nil, err
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -43,20 +44,32 @@
 	return w.since + r.bound
 }
 
-// rankAmong returns the place of self among the members, by a hash over the
-// version, so that not the same endpoints are always last.
+// rankOf is the key by which agents rank each other for a version, so that not the
+// same are always first.
+func rankOf(name string, version int64) uint64 {
+	return rendezvous.Mix(rendezvous.Hash(name) ^ rendezvous.Hash(versionText(version)))
+}
+
+// rankAmong returns the place of self among the members.
 func rankAmong(self string, members []member.Member, version int64) int {
-	key := rendezvous.Hash(versionText(version))
-	mine := rendezvous.Mix(rendezvous.Hash(self) ^ key)
+	mine := rankOf(self, version)
 	rank := 0
 	for _, m := range members {
-		if m.Name() != self && rendezvous.Mix(rendezvous.Hash(m.Name())^key) < mine {
+		if m.Name() != self && rankOf(m.Name(), version) < mine {
 			rank++
 		}
 	}
 	return rank
 }
 
+// rankedPeers returns the members in the order of their rank.
+func rankedPeers(members []member.Member, version int64) []member.Member {
+	slices.SortFunc(members, func(a, b member.Member) int {
+		return cmp.Compare(rankOf(a.Name(), version), rankOf(b.Name(), version))
+	})
+	return members
+}
+
 // awaitWave waits until it is the endpoint's turn to load. An endpoint that has
 // nothing to serve loads at once.
 func (r *Replica) awaitWave(ctx context.Context, w want) error {
--- a/internal/transport/chunks/chunks.go
+++ b/internal/transport/chunks/chunks.go
@@ -59,6 +59,16 @@
 	return body, nil
 }
 
+// Manifest asks an agent for a manifest; nil where it has none.
+func Manifest(ctx context.Context, client connect.HTTPClient, address, name string, version int64) (*model.Manifest, error) {
+	service := nodev1connect.NewReplicaServiceClient(client, "http://"+address)
+	answer, err := service.FetchManifest(ctx, connect.NewRequest(&nodev1.FetchManifestRequest{Model: name, Version: version}))
+	if err != nil || len(answer.Msg.GetManifest()) == 0 {
+		return nil, err
+	}
+	return model.Parse(answer.Msg.GetManifest())
+}
+
 // Refuse returns the error by which an agent refuses a chunk for now.
 func Refuse(retryAfter time.Duration) error {
 	refusal := connect.NewError(connect.CodeResourceExhausted, swarm.ErrRefused)
