Follow the store within half a second when its follower is silent; tests

An entry of the region that is silent for 450 ms no longer counts in the rank, the others ask at 1.2 s, and the follower's calls return after 0.75 s.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -99,7 +99,7 @@
 	case Broken, Unreachable:
 		e.failures++
 		if outcome == Unreachable || e.failures >= ejectAfter {
-			closed := min(firstClosed<<min(e.failures-1, 8), longestClosed)
+			closed := min(firstClosed<<min(max(e.failures-ejectAfter, 0), 8), longestClosed)
 			e.closedUntil = max(e.closedUntil, now+closed)
 		}
 	case Full:
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -23,8 +23,9 @@
 	// lapseHold is how long after the store's return endpoints that are missing
 	// are kept: they are back within two seconds, or gone.
 	lapseHold = 2200 * time.Millisecond
-	// operatorWait bounds the age of a confirmation from the store.
-	operatorWait = 1100 * time.Millisecond
+	// operatorWait bounds the age of a confirmation from the store. With what a
+	// summary takes it stays below the age at which other entries ask too.
+	operatorWait = 750 * time.Millisecond
 	// endpointsWait only bounds how long a dead connection goes unnoticed.
 	endpointsWait = 3 * time.Second
 	// discoverInterval is how often the rows of entries are read, for entries that
--- a/internal/fleetprocess/main.go
+++ b/internal/fleetprocess/main.go
@@ -85,7 +85,9 @@
 
 func runRole(r role, s *platform.Settings, file string, stdout io.Writer) int {
 	logs, closeLogs := context.WithCancel(context.Background())
-	lines := telemetry.NewBoundedWriter(logs, stdout)
+	lines := telemetry.NewBoundedWriter(logs, stdout, func(l *slog.Logger, n int64) {
+		telemetry.LinesDropped.Log(logs, l, "process", s.Name(), "lines", n)
+	})
 	logger := slog.New(slog.NewJSONHandler(lines, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+// clock is a clock that tests set.
+type clock struct{ at time.Duration }
+
+func (c *clock) now() time.Duration { return c.at }
+
+func newGateway(c *clock, options ...Option) *Gateway {
+	self := Identity{Name: "entry-1", Region: "riga", FailureDomain: "riga-a", PeerAddress: "10.0.0.1:1", CallerAddress: "10.0.0.1:2", Incarnation: 7}
+	return New(self, Codec{}, append([]Option{WithClock(c.now)}, options...)...)
+}
+
+func age(d time.Duration) *uint64 {
+	us := uint64(d / time.Microsecond)
+	return &us
+}
+
+// A confirmation of another entry is dated by the own stamp that it echoes, and
+// counts only for the configuration that it is about.
+func TestConfirmationOfPeers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		summary *nodev1.EntrySummary
+		age     time.Duration
+		known   bool
+	}{
+		{"fresh", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second)}, 2 * time.Second, true},
+		{"no echo", &nodev1.EntrySummary{ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"echo of another process", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 6, ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"echo from the future", &nodev1.EntrySummary{Echo: uint64(101 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"never confirmed", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7}, 0, false},
+		{"newer configuration", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second), ConfigurationVersion: 5}, 0, false},
+	} {
+		g := newGateway(&clock{at: 100 * time.Second})
+		test.summary.Address = "10.0.0.2:1"
+		g.Hear(t.Context(), test.summary)
+		got, known := g.age()
+		require.Equal(t, test.known, known, test.name)
+		if known {
+			require.Equal(t, test.age, got, test.name)
+		}
+	}
+}
+
+// A process that was suspended or cut off refuses keys before the bound is over.
+func TestFreshness(t *testing.T) {
+	for _, test := range []struct {
+		age   time.Duration
+		fresh bool
+	}{
+		{0, true},
+		{3 * time.Second, true},
+		{5*time.Second - revocationMargin, false},
+		{20 * time.Second, false},
+	} {
+		c := &clock{at: 100 * time.Second}
+		confirmed := c.at - test.age
+		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 5*time.Second))
+		_, fresh := g.fresh()
+		require.Equal(t, test.fresh, fresh, test.age)
+	}
+	_, fresh := newGateway(&clock{at: time.Second}, WithConfirmation(func() time.Duration { return 0 }, 5*time.Second)).fresh()
+	require.False(t, fresh, "never confirmed")
+}
+
+// The time of naming is a lower bound: of several the latest counts, and a version
+// of which nothing is known binds at once.
+func TestWeightsBook(t *testing.T) {
+	b := newWeightsBook()
+	b.bound = 8 * time.Second
+	require.Zero(t, b.required("m", 0))
+	require.True(t, b.name("m", 3, 0), "a process that has just started")
+	require.Equal(t, int64(3), b.required("m", 20*time.Second))
+	require.False(t, b.name("m", 3, 15*time.Second), "another entry knows when it was named")
+	require.Zero(t, b.required("m", 20*time.Second))
+	require.False(t, b.name("m", 2, 13*time.Second), "the row of an older version")
+	require.Equal(t, int64(2), b.required("m", 21*time.Second))
+	require.Equal(t, int64(3), b.required("m", 23*time.Second))
+	require.Equal(t, int64(3), b.newest(23 * time.Second)[0].GetVersion())
+}
+
+func TestNotices(t *testing.T) {
+	listed := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(5), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
+	restarted := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(6), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
+	for _, test := range []struct {
+		name     string
+		notices  []notice
+		endpoint *fleet.Endpoint
+		now      time.Duration
+		version  int64
+		holding  bool
+	}{
+		{"none", nil, listed, 0, 1, false},
+		{"begins to load", []notice{{version: 2, holding: true}}, listed, 0, 1, true},
+		{"has loaded", []notice{{version: 2, holding: true}, {version: 2}}, listed, 0, 2, false},
+		{"out of order", []notice{{version: 2}, {version: 2, holding: true}}, listed, 0, 2, false},
+		{"agent died while loading", []notice{{version: 2, holding: true}}, listed, holdingTimeout + time.Second, 1, false},
+		{"endpoint restarted", []notice{{version: 2}}, restarted, 0, 1, false},
+	} {
+		l := newNoticeList()
+		for _, n := range test.notices {
+			n.model, n.started, n.until = "m", 5, holdingTimeout
+			l.put("10.0.0.9:1", n)
+		}
+		version, holding := l.version(test.endpoint, "m", test.now)
+		require.Equal(t, test.version, version, test.name)
+		require.Equal(t, test.holding, holding, test.name)
+	}
+}
+
+func TestSuspects(t *testing.T) {
+	l := newSuspects()
+	mark := fingerprint("shop", "POST", "/draft/", []byte("x"))
+	require.NotEqual(t, mark, fingerprint("shop", "POST", "/draft/x", nil))
+	l.crashed(mark, 0)
+	l.told("entry-2", mark, 2, 0)
+	l.told("entry-2", mark, 2, 0)
+	require.Equal(t, uint32(3), l.crashes(mark))
+	l.finished(mark)
+	require.Zero(t, l.crashes(mark))
+	l.crashed(mark, 0)
+	l.forget(suspectKept + time.Second)
+	require.Zero(t, l.crashes(mark))
+}
+
+// Entries that are ready are named, those of the caller's domain alone where there
+// are enough, and the list is never empty.
+func TestAddresses(t *testing.T) {
+	c := &clock{at: 10 * time.Second}
+	g := newGateway(c)
+	list, _ := g.Addresses("riga-a")
+	require.Equal(t, []string{"10.0.0.1:2"}, list, "an entry that knows nobody")
+	hear := func(address, domain string, ready bool) {
+		g.Hear(t.Context(), &nodev1.EntrySummary{Address: address + ":1", CallerAddress: address + ":2", FailureDomain: domain, Ready: ready})
+	}
+	hear("10.0.0.2", "riga-a", true)
+	hear("10.0.0.3", "riga-a", false)
+	hear("10.1.0.2", "liepaja-a", true)
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	list, ttl := g.Addresses("riga-a")
+	require.ElementsMatch(t, []string{"10.0.0.1:2", "10.0.0.2:2"}, list)
+	require.Equal(t, addressTTL, ttl)
+	list, _ = g.Addresses("liepaja-a")
+	require.Len(t, list, 3, "one entry is too few to be the only one")
+	g.Leave()
+	list, _ = g.Addresses("riga-a")
+	require.NotContains(t, list, "10.0.0.1:2")
+	c.at += 5 * time.Second
+	list, _ = g.Addresses("riga-a")
+	require.Equal(t, []string{"10.0.0.1:2"}, list, "all others are silent")
+}
+
+// One entry of a region follows the store, the others when it is silent.
+func TestWatching(t *testing.T) {
+	c := &clock{at: 10 * time.Second}
+	var confirmed time.Duration
+	g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0))
+	require.True(t, g.Watching(), "nothing is known yet")
+	confirmed = c.at
+	for _, address := range []string{"10.0.0.0:1", "10.0.0.0:0"} {
+		g.Hear(t.Context(), &nodev1.EntrySummary{Address: address, Region: "riga"})
+	}
+	require.False(t, g.Watching(), "two others of the region come first")
+	c.at += staleAge + staleSteps + time.Millisecond
+	require.True(t, g.Watching(), "the confirmation is old")
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g := newGateway(&clock{})
+	for _, test := range []struct{ version, want int64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}} {
+		g.ApplyOperator(fleet.NewConfiguration(test.version), nil)
+		require.Equal(t, test.want, g.Configuration().Version())
+	}
+	g.ApplyOperator(nil, nil)
+	require.Equal(t, int64(9), g.Configuration().Version(), "a row that can't be read")
+}
+
+func TestEventReader(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		after  int64
+		chunks []string
+		want   string
+		last   string
+		rest   bool
+	}{
+		{"whole", 0, []string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", false},
+		{"cut in the middle", 0, []string{"id: 1\nda", "ta: a\n", "\nid: 2\nda"}, "id: 1\ndata: a\n\n", "1", true},
+		{"events that the caller has", 2, []string{"id: 2\ndata: b\n\nid: 3\ndata: c\n\n"}, "id: 3\ndata: c\n\n", "3", false},
+		{"carriage returns", 0, []string{"id: 1\r\ndata: a\r\n\r\n"}, "id: 1\r\ndata: a\r\n\r\n", "1", false},
+		{"without ids", 0, []string{"data: a\n\ndata: b\n\n"}, "data: a\n\ndata: b\n\n", "", false},
+	} {
+		var r eventReader
+		var got strings.Builder
+		last, number := "", test.after
+		for _, chunk := range test.chunks {
+			b := r.take([]byte(chunk), number)
+			got.Write(b.bytes)
+			if b.count > 0 {
+				last, number = b.lastEvent, b.lastNumber
+			}
+		}
+		require.Equal(t, test.want, got.String(), test.name)
+		require.Equal(t, test.last, last, test.name)
+		require.Equal(t, test.rest, r.partial(), test.name)
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,6 +24,10 @@
 	// silentAfter summaries, and at least silentTime, a peer is left out.
 	silentAfter = 4
 	silentTime  = 1200 * time.Millisecond
+	// nearSilent is the time after which an entry of the own region does not count in
+	// the rank of those that follow the store. An endpoint that leaves must be known
+	// to have left within two seconds, also when the one that follows is frozen.
+	nearSilent = 450 * time.Millisecond
 	// forgottenAfter a silent peer is not sent to any more.
 	forgottenAfter = 60 * time.Second
 	// farPatience is how long rows that only another region has are waited for.
@@ -156,19 +160,22 @@
 	return byDomain
 }
 
-// ranks returns the place of this entry by address among the live ones of its
-// region and among all.
+// ranks returns the place of this entry by address among the entries of its region
+// that were heard just now, and among all.
 func (g *Gateway) ranks() (region, all int) {
 	now := g.now()
 	p := g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, q := range p.known {
-		if address >= p.self || !p.alive(q, now) {
+		if address >= p.self || q.summary == nil {
 			continue
 		}
-		all++
-		if q.summary.GetRegion() == g.self.Region {
+		near := q.summary.GetRegion() == g.self.Region
+		if near && now-q.heard < nearSilent || !near && p.alive(q, now) {
+			all++
+		}
+		if near && now-q.heard < nearSilent {
 			region++
 		}
 	}
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -27,6 +27,7 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+	report  func(l *slog.Logger, lines int64)
 
 	mu     sync.Mutex
 	tokens float64
@@ -35,9 +36,11 @@
 }
 
 // NewBoundedWriter returns a writer that writes to out until ctx ends; the lines
-// that wait then are still written. Done is closed afterwards.
-func NewBoundedWriter(ctx context.Context, out io.Writer) *BoundedWriter {
+// that wait then are still written. Done is closed afterwards. Report logs to the
+// output how many lines were dropped since it last did.
+func NewBoundedWriter(ctx context.Context, out io.Writer, report func(l *slog.Logger, lines int64)) *BoundedWriter {
 	b := &BoundedWriter{
+		report: report,
 		lines:  make(chan []byte, linesQueued),
 		done:   make(chan struct{}),
 		tokens: linesBurst,
@@ -94,7 +97,7 @@
 			return
 		}
 		if dropped := b.dropped.Load(); dropped > reported {
-			LinesDropped.Log(ctx, logger, "lines", dropped-reported)
+			b.report(logger, dropped-reported)
 			reported = dropped
 		}
 	}
--- /dev/null
+++ b/internal/transport/entries/entries_test.go
@@ -0,0 +1,76 @@
+package entries
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+)
+
+func TestDatagrams(t *testing.T) {
+	a, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	b, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	got := make(chan *nodev1.Datagram, 1)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Receive(ctx, func(m *nodev1.Datagram) { got <- m }) }()
+	to := b.udp.LocalAddr().String()
+	_, err = a.udp.WriteTo([]byte{0xff, 0xff, 0xff}, b.udp.LocalAddr())
+	require.NoError(t, err, "what does not decode is dropped")
+	m := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: &nodev1.EntrySummary{Address: "x"}}}
+	require.NoError(t, a.Send(to, m))
+	require.Equal(t, "x", (<-got).GetSummary().GetAddress())
+	m.GetSummary().Address = strings.Repeat("x", maxDatagram)
+	require.ErrorIs(t, a.Send(to, m), ErrTooLarge)
+	require.Error(t, a.Send("nowhere", m))
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+}
+
+func tableOf(t *testing.T, rows ...watch.Row) *watch.Table {
+	t.Helper()
+	w := watch.New(watch.Source{}, watch.WithClock(func() time.Duration { return time.Minute }))
+	if len(rows) > 0 {
+		require.NoError(t, w.Table().Take(watch.Page{Full: true, Version: 9, Rows: rows, StoreTime: time.Second}, 50*time.Second))
+	}
+	return w.Table()
+}
+
+func TestSync(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		source *watch.Table
+		fails  bool
+	}{
+		{"rows", tableOf(t, watch.Row{Key: "a", Value: []byte("1"), Version: 4}), false},
+		{"no copy yet", tableOf(t), true},
+		{"another table", nil, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			mux.Handle(NewHandler(func(nodev1.Table) *watch.Table { return test.source }))
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			own := tableOf(t)
+			now := func() time.Duration { return time.Minute }
+			err := NewClient().Sync(t.Context(), server.Listener.Addr().String(), nodev1.Table_TABLE_OPERATOR, own, now)
+			if test.fails {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, test.source.Content(), own.Content())
+			require.LessOrEqual(t, own.Confirmed(), test.source.Confirmed(), "a copy of a copy is not younger")
+			require.InDelta(t, float64(50*time.Second), float64(own.Confirmed()), float64(time.Millisecond))
+		})
+	}
+}
