--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -27,9 +27,10 @@
 // Table is a copy of one table. It takes answers in, tells what is new to a peer
 // that is behind, and how old it is. It is safe for concurrent use.
 type Table struct {
-	apply func(rows map[string]Row)
-	now   func() time.Duration
-	hold  time.Duration
+	apply    func(rows map[string]Row)
+	now      func() time.Duration
+	hold     time.Duration
+	returned func() time.Duration // when the store last came back, 0 for never
 
 	mu       sync.Mutex
 	rows     map[string]Row     // as in the store
@@ -54,9 +55,10 @@
 
 func newTable(apply func(rows map[string]Row), now func() time.Duration, hold time.Duration) *Table {
 	return &Table{
-		apply:   apply,
-		now:     now,
-		hold:    hold,
+		apply:    apply,
+		now:      now,
+		hold:     hold,
+		returned: func() time.Duration { return 0 },
 		rows:    make(map[string]Row),
 		kept:    make(map[string]keptRow),
 		removed: make(map[string]int64),
@@ -128,8 +130,8 @@
 		return errBehind
 	}
 	now := t.now()
-	if away := now - t.Confirmed(); t.listed && away > outage && p.Age < outage {
-		t.holdTill = now + t.hold
+	if back := t.returned(); back > 0 {
+		t.holdTill = back + t.hold
 	}
 	changed := t.takeRows(p, now)
 	changed = t.expire(now) || changed
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -82,6 +82,7 @@
 	relist   bool // the history after the copy is gone
 	failures int
 	lastOK   time.Duration
+	back     time.Duration // when the store came back
 	calls    atomic.Int64
 }
 
@@ -112,6 +113,13 @@
 // WithHold sets how long after the store's return removed rows are held.
 func WithHold(d time.Duration) Option { return func(w *Watcher) { w.table.hold = d } }
 
+// WithReturned sets what tells when the store last came back after an outage, 0 for
+// never. The default goes by the own calls; a Watcher that is mostly inactive makes
+// too few to tell.
+func WithReturned(returned func() time.Duration) Option {
+	return func(w *Watcher) { w.table.returned = returned }
+}
+
 // WithClock sets the clock; the default is boottime.Now.
 func WithClock(now func() time.Duration) Option {
 	return func(w *Watcher) {
@@ -132,6 +140,7 @@
 		active: func() bool { return true },
 		wait:   defaultWait,
 	}
+	w.table.returned = func() time.Duration { return w.back }
 	for _, o := range options {
 		o(w)
 	}
@@ -188,6 +197,9 @@
 	begun := w.now()
 	page, err := w.call(ctx)
 	if err == nil {
+		if now := w.now(); w.failures > 0 && now-w.lastOK > outage {
+			w.back = now
+		}
 		err = w.table.Take(page, begun)
 	}
 	if errors.Is(err, ErrCompacted) {
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -121,6 +121,17 @@
 	require.Equal(t, []string{"c", "d"}, f.applied)
 }
 
+// A copy that is brought up to date by peers, seldom, holds nothing: the store was
+// never away.
+func TestSeldomIsNoOutage(t *testing.T) {
+	f := newFixture()
+	take := func(p Page) { require.NoError(t, f.Table().Take(p, f.at)) }
+	take(Page{Full: true, Version: 2, Rows: []Row{live("a", 1), live("b", 2)}})
+	f.at += 20 * time.Second
+	take(page(3, gone("a", 3)))
+	require.Equal(t, []string{"b"}, f.applied)
+}
+
 // An answer that was held for seconds is dated by the store's clock, never later
 // than it can have been true.
 func TestDates(t *testing.T) {
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -71,7 +71,8 @@
 	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), faults: make(map[string]int64)}
 	watching := watch.WithActive(func() bool { return e.gateway.Watching() })
 	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
-	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithHold(lapseHold), watching)
+	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithHold(lapseHold), watching,
+		watch.WithReturned(func() time.Duration { return e.gateway.StoreReturned() }))
 	e.gateway = e.newGateway()
 	if err := e.listen(); err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,18 +116,19 @@
 	reserve    float64
 	maxTTL     time.Duration
 
-	view    atomic.Pointer[view]
-	viewMu  sync.Mutex // held by writers of view
-	weights *weightsBook
-	notices *noticeList
-	pool    *endpoints.Pool
-	traffic traffic
-	peers   *peers
-	kick    chan struct{}
-	tellNow atomic.Bool   // a version was named that agents do not know
-	told    time.Duration // when agents were told last; used by run alone
-	leaving atomic.Bool
-	active  atomic.Int64
+	view     atomic.Pointer[view]
+	viewMu   sync.Mutex // held by writers of view
+	weights  *weightsBook
+	notices  *noticeList
+	pool     *endpoints.Pool
+	traffic  traffic
+	peers    *peers
+	kick     chan struct{}
+	tellNow  atomic.Bool   // a version was named that agents do not know
+	told     time.Duration // when agents were told last; used by run alone
+	leaving  atomic.Bool
+	lastAway atomic.Int64 // boottime nanoseconds at which the store was away
+	active   atomic.Int64
 }
 
 // Option sets a property of a Gateway.
@@ -308,6 +309,19 @@
 	return g.now() - confirmed, confirmed > 0
 }
 
+// StoreReturned returns when the store was last known to have been away, to this
+// entry and to all others, 0 for never.
+func (g *Gateway) StoreReturned() time.Duration {
+	return time.Duration(g.lastAway.Load())
+}
+
+// noteOutage records that nobody confirms the configuration.
+func (g *Gateway) noteOutage(now time.Duration) {
+	if age, known := g.age(); known && age > outageAge {
+		g.lastAway.Store(int64(now))
+	}
+}
+
 // Watching reports whether this entry follows the store itself. One entry of each
 // region does, and two of all; the others take rows and confirmations over from
 // them, and follow the store too when those become old.
@@ -349,9 +363,12 @@
 	watchersOfAll    = 2
 	// staleAge is the age of the confirmation from which an entry asks the store
 	// itself, in the order of rank so that not all do at once.
-	staleAge     = 1700 * time.Millisecond
-	staleStep    = 60 * time.Millisecond
-	staleSteps   = 600 * time.Millisecond
+	staleAge   = 1700 * time.Millisecond
+	staleStep  = 60 * time.Millisecond
+	staleSteps = 600 * time.Millisecond
+	// outageAge is the age of the confirmation from which the store counts as away:
+	// every entry has asked it by then.
+	outageAge    = 2 * time.Second
 	defaultRatio = 0.1
 	defaultTTL   = 2 * time.Second
 )
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -329,6 +329,7 @@
 // peers when it is time or when it is said to be.
 func (g *Gateway) sendSummaries(all bool) {
 	now := g.now()
+	g.noteOutage(now)
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
 	g.Refresh()
 	m := g.summary(now)
