Refuse what would begin much too late; rest misplaced endpoints longer

Cause: (1) after a power loss all callers come back while engines have places but unread prompts: first events predicted at 545 ms were placed, and came late or not at all. Tests of both replay the load.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -13,7 +13,8 @@
 	// about the time in which one of its requests ends.
 	fullClosed = 120 * time.Millisecond
 	// misplacedClosed is the time in which the platform's list corrects a wrong
-	// belief about an endpoint.
+	// belief about an endpoint. It doubles up to longestClosed while that does not
+	// happen: the list may show what a restarted endpoint no longer has.
 	misplacedClosed = 600 * time.Millisecond
 	// remotePenalty and awayPenalty are added to what is predicted for an endpoint
 	// of another failure domain, and for one that another entry uses first: what
@@ -34,6 +35,7 @@
 	own         Work
 	others      Work
 	failures    int
+	misplaced   int // times in a row that it was not what the list says
 	closedUntil time.Duration
 	gap         time.Duration
 	allowance   int // requests that may still be placed before the next allotment
@@ -95,7 +97,7 @@
 func (e *endpoint) learn(now time.Duration, outcome Outcome) {
 	switch outcome {
 	case Succeeded:
-		e.failures = 0
+		e.failures, e.misplaced = 0, 0
 	case Broken, Unreachable:
 		e.failures++
 		if outcome == Unreachable || e.failures >= ejectAfter {
@@ -105,7 +107,8 @@
 	case Full:
 		e.closedUntil = max(e.closedUntil, now+fullClosed)
 	case Misplaced:
-		e.closedUntil = max(e.closedUntil, now+misplacedClosed)
+		e.closedUntil = max(e.closedUntil, now+min(misplacedClosed<<min(e.misplaced, 8), longestClosed))
+		e.misplaced++
 	}
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -243,8 +243,8 @@
 			e = &endpoint{}
 			p.endpoints[c.ID] = e
 		}
-		if e.Candidate.Address != c.Address {
-			e.failures, e.closedUntil = 0, 0
+		if e.Candidate.Address != c.Address || e.Version != c.Version {
+			e.failures, e.misplaced, e.closedUntil = 0, 0, 0
 		}
 		e.Candidate = c
 		p.order = append(p.order, e)
@@ -313,7 +313,12 @@
 	p.pump(now)
 	t.queued = p.ahead(t)
 	if t.queued == 0 {
-		if e, first := p.best(now, r); e != nil {
+		e, first := p.best(now, r)
+		if e != nil && r.hopeless(now, first) {
+			p.refuse(now, t, ReasonOverload)
+			return t
+		}
+		if e != nil {
 			p.place(now, t, e, first)
 			return t
 		}
@@ -477,6 +482,16 @@
 	return false
 }
 
+// lateShare is how far beyond its target an answer may begin by prediction. A
+// request that would begin later delays all that are read beside it.
+const lateShare = 1.5
+
+// hopeless reports whether an answer would begin much too late. What was placed
+// before goes on.
+func (r Request) hopeless(now, first time.Duration) bool {
+	return r.Target > 0 && !r.Again && float64(now-r.Arrived+first) > lateShare*float64(r.Target)
+}
+
 func (r Request) excludes(id string) bool {
 	for _, x := range r.Exclude {
 		if x == id {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -116,6 +116,42 @@
 	}
 }
 
+// Endpoints that came back together with nothing read yet must not be given more
+// prompts than they can read in time, although they have places.
+func TestRefusesWhatWouldBeginMuchTooLate(t *testing.T) {
+	p := newPool(candidates(1, 40, true))
+	placed, refused := 0, 0
+	for range 30 {
+		if verdict(t, p.Offer(0, request(2000))).Placed() {
+			placed++
+		} else {
+			refused++
+		}
+	}
+	// Half a second of target and as much again by half, at 96 ms a prompt.
+	require.InDelta(t, 6, placed, 1)
+	require.Positive(t, refused)
+	r := request(2000)
+	r.Again = true
+	require.True(t, verdict(t, p.Offer(0, r)).Placed(), "a stream that broke goes on")
+}
+
+// The list may show for seconds what an endpoint no longer has.
+func TestMisplacedInARow(t *testing.T) {
+	p := newPool(candidates(1, 4, true))
+	now := time.Duration(0)
+	for _, closed := range []time.Duration{misplacedClosed, 2 * misplacedClosed, 4 * misplacedClosed} {
+		p.Release(now, verdict(t, p.Offer(now, Request{Deadline: time.Hour})).Choice(), Misplaced)
+		require.False(t, verdict(t, p.Offer(now+closed-ms, Request{})).Placed())
+		now += closed
+	}
+	c := candidates(1, 4, true)
+	c[0].Version = 2
+	p.Release(now, verdict(t, p.Offer(now, Request{Deadline: time.Hour})).Choice(), Misplaced)
+	p.SetEndpoints(now, c)
+	require.True(t, verdict(t, p.Offer(now, Request{})).Placed(), "the list has changed")
+}
+
 // A request that has waited for as long as it could be answered in time is refused
 // then, and not held until its deadline.
 func TestWaitEndsWithTheTarget(t *testing.T) {
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -59,9 +59,9 @@
 		now:      now,
 		hold:     hold,
 		returned: func() time.Duration { return 0 },
-		rows:    make(map[string]Row),
-		kept:    make(map[string]keptRow),
-		removed: make(map[string]int64),
+		rows:     make(map[string]Row),
+		kept:     make(map[string]keptRow),
+		removed:  make(map[string]int64),
 	}
 }
 
