--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -73,12 +73,14 @@
 		{"list, then follow", []step{{page: page(3, live("a", 1))}, {page: page(4, live("b", 4))}}, []string{"list", "follow"}, []string{"a", "b"}},
 		{"removed", []step{{page: page(3, live("a", 1), live("b", 2))}, {page: page(4, gone("a", 4))}}, []string{"list", "follow"}, []string{"b"}},
 		{
-			"history is gone", []step{{page: page(3, live("a", 1))}, {err: ErrCompacted}, {page: page(9, live("c", 8))}},
+			"history is gone",
+			[]step{{page: page(3, live("a", 1))}, {err: ErrCompacted}, {page: page(9, live("c", 8))}},
 			[]string{"list", "follow", "list"},
 			[]string{"c"},
 		},
 		{
-			"a list that is behind is refused", []step{{page: page(9, live("a", 9))}, {err: ErrCompacted}, {page: page(7, live("old", 7))}, {page: page(9, live("a", 9))}},
+			"a list that is behind is refused",
+			[]step{{page: page(9, live("a", 9))}, {err: ErrCompacted}, {page: page(7, live("old", 7))}, {page: page(9, live("a", 9))}},
 			[]string{"list", "follow", "list", "list"},
 			[]string{"a"},
 		},
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -59,7 +59,7 @@
 	t.Helper()
 	network++
 	s := &system{t: t, runs: &runLog{}}
-	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add))...)
+	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
 	require.NoError(t, err)
 	s.Deployment = d
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -94,7 +94,7 @@
 		if s == nil || e.Draining() {
 			continue
 		}
-		c, usable := g.candidate(v, s, e, now)
+		c, usable := g.candidate(s, e, now)
 		if usable {
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
@@ -111,7 +111,7 @@
 
 // candidate describes an endpoint for placement; usable is false where it has no
 // weights that may start work.
-func (g *Gateway) candidate(v *view, s *fleet.Service, e *fleet.Endpoint, now time.Duration) (c placement.Candidate, usable bool) {
+func (g *Gateway) candidate(s *fleet.Service, e *fleet.Endpoint, now time.Duration) (c placement.Candidate, usable bool) {
 	c = placement.Candidate{
 		ID:      e.ID(),
 		Address: e.Address(),
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,155 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/model"
+)
+
+func agent(n int) member.Member {
+	return member.New(fmt.Sprintf("10.0.0.%d:7700", n), member.RoleAgent, fmt.Sprintf("10.0.0.%d:7700", n), member.WithPlace("riga", "riga-a"))
+}
+
+func manifest(t *testing.T, version int64, chunks ...string) *model.Manifest {
+	t.Helper()
+	var list []model.Chunk
+	for _, c := range chunks {
+		list = append(list, model.NewChunk(digest.Of([]byte(c)), int64(len(c))))
+	}
+	m, err := model.New("m", versionText(version), list, digest.Of([]byte("whole")))
+	require.NoError(t, err)
+	return m
+}
+
+func TestWaves(t *testing.T) {
+	const bound = 8 * time.Second
+	for _, test := range []struct {
+		name         string
+		named, limit time.Duration
+		rank, n      int
+		want         time.Duration
+	}{
+		{"first", 0, bound, 0, 11, 3360 * time.Millisecond},
+		{"last", 0, bound, 10, 11, 7200 * time.Millisecond},
+		{"alone", 0, bound, 0, 1, 3360 * time.Millisecond},
+		{"the version before has its own limit", 2 * time.Second, bound, 10, 11, 7200 * time.Millisecond},
+		{"that limit is over", 6 * time.Second, bound, 3, 11, 9360 * time.Millisecond},
+	} {
+		require.Equal(t, test.want, waveAt(bound, test.named, test.limit, test.rank, test.n), test.name)
+	}
+}
+
+// Every agent computes the same order, and another one for each version.
+func TestRanks(t *testing.T) {
+	var all []member.Member
+	for i := range 8 {
+		all = append(all, agent(i))
+	}
+	seen := make(map[int]bool)
+	for _, m := range all {
+		seen[rankAmong(m.Name(), all, 3)] = true
+	}
+	require.Len(t, seen, len(all))
+	first := rankedPeers(all, 3)[0].Name()
+	require.Zero(t, rankAmong(first, all, 3))
+}
+
+// A manifest that is spoilt on the way must not be taken.
+func TestManifestNeedsTwoReadings(t *testing.T) {
+	good, spoilt, other := manifest(t, 2, "a", "b"), manifest(t, 2, "a", "x"), manifest(t, 2, "y", "b")
+	for _, test := range []struct {
+		name     string
+		readings []*model.Manifest
+		want     *model.Manifest
+	}{
+		{"good", []*model.Manifest{good, good}, good},
+		{"first is spoilt", []*model.Manifest{spoilt, good, good}, good},
+		{"one between is spoilt", []*model.Manifest{good, spoilt, good, good}, good},
+		{"never the same", []*model.Manifest{good, spoilt, other, spoilt}, nil},
+	} {
+		n := 0
+		r := New(agent(1), Seams{
+			Peers: func(context.Context) ([]member.Member, error) { return nil, nil },
+			Manifest: func(context.Context, string, int64) (*model.Manifest, error) {
+				n++
+				return test.readings[n-1], nil
+			},
+		})
+		m, err := r.fetchManifest(t.Context(), want{model: "m", version: 2})
+		if test.want == nil {
+			require.ErrorIs(t, err, errManifests, test.name)
+			continue
+		}
+		require.NoError(t, err, test.name)
+		require.Equal(t, test.want.ID(), m.ID(), test.name)
+	}
+}
+
+// The others take the manifest over from the first in rank.
+func TestManifestFromPeers(t *testing.T) {
+	good := manifest(t, 2, "a")
+	self := agent(1)
+	var peers []member.Member
+	for i := 2; rankAmong(self.Name(), peers, 2) < 2; i++ {
+		peers = append(peers, agent(i))
+	}
+	asked := 0
+	r := New(self, Seams{
+		Peers: func(context.Context) ([]member.Member, error) { return peers, nil },
+		PeerManifest: func(context.Context, member.Member, string, int64) (*model.Manifest, error) {
+			asked++
+			if asked < 3 {
+				return nil, eris.New("not yet")
+			}
+			return good, nil
+		},
+	})
+	r.wanted = want{model: "m", version: 2}
+	m, err := r.fetchManifest(t.Context(), r.wanted)
+	require.NoError(t, err)
+	require.Equal(t, good.ID(), m.ID())
+	require.Equal(t, 3, asked)
+}
+
+// What a version before has verified at the same place is not fetched again; a chunk
+// that rots in the staging area is.
+func TestHoldings(t *testing.T) {
+	before := holding{manifest: manifest(t, 1, "a", "b", "c"), staged: []bool{true, true, false}}
+	next := holding{manifest: manifest(t, 2, "a", "x", "c"), staged: make([]bool, 3)}
+	next.carry(before)
+	require.Equal(t, []bool{true, false, false}, next.staged)
+	staged := []string{"a", "rotten", "c"}
+	r := New(agent(1), Seams{Staged: func(_ context.Context, _ string, i int) ([]byte, error) { return []byte(staged[i]), nil }})
+	r.held = holding{manifest: next.manifest, staged: []bool{true, true, true}}
+	require.False(t, r.readBack(t.Context(), want{model: "m", version: 2}))
+	require.Equal(t, []bool{true, false, true}, r.held.staged)
+	staged[1] = "x"
+	require.True(t, r.readBack(t.Context(), want{model: "m", version: 2}))
+}
+
+func TestWantOnlyGrows(t *testing.T) {
+	r := New(agent(1), Seams{}, WithVersionBound(8*time.Second), WithClock(func() time.Duration { return time.Minute }))
+	for _, test := range []struct {
+		version int64
+		age     time.Duration
+		want    int64
+		since   time.Duration
+	}{
+		{1, 0, 1, time.Minute},
+		{3, 2 * time.Second, 3, 58 * time.Second},
+		{2, 0, 3, 58 * time.Second},
+		{4, time.Hour, 4, 52 * time.Second},
+	} {
+		r.Want("m", test.version, test.age, false)
+		require.Equal(t, test.want, r.current().version)
+		require.Equal(t, test.since, r.current().since)
+	}
+}
