Count versions named during an outage from its end; slow endpoints by their pace

The bound counts while the store is stable. The stand-in speaks the callers' protocol, so that the platform's names stay there.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -25,6 +25,10 @@
 	failurePenalty = 200 * time.Millisecond
 	// tieBreak spreads requests over endpoints of about equal load.
 	tieBreak = 8 * time.Millisecond
+	// standsOut is the ratio to the usual pause from which an endpoint counts as slow,
+	// maxSlowness the most that is believed.
+	standsOut   = 2.0
+	maxSlowness = 8.0
 	// gapWeight is the weight of one pause in the moving mean.
 	gapWeight = 1.0 / 16
 )
@@ -76,9 +80,20 @@
 	return int(part*float64(free)/float64(max(entries, 1)) + draw)
 }
 
-// first predicts the time until the answer of a request begins.
-func (e *endpoint) first(m Model, prompt int) time.Duration {
-	return m.First(e.own.InFlight+e.others.InFlight, e.own.Unread+e.others.Unread, prompt)
+// first predicts the time until the answer of a request begins, from the usual pause
+// between the events of all endpoints.
+func (e *endpoint) first(m Model, usual time.Duration, prompt int) time.Duration {
+	first := m.First(e.own.InFlight+e.others.InFlight, e.own.Unread+e.others.Unread, prompt)
+	return time.Duration(float64(first) * e.slowness(usual))
+}
+
+// slowness returns how many times longer than usual the endpoint takes, 1 unless it
+// stands out: pauses also grow with what is read beside an answer.
+func (e *endpoint) slowness(usual time.Duration) float64 {
+	if usual == 0 || float64(e.gap) < standsOut*float64(usual) {
+		return 1
+	}
+	return min(float64(e.gap)/float64(usual), maxSlowness)
 }
 
 // score orders the endpoints that have room; the smallest is best.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -27,6 +27,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -185,6 +186,7 @@
 	order     []*endpoint
 	waiting   []*Ticket // most urgent first
 	held      time.Duration
+	usualGap  time.Duration // median over the endpoints
 	inFlight  int
 }
 
@@ -290,6 +292,7 @@
 func (p *Pool) Allot(now time.Duration, n Sharers, far bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.usualGap = p.medianGap()
 	for _, e := range p.order {
 		switch {
 		case e.Home:
@@ -302,6 +305,22 @@
 	p.pump(now)
 }
 
+// medianGap returns the median pause between events over the endpoints that have
+// answered, 0 for none.
+func (p *Pool) medianGap() time.Duration {
+	var gaps []time.Duration
+	for _, e := range p.order {
+		if e.gap > 0 {
+			gaps = append(gaps, e.gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/2]
+}
+
 // nearShare of the room goes to the entries of the endpoint's region.
 const nearShare = 0.7
 
@@ -583,7 +602,7 @@
 		if !e.Home {
 			away++
 		}
-		first := e.first(p.model, r.Prompt)
+		first := e.first(p.model, p.usualGap, r.Prompt)
 		score := e.score(first, p.domain, p.random())
 		if best == nil || score < bestScore {
 			best, bestScore, bestFirst = e, score, first
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -152,6 +152,22 @@
 	require.True(t, verdict(t, p.Offer(now, Request{})).Placed(), "the list has changed")
 }
 
+// An endpoint whose events come much slower than those of the others gets work only
+// when it is the better one all the same.
+func TestSlowEndpoint(t *testing.T) {
+	p := newPool(candidates(3, 16, true))
+	for i, gap := range []time.Duration{80 * ms, 90 * ms, 450 * ms} {
+		p.Pace(Choice{Candidate: Candidate{ID: fmt.Sprintf("e%d", i)}}, gap)
+	}
+	p.Allot(0, Sharers{Near: 1}, true)
+	placed := make(map[string]int)
+	for range 12 {
+		placed[verdict(t, p.Offer(0, request(200))).Choice().ID]++
+	}
+	require.LessOrEqual(t, placed["e2"], 1)
+	require.InDelta(t, placed["e0"], placed["e1"], 1)
+}
+
 // A request that has waited for as long as it could be answered in time is refused
 // then, and not held until its deadline.
 func TestWaitEndsWithTheTarget(t *testing.T) {
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -72,7 +72,7 @@
 	}
 	t.Cleanup(s.stop)
 	for _, m := range d.Entries {
-		require.Eventually(t, func() bool { return s.ready(m) }, 10*time.Second, 20*time.Millisecond, m.Name)
+		require.Eventually(t, func() bool { return s.IsReady(m) }, 10*time.Second, 20*time.Millisecond, m.Name)
 	}
 	return s
 }
@@ -93,15 +93,6 @@
 	s.Close()
 }
 
-func (s *system) ready(m standin.Machine) bool {
-	response, err := http.Get("http://" + s.Ready(m) + "/primrosetally/readyz")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // reply is what a caller gets.
 type reply struct {
 	status  int
@@ -115,12 +106,8 @@
 func (s *system) call(method, path, key string) reply {
 	s.next++
 	attempt := fmt.Sprintf("attempt-%d", s.next)
-	request, err := http.NewRequest(method, "http://"+s.Front(s.Entries[0])+path, strings.NewReader(""))
+	request, err := standin.NewRequest(method, s.Front(s.Entries[0]), path, attempt, key, 2500*time.Millisecond)
 	require.NoError(s.t, err)
-	request.Host = standin.Host
-	request.Header.Set("Primrosetally-Attempt-Id", attempt)
-	request.Header.Set("Primrosetally-Deadline-Ms", "2500")
-	request.Header.Set("Authorization", "Bearer "+key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return reply{broken: err, attempt: attempt}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -51,7 +51,7 @@
 
 // begin writes the head of an endpoint's answer. Length is -1 where the answer is
 // framed anew.
-func (a *answerWriter) begin(_ *request, status int, from http.Header, length int64) {
+func (a *answerWriter) begin(status int, from http.Header, length int64) {
 	h := a.w.Header()
 	for name, values := range withoutConnection(from) {
 		h[name] = values
@@ -92,7 +92,7 @@
 
 // pass gives a whole answer of an endpoint, good or bad.
 func (a *answerWriter) pass(q *request, f *failure) {
-	a.begin(q, f.status, f.header, int64(len(f.body)))
+	a.begin(f.status, f.header, int64(len(f.body)))
 	if err := a.write(f.body); err != nil {
 		a.left(q, "caller is gone")
 		return
@@ -138,7 +138,7 @@
 }
 
 // end closes the connection of an answer that must not look whole.
-func (a *answerWriter) end(_ context.Context, q *request) {
+func (a *answerWriter) end(q *request) {
 	if !a.ended {
 		a.left(q, "caller is gone")
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,7 +147,7 @@
 
 // passLarge passes on an answer that is too large to be read whole first.
 func (g *Gateway) passLarge(ctx context.Context, q *request, response *http.Response, head []byte, out *answerWriter) result {
-	out.begin(q, response.StatusCode, response.Header, response.ContentLength)
+	out.begin(response.StatusCode, response.Header, response.ContentLength)
 	if out.write(head) != nil {
 		return result{outcome: placement.Cancelled, reason: "caller is gone"}
 	}
@@ -186,7 +186,7 @@
 			}
 			last = now
 			if !out.begun {
-				out.begin(q, response.StatusCode, response.Header, -1)
+				out.begin(response.StatusCode, response.Header, -1)
 			}
 			if out.write(batch.bytes) != nil {
 				return result{outcome: placement.Cancelled, reason: "caller is gone"}
@@ -210,7 +210,7 @@
 func (g *Gateway) endStream(q *request, response *http.Response, out *answerWriter) result {
 	g.traffic.suspects.finished(q.mark)
 	if !out.begun {
-		out.begin(q, response.StatusCode, response.Header, -1)
+		out.begin(response.StatusCode, response.Header, -1)
 	}
 	out.finish(q)
 	return result{outcome: placement.Succeeded, answered: true}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,10 +47,8 @@
 	// TimeLeft is how long the caller waits; Timed tells that it said so.
 	TimeLeft time.Duration
 	Timed    bool
-	// Model, PromptTokens and OutputTokens describe a generation.
-	Model        string
+	// PromptTokens is the size of a generation's prompt, 0 if unknown.
 	PromptTokens int
-	OutputTokens int
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,20 +74,46 @@
 	require.False(t, fresh, "never confirmed")
 }
 
-// The time of naming is a lower bound: of several the latest counts, and a version
-// of which nothing is known binds at once.
+// A version that nobody saw named binds at once in a process that has just started,
+// and from the store's return where that was away. An exact time, of another entry or
+// of the store, goes before both.
 func TestWeightsBook(t *testing.T) {
 	b := newWeightsBook()
 	b.bound = 8 * time.Second
 	require.Zero(t, b.required("m", 0))
-	require.True(t, b.name("m", 3, 0), "a process that has just started")
+	require.True(t, b.name("m", 3, 0, false), "a process that has just started")
 	require.Equal(t, int64(3), b.required("m", 20*time.Second))
-	require.False(t, b.name("m", 3, 15*time.Second), "another entry knows when it was named")
+	require.False(t, b.name("m", 3, 15*time.Second, true), "another entry knows when it was named")
 	require.Zero(t, b.required("m", 20*time.Second))
-	require.False(t, b.name("m", 2, 13*time.Second), "the row of an older version")
+	require.False(t, b.name("m", 2, 13*time.Second, true), "the row of an older version")
 	require.Equal(t, int64(2), b.required("m", 21*time.Second))
 	require.Equal(t, int64(3), b.required("m", 23*time.Second))
 	require.Equal(t, int64(3), b.newest(23 * time.Second)[0].GetVersion())
+	b.name("m", 4, 40*time.Second, false)
+	b.name("m", 4, 30*time.Second, true)
+	require.Equal(t, int64(4), b.required("m", 38*time.Second), "an entry that was cut off is told by one that was not")
+	b.name("m", 4, 39*time.Second, false)
+	require.Equal(t, int64(4), b.required("m", 38*time.Second))
+}
+
+// What is named while the store is away from all counts from its return.
+func TestNamedDuringAnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		age      time.Duration // of the confirmation
+		required time.Duration // after the version was seen
+	}{
+		{"store answers", time.Second, 8*time.Second - promptly - versionMargin},
+		{"store was away", 20 * time.Second, 8*time.Second - versionMargin},
+	} {
+		c := &clock{at: 100 * time.Second}
+		confirmed := c.at - test.age
+		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(string, int64, time.Duration) {}))
+		g.ApplyOperator(fleet.NewConfiguration(1), nil)
+		g.ApplyOperator(nil, map[string]int64{"m": 2})
+		require.Zero(t, g.weights.required("m", c.at+test.required-time.Millisecond), test.name)
+		require.Equal(t, int64(2), g.weights.required("m", c.at+test.required), test.name)
+	}
 }
 
 func TestNotices(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), q.left(g.now()))
 	defer cancel()
 	g.dispatch(ctx, q, out)
-	out.end(ctx, q)
+	out.end(q)
 }
 
 // accept reads and checks a request. It returns nil after a final answer.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -34,7 +34,7 @@
 		next.configuration = c
 		telemetry.FleetConfigurationInForce.Log(context.Background(), g.logger, "version", c.Version(), "before", old.version())
 	}
-	g.nameWeights(versions)
+	g.nameWeights(versions, old.configuration == nil)
 	g.view.Store(&next)
 	g.place(&next)
 }
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -34,9 +34,11 @@
 	tellInterval = 400 * time.Millisecond
 )
 
-// weightsBook knows when the versions of weights were named. The time of each is
-// the latest at which it is known not to have been named yet, so that the bound
-// on older versions is never met too late. It is safe for concurrent use.
+// weightsBook knows when the versions of weights were named. A time is exact where
+// some entry, whose calls to the store were answered, saw the version appear; it is
+// then known to all. Else nobody did: the store was away as it was named, and the
+// time is that of its return; or the process has just started, and the version binds
+// at once. It is safe for concurrent use.
 type weightsBook struct {
 	bound time.Duration
 
@@ -47,6 +49,7 @@
 type namedWeights struct {
 	version int64
 	named   time.Duration
+	exact   bool
 }
 
 func newWeightsBook() *weightsBook {
@@ -54,19 +57,29 @@
 }
 
 // name records a version, and reports whether it is the newest that is known.
-func (b *weightsBook) name(model string, version int64, named time.Duration) bool {
+func (b *weightsBook) name(model string, version int64, named time.Duration, exact bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.models[model]
 	i, known := slices.BinarySearchFunc(list, version, func(n namedWeights, v int64) int { return cmp.Compare(n.version, v) })
 	if known {
-		list[i].named = max(list[i].named, named)
+		list[i].improve(named, exact)
 		return false
 	}
-	b.models[model] = slices.Insert(list, i, namedWeights{version: version, named: named})
+	b.models[model] = slices.Insert(list, i, namedWeights{version: version, named: named, exact: exact})
 	return i == len(list)
 }
 
+// improve takes another time in, if it is known better.
+func (n *namedWeights) improve(named time.Duration, exact bool) {
+	if exact == n.exact {
+		n.named = max(n.named, named)
+	}
+	if exact && !n.exact {
+		n.named, n.exact = named, true
+	}
+}
+
 // required returns the oldest version that may start work, 0 for any.
 func (b *weightsBook) required(model string, now time.Duration) int64 {
 	if b.bound == 0 {
@@ -91,27 +104,33 @@
 	for model, versions := range b.models {
 		n := versions[len(versions)-1]
 		age := uint64((now - n.named) / time.Microsecond)
-		list = append(list, &nodev1.NamedWeights{Model: model, Version: n.version, AgeUs: age})
+		list = append(list, &nodev1.NamedWeights{Model: model, Version: n.version, AgeUs: age, Exact: n.exact})
 	}
 	return list
 }
 
 // nameWeights takes in the newest versions that the store shows.
-func (g *Gateway) nameWeights(versions map[string]int64) {
+func (g *Gateway) nameWeights(versions map[string]int64, started bool) {
 	now := g.now()
-	seen := g.confirmed()
-	if seen > 0 && now-seen < confirmedLately {
-		seen = now - promptly
+	age, known := g.age()
+	exact := known && age < confirmedLately && !started
+	named := now
+	switch {
+	case started:
+		named = 0
+	case exact:
+		named = now - promptly
 	}
 	for model, version := range versions {
-		if !g.weights.name(model, version, seen) {
+		if !g.weights.name(model, version, named, exact) {
 			continue
 		}
-		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version, "named", now-seen)
+		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version,
+			"age", now-named, "exact", exact, "confirmedAge", age)
 		g.tellNow.Store(true)
 		g.wake()
-		if _, rank := g.ranks(); seen == now-promptly && rank < recorders {
-			g.record(model, version, seen)
+		if _, rank := g.ranks(); exact && rank < recorders {
+			g.record(model, version, named)
 		}
 	}
 }
@@ -119,7 +138,7 @@
 // NameWeights takes in when, in boottime, a version was named at the earliest, as
 // an entry has written it down.
 func (g *Gateway) NameWeights(model string, version int64, named time.Duration) {
-	g.weights.name(model, version, named)
+	g.weights.name(model, version, named, true)
 }
 
 // hearWeights takes in when another entry saw versions named. The sender wrote its
@@ -130,7 +149,9 @@
 	}
 	for _, n := range m.GetWeights() {
 		named := time.Duration(m.GetEcho()) - time.Duration(n.GetAgeUs())*time.Microsecond
-		g.weights.name(n.GetModel(), n.GetVersion(), named)
+		if n.GetExact() {
+			g.weights.name(n.GetModel(), n.GetVersion(), named, true)
+		}
 	}
 }
 
--- a/internal/measure/weights/baseline.go
+++ b/internal/measure/weights/baseline.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// bound is the lower bound to compare with: the larger of the time over the slowest
-// link into a region and over the link of an instance, plus one chunk time a hop.
+// bound is the time to compare with: the larger of that over the slowest single link
+// into a region and over the link of an instance, plus one chunk time a hop. Where
+// several links lead into a region an exchange can be quicker.
 // The hops are the fewest possible: from the origin into the region and on.
 func bound(p Place, chunk float64) time.Duration {
 	slowest := InstanceRate
--- a/internal/measure/weights/result.go
+++ b/internal/measure/weights/result.go
@@ -19,7 +19,7 @@
 	// MedianSeconds until half of them have it.
 	Seconds       float64 `json:"seconds"`
 	MedianSeconds float64 `json:"medianSeconds"`
-	// BoundSeconds is the lower bound over one link; AllLinksSeconds the one that
+	// BoundSeconds is the time over one link; AllLinksSeconds the one that
 	// counts every link into a region.
 	BoundSeconds    float64 `json:"boundSeconds"`
 	AllLinksSeconds float64 `json:"allLinksSeconds"`
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,7 +18,9 @@
 // Times of a caller.
 const (
 	callTimeout = 3500 * time.Millisecond
-	thinkTime   = 15 * time.Millisecond
+	// callerPatience is the time that a caller says it waits.
+	callerPatience = 2800 * time.Millisecond
+	thinkTime      = 15 * time.Millisecond
 )
 
 var attempts atomic.Int64
@@ -93,22 +94,12 @@
 	entries := c.run.deployment.Entries
 	for range 3 {
 		m := entries[c.random.IntN(len(entries))]
-		client := http.Client{Timeout: time.Second}
-		response, err := client.Get("http://" + c.run.deployment.Directory(m) + "/primrosetally/resolve?name=" + standin.Host + "&zone=" + c.domain)
-		if err != nil {
+		addresses, ttl, err := c.run.deployment.Resolve(m, c.domain)
+		if err != nil || len(addresses) == 0 {
 			continue
 		}
-		var answer struct {
-			Addresses []string `json:"addresses"`
-			TTL       float64  `json:"ttl-s"`
-		}
-		err = json.NewDecoder(response.Body).Decode(&answer)
-		response.Body.Close()
-		if err != nil || len(answer.Addresses) == 0 {
-			continue
-		}
-		c.addresses = answer.Addresses
-		c.until = time.Now().Add(time.Duration(answer.TTL * float64(time.Second)))
+		c.addresses = addresses
+		c.until = time.Now().Add(ttl)
 		return
 	}
 }
@@ -117,15 +108,11 @@
 func (c *caller) send(method, at string, q call) int {
 	q.sent = time.Now()
 	q.entry = at
-	request, err := http.NewRequest(method, "http://"+at+q.path, strings.NewReader(""))
+	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerPatience)
 	if err != nil {
 		c.run.ledger.violate("soak: %v", err)
 		return 0
 	}
-	request.Host = standin.Host
-	request.Header.Set("Primrosetally-Attempt-Id", q.attempt)
-	request.Header.Set("Primrosetally-Deadline-Ms", "2800")
-	request.Header.Set("Authorization", "Bearer "+q.key)
 	response, err := c.client.Do(request)
 	if err == nil {
 		body, readErr := io.ReadAll(response.Body)
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -109,12 +108,4 @@
 	<-ended
 }
 
-func (m *machine) ready() bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + m.run.deployment.Ready(m.Machine) + "/primrosetally/readyz")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
+func (m *machine) ready() bool { return m.run.deployment.IsReady(m.Machine) }
