--- /dev/null
+++ b/internal/coordination/placement/types.go
@@ -0,0 +1,145 @@
+package placement
+
+import "time"
+
+// Outcome is how the work at an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Succeeded: a whole answer came.
+	Succeeded Outcome = iota + 1
+	// Failed: the endpoint answered with a failure of its own.
+	Failed
+	// Broken: the connection failed or no whole answer came.
+	Broken
+	// Unreachable: nothing could be sent.
+	Unreachable
+	// Full: the endpoint said that it has no room and did not run the request.
+	Full
+	// Misplaced: the endpoint is another one or has other weights.
+	Misplaced
+	// Cancelled: the caller left or its time was over.
+	Cancelled
+)
+
+// Candidate is an endpoint that requests may be placed on.
+type Candidate struct {
+	ID      string
+	Address string
+	// Domain is the failure domain.
+	Domain string
+	// Slots is how many requests run there at a time.
+	Slots int
+	// MaxInFlight bounds the own requests there, since each needs a connection.
+	MaxInFlight int
+	// Version is the version of the weights there, 0 for plain endpoints.
+	Version int64
+	// Home marks an endpoint that this entry uses first. Each endpoint is the home
+	// of few entries, so that what is on its way there is known where it matters.
+	Home bool
+	// Near marks an endpoint of the own region.
+	Near bool
+}
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	// Arrived is when the caller's request was taken.
+	Arrived time.Duration
+	// Target is the time from Arrived within which the answer should begin.
+	Target time.Duration
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Duration
+	// Priority is the rank; 0 is the highest.
+	Priority int
+	// Prompt is the number of prompt tokens, 0 for plain endpoints.
+	Prompt int
+	// Exclude are endpoints that were tried.
+	Exclude []string
+	// Again marks a request that was placed before and goes ahead of others.
+	Again bool
+}
+
+// Choice is the endpoint that a request is placed on.
+type Choice struct {
+	Candidate
+	placed   time.Duration
+	prompt   int
+	first    time.Duration
+	inFlight int
+	unread   int
+	began    bool
+}
+
+// unreadLeft returns the prompt tokens that still count as unread.
+func (c *Choice) unreadLeft() int {
+	if c.began {
+		return 0
+	}
+	return c.prompt
+}
+
+// First returns the predicted time from placement until the answer begins.
+func (c Choice) First() time.Duration { return c.first }
+
+// InFlight returns the requests that the endpoint was believed to have.
+func (c Choice) InFlight() int { return c.inFlight }
+
+// Unread returns the prompt tokens that were believed to wait there.
+func (c Choice) Unread() int { return c.unread }
+
+// Reason tells why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoEndpoint Reason = "no endpoint can take it"
+	ReasonOverload   Reason = "no room is expected in time"
+	ReasonExpired    Reason = "no room came in time"
+)
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	choice     Choice
+	placed     bool
+	reason     Reason
+	retryAfter time.Duration
+	waited     time.Duration
+	queued     int
+}
+
+// Placed reports whether the request has an endpoint.
+func (v Verdict) Placed() bool { return v.placed }
+
+// Choice returns the endpoint.
+func (v Verdict) Choice() Choice { return v.choice }
+
+// Reason returns why the request is refused.
+func (v Verdict) Reason() Reason { return v.reason }
+
+// RetryAfter returns when a refused caller may come back.
+func (v Verdict) RetryAfter() time.Duration { return v.retryAfter }
+
+// Waited returns the time between the offer and the verdict.
+func (v Verdict) Waited() time.Duration { return v.waited }
+
+// Queued returns how many requests waited ahead when the request was offered.
+func (v Verdict) Queued() int { return v.queued }
+
+// Ticket is a request that waits for its verdict.
+type Ticket struct {
+	request Request
+	offered time.Duration
+	expires time.Duration
+	queued  int
+	verdict chan Verdict
+}
+
+// Verdict delivers the decision once.
+func (t *Ticket) Verdict() <-chan Verdict { return t.verdict }
+
+// Load is the own work at an endpoint.
+type Load struct {
+	ID string
+	Work
+}
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -24,11 +24,12 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // Errors of an exchange.
@@ -121,7 +122,7 @@
 	if !p.reserve(address) {
 		return nil, eris.Wrap(ErrNoConnection, address)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	dialer := net.Dialer{Timeout: dialTimeout, Control: tcp.UserTimeout(userTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3,
 	}}
 	n, err := dialer.DialContext(ctx, "tcp", address)
@@ -133,17 +134,6 @@
 	return &Exchange{pool: p, address: address, conn: c}, nil
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	control := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if control != nil {
-		return control
-	}
-	return err
-}
-
 func (p *Pool) host(address string) *host {
 	h := p.hosts[address]
 	if h == nil {
--- /dev/null
+++ b/internal/transport/tcp/tcp.go
@@ -0,0 +1,29 @@
+// Package tcp sets options of connections that package net has none for.
+//
+// # Usage
+//
+//	dialer := &net.Dialer{Control: tcp.UserTimeout(time.Second)}
+package tcp
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// UserTimeout returns a dialer's control function that ends a connection whose bytes
+// are not acknowledged in time: a machine without power and one behind a partition
+// send no reset.
+func UserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		control := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if control != nil {
+			return control
+		}
+		return err
+	}
+}
