Be ready only once the endpoints are listed

An entry called itself ready as soon as it knew the configuration; the list of endpoints comes by another call, and until then every request is refused as not run. TestReady fails before and passes after; the test now prints the runs if it fails again.

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -187,7 +187,7 @@
 			}
 			r := s.call(test.method, test.path, standin.Key)
 			require.NoError(t, r.broken)
-			require.Equal(t, test.status, r.status)
+			require.Equal(t, test.status, r.status, "runs: %v", s.runs.of(r.attempt))
 			require.Len(t, s.runs.of(r.attempt), test.runs)
 			if test.status == http.StatusOK && strings.HasPrefix(test.path, standin.PathStream) {
 				require.Equal(t, wholeStream(test.path), r.body)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,9 +206,11 @@
 	}
 }
 
-// Ready reports whether callers should be sent here.
+// Ready reports whether callers should be sent here. Without the list of endpoints
+// every request would be refused.
 func (g *Gateway) Ready() bool {
-	return !g.leaving.Load() && g.view.Load().configuration != nil
+	v := g.view.Load()
+	return !g.leaving.Load() && v.configuration != nil && v.listed
 }
 
 // Leave makes the gateway not ready, tells the other entries, and closes each
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -174,6 +174,7 @@
 	hear("10.0.0.3", "riga-a", false)
 	hear("10.1.0.2", "liepaja-a", true)
 	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	g.ApplyEndpoints(nil)
 	list, ttl := g.Addresses("riga-a")
 	require.ElementsMatch(t, []string{"10.0.0.1:2", "10.0.0.2:2"}, list)
 	require.Equal(t, addressTTL, ttl)
@@ -202,6 +203,19 @@
 	require.True(t, g.Watching(), "the confirmation is old")
 }
 
+// An entry that knows the configuration and not yet the endpoints would refuse every
+// request.
+func TestReady(t *testing.T) {
+	g := newGateway(&clock{})
+	require.False(t, g.Ready())
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	require.False(t, g.Ready(), "the endpoints are not listed yet")
+	g.ApplyEndpoints(nil)
+	require.True(t, g.Ready(), "an empty list is known")
+	g.Leave()
+	require.False(t, g.Ready())
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	g := newGateway(&clock{})
 	for _, test := range []struct{ version, want int64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}} {
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -13,6 +13,7 @@
 type view struct {
 	configuration *fleet.Configuration
 	endpoints     []*fleet.Endpoint
+	listed        bool // the platform's list was read at least once
 }
 
 func (v *view) version() int64 {
@@ -51,6 +52,7 @@
 	old := g.view.Load()
 	next := *old
 	next.endpoints = list
+	next.listed = true
 	g.logEndpoints(old.endpoints, list)
 	g.view.Store(&next)
 	g.place(&next)
