Read the stamps to echo before the ages of a summary

The stamp to echo was read after the age beside it, so that each summary could date the naming some milliseconds too late; entries hand the latest date on ten times a second, and it drifted by about a second. The same made a confirmation look younger. Ruled out: a restart or a cut of that entry (none in its log), a missing notice. TestEchoIsNotNewerThanTheAge fails before and passes after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// A stamp that arrives while a summary is made must not be echoed beside an age that
+// was read before.
+func TestEchoIsNotNewerThanTheAge(t *testing.T) {
+	var g *Gateway
+	ticks := time.Duration(0)
+	tick := func() time.Duration {
+		ticks++
+		if g != nil {
+			g.peers.learn("10.0.0.2:1")
+			g.peers.hear(&nodev1.EntrySummary{Address: "10.0.0.2:1", Region: "riga", Stamp: uint64(ticks)}, ticks)
+		}
+		return ticks
+	}
+	var sent []*nodev1.EntrySummary
+	send := func(_ string, m *nodev1.Datagram) error {
+		sent = append(sent, m.GetSummary())
+		return nil
+	}
+	g = newGateway(&clock{}, WithClock(tick), WithPeers(nil, send))
+	g.sendSummaries(true)
+	require.Len(t, sent, 1)
+	require.LessOrEqual(t, sent[0].GetEcho(), sent[0].GetStamp())
+}
+
 // A process that was suspended or cut off refuses keys before the bound is over.
 func TestFreshness(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -326,14 +326,17 @@
 }
 
 // sendSummaries tells the peers of the own region what this entry knows, and all
-// peers when it is time or when it is said to be.
+// peers when it is time or when it is said to be. The stamps to echo are read before
+// the ages are: an echo that is newer than the age beside it would make what the
+// receiver dates by it look younger, and the entries hand dates on to each other.
 func (g *Gateway) sendSummaries(all bool) {
+	targets, peers, all := g.peers.targets(g.now(), g.self.Region, all)
 	now := g.now()
 	g.noteOutage(now)
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
 	g.Refresh()
 	m := g.summary(now)
-	targets, all := g.peers.targets(now, m, all)
+	m.Peers = peers
 	for _, to := range targets {
 		m.Echo = to.echo
 		m.EchoIncarnation = to.incarnation
@@ -402,9 +405,8 @@
 	incarnation uint64
 }
 
-// targets returns the peers to send to, and adds the known addresses to the
-// message now and then.
-func (p *peers) targets(now time.Duration, m *nodev1.EntrySummary, all bool) (list []target, toAll bool) {
+// targets returns the peers to send to, and now and then the addresses to tell them.
+func (p *peers) targets(now time.Duration, region string, all bool) (list []target, known []string, toAll bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all = all || now-p.toldAll >= p.farInterval()
@@ -423,9 +425,9 @@
 			continue
 		}
 		if tell && p.alive(q, now) {
-			m.Peers = append(m.Peers, address)
+			known = append(known, address)
 		}
-		if !all && q.summary.GetRegion() != m.GetRegion() {
+		if !all && q.summary.GetRegion() != region {
 			continue
 		}
 		list = append(list, target{
@@ -434,5 +436,5 @@
 			incarnation: q.summary.GetIncarnation(),
 		})
 	}
-	return list, all
+	return list, known, all
 }
