Stage again what an engine lacks before repeating an order

Cause: an engine that crashes is back before the agent's next probe (every 250 ms) sees its new incarnation. An order that falls in between is given for chunks that the engine no longer has; its refusal counted as a bad order, and two of them halt a rollout for good. Both agents had staged the chunks again (two copies in their counters), but nobody ordered them any more.

Ruled out: chunks dropped by dropOldChunks (the manifest is the wanted one); a listing of the life before (the bytes show a second transfer).

The agent now takes the engine's word: it forgets what it believed staged, waits until the chunks are staged again and repeats the order.

--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"connectrpc.com/connect"
@@ -136,16 +137,55 @@
 func (a *Agent) load(ctx context.Context, o order) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	if err := a.engine.Load(ctx, engines.NewOrder(o.manifest, engines.WithRevision(o.revision), engines.WithFencing(o.fencing))); err != nil {
+	if err := a.orderStaged(ctx, o); err != nil {
 		return eris.Wrap(err, "load")
 	}
+	return a.readBack(ctx, o.manifest)
+}
+
+// orderStaged gives the order to the engine. An engine that restarted since its
+// chunks were listed lacks them; they are staged again before the order is repeated,
+// since the weights are not at fault.
+func (a *Agent) orderStaged(ctx context.Context, o order) error {
+	wire := engines.NewOrder(o.manifest, engines.WithRevision(o.revision), engines.WithFencing(o.fencing))
+	for {
+		err := a.engine.Load(ctx, wire)
+		if !errors.Is(err, engines.ErrMissingChunk) {
+			return err
+		}
+		telemetry.StagedChunksMissing.Log(ctx, a.node.Logger(), "digest", o.manifest.ID().Short(), "revision", o.revision)
+		a.weights.forget()
+		if err := a.awaitStaged(ctx, o.manifest.ID()); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitStaged returns when the chunks of the manifest are staged again, or
+// errSuperseded when another one is wanted.
+func (a *Agent) awaitStaged(ctx context.Context, id digest.Digest) error {
+	for a.weights.complete(id) == nil {
+		if a.weights.wantedID() != id {
+			return errSuperseded
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readBackInterval):
+		}
+	}
+	return nil
+}
+
+// readBack waits until the engine has loaded and compares what it serves.
+func (a *Agent) readBack(ctx context.Context, m *model.Manifest) error {
 	for {
 		state, err := a.engine.State(ctx)
 		if err != nil {
 			return eris.Wrap(err, "read back")
 		}
 		if !state.Loading() {
-			return checkReadBack(state, o.manifest)
+			return checkReadBack(state, m)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/agent/weights.go
+++ b/internal/agent/weights.go
@@ -57,6 +57,16 @@
 	return w.wanted.manifest
 }
 
+// wantedID returns the wanted manifest's digest, zero if there is none.
+func (w *weights) wantedID() digest.Digest {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.wanted == nil {
+		return digest.Digest{}
+	}
+	return w.wanted.manifest.ID()
+}
+
 // forget drops what was staged in an endpoint that has restarted.
 func (w *weights) forget() {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/process/engine_restart_test.go
@@ -0,0 +1,120 @@
+package process_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/agent"
+	"github.com/primrosetally/primrosetally/internal/process"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
+	"github.com/primrosetally/primrosetally/internal/standin"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/model"
+	"github.com/primrosetally/primrosetally/internal/transport/engines"
+	"github.com/primrosetally/primrosetally/pkg/adminv1"
+	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
+)
+
+// servingWait is above what three rounds of staging and ordering take beside load.
+const servingWait = 15 * time.Second
+
+// restartingEngine restarts just before it reads each of the first orders, so that
+// the agent's list of staged chunks is that of the life before.
+type restartingEngine struct {
+	*standin.Engine
+	client *engines.Client
+	left   atomic.Int64
+}
+
+func (e *restartingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == engines.PathOrders && e.left.Add(-1) >= 0 {
+		e.Crash()
+		for _, err := e.client.State(r.Context()); err != nil && r.Context().Err() == nil; {
+			_, err = e.client.State(r.Context())
+		}
+	}
+	e.Engine.ServeHTTP(w, r)
+}
+
+// TestEngineRestartsBeforeOrders restarts the engine between the report that its
+// weights are staged and the order to load them, more often than the orders that may
+// go bad before a rollout halts.
+func TestEngineRestartsBeforeOrders(t *testing.T) {
+	tests := []struct {
+		name     string
+		restarts int64
+	}{
+		{"once", 1},
+		{"as often as a rollout halts", 2},
+		{"more often", 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := &cluster{tables: standin.NewTables(), members: standin.NewMembers()}
+			origin, store := standin.NewObjects(), standin.NewObjects()
+			c.tablesURL = serve(t, c.tables)
+			c.platform = fmt.Sprintf("[platform]\ntablesUrl = %q\nobjectsUrl = %q\noriginUrl = %q\nmembersUrl = %q\n",
+				c.tablesURL, serve(t, store), serve(t, origin), serve(t, c.members))
+			engine := &restartingEngine{Engine: standin.NewEngine(standin.WithRestartDelay(0))}
+			t.Cleanup(engine.Close)
+			engine.left.Store(test.restarts)
+			url := serve(t, engine)
+			engine.client = engines.New(url)
+			c.startEntry(t, "entry-1")
+			endpoint := c.start(t, "agent", "agent-1", fmt.Sprintf("service = \"tally\"\nengineUrl = %q\n", url), nil)
+			c.submitModel(t, publishModel(t, store, origin))
+			requireServing(t, endpoint)
+			require.Negative(t, engine.left.Load(), "the last order met no restart")
+		})
+	}
+}
+
+// publishModel puts a model of three chunks into the origin and its manifest into
+// the object store.
+func publishModel(t *testing.T, store, origin *standin.Objects) *model.Manifest {
+	t.Helper()
+	data := make([]byte, 3*model.MinChunkSize)
+	for i := range 3 {
+		data[i*model.MinChunkSize] = byte(i)
+	}
+	put := func(c model.Chunk, data []byte) error {
+		origin.Store(agent.ChunkPrefix+c.Digest().String(), bytes.Clone(data))
+		return nil
+	}
+	m, err := model.Split("faq", "1", bytes.NewReader(data), model.MinChunkSize, put)
+	require.NoError(t, err)
+	store.Store(agent.ManifestPrefix+m.ID().String(), m.Encode())
+	return m
+}
+
+func (c *cluster) submitModel(t *testing.T, m *model.Manifest) {
+	t.Helper()
+	text := "[deployment]\nname = \"c\"\nstoreRegion = \"riga\"\n[region.riga]\nfailureDomains = [\"riga-a\"]\n" +
+		fmt.Sprintf("[team.web]\ntokenDigest = \"%s\"\nadministrator = true\n", digest.Of([]byte("web"))) +
+		"[service.tally]\nteam = \"web\"\nkind = \"model\"\nservers = 1\n" +
+		fmt.Sprintf("[[service.tally.models]]\nname = \"faq\"\nversion = \"1\"\nmanifest = %q\n", m.ID())
+	client := adminv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+c.processes[0].Self().CallerAddress())
+	request := connect.NewRequest(&adminv1.SubmitRequest{File: "c.toml", Text: []byte(text), ChangeId: "model"})
+	request.Header().Set("Authorization", "Bearer web")
+	answer, err := client.Submit(t.Context(), request)
+	require.NoError(t, err)
+	require.Equal(t, adminv1.SubmitOutcome_SUBMIT_OUTCOME_ACCEPTED, answer.Msg.GetOutcome(), answer.Msg.GetReason())
+}
+
+// requireServing waits until the agent admits attempts.
+func requireServing(t *testing.T, endpoint *process.Process) {
+	t.Helper()
+	client := nodev1connect.NewAgentServiceClient(http.DefaultClient, "http://"+endpoint.Self().Address())
+	require.Eventually(t, func() bool {
+		answer, err := client.Report(t.Context(), connect.NewRequest(&nodev1.ReportRequest{}))
+		return err == nil && answer.Msg.GetState() == nodev1.EndpointState_ENDPOINT_STATE_SERVING
+	}, servingWait, conditionPoll, "the agent does not serve")
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -83,6 +83,10 @@
 		404, "corruptChunk", slog.LevelWarn,
 		"A chunk did not match its digest. It was dropped and its sender, empty for the origin, is asked less. Look at the sender if it goes on.",
 	}
+	StagedChunksMissing = Event{
+		405, "stagedChunksMissing", slog.LevelWarn,
+		"The engine lacks chunks that were staged: it restarted just before the order. They are staged again and the order is repeated.",
+	}
 	RolloutLeaseLost = Event{
 		500, "rolloutLeaseLost", slog.LevelWarn,
 		"Another entry has taken over the rollout of the service. It is harmless unless it happens often.",
@@ -224,6 +228,7 @@
 		ConfigurationInForce, ConfigurationNotAdopted, HeadRowMalformed, PeerHeadMalformed, PushFailed, ConfigurationDiverged,
 		MembershipUnavailable,
 		WeightsIncomplete, WeightsInService, SwitchFailed, PeersNotListed, CorruptChunk,
+		StagedChunksMissing,
 		RolloutLeaseLost, OrderNotDelivered, OrderRefused, RolloutHalted,
 		OutcomesWait, SuspectsNotRead, SuspectNotWritten, OutcomeNotWritten,
 		FleetConfigurationInForce, WeightsNamed, EndpointListed, EndpointGone, EndpointRowMalformed, OperatorRowMalformed,
