Date versions of weights by the last confirmation without them

Cause found by reading: an entry that saw a version dated it 0.3 s before its sight whenever its confirmation was younger than 2.5 s. An entry whose call to the store was held up, or that took over from a frozen one, sees it up to 2.5 s late; and among two exact dates the later one won, so that one late entry moved the date of all by more than the margin of 0.9 s.

Now a date is the last moment at which the store is known not to have had the version, by the own copy or by a peer's confirmation that did not know it. The naming can't precede it, so the latest such date is valid and the best.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,26 +120,55 @@
 	require.Equal(t, int64(4), b.required("m", 38*time.Second))
 }
 
-// What is named while the store is away from all counts from its return.
-func TestNamedDuringAnOutage(t *testing.T) {
+// A version counts from the last moment at which the store is known not to have had
+// it, however late this entry sees it. What is named while the store is away from all
+// counts from its return.
+func TestDateOfNaming(t *testing.T) {
+	const bound = 8 * time.Second
 	for _, test := range []struct {
 		name     string
-		age      time.Duration // of the confirmation
-		required time.Duration // after the version was seen
+		age      time.Duration // of the own confirmation
+		peer     time.Duration // age of a peer's confirmation without the version
+		required time.Duration // after the version was seen, at the latest
 	}{
-		{"store answers", time.Second, 8*time.Second - promptly - versionMargin},
-		{"store was away", 20 * time.Second, 8*time.Second - versionMargin},
+		{"seen at once", 100 * time.Millisecond, 0, bound - 100*time.Millisecond - versionMargin},
+		{"seen late, by an entry that was frozen", 2 * time.Second, 0, bound - 2*time.Second - versionMargin},
+		{"an entry that takes over from one that was frozen", 20 * time.Second, 2 * time.Second, bound - 2*time.Second - versionMargin},
+		{"store was away", 20 * time.Second, 0, bound - versionMargin},
+		{"store was away from all", 20 * time.Second, 19 * time.Second, bound - versionMargin},
 	} {
 		c := &clock{at: 100 * time.Second}
 		confirmed := c.at - test.age
-		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(string, int64, time.Duration) {}))
+		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(bound, func(string, int64, time.Duration) {}))
 		g.ApplyOperator(fleet.NewConfiguration(1), nil)
+		if test.peer > 0 {
+			g.Hear(t.Context(), &nodev1.EntrySummary{
+				Address: "10.0.0.2:1", Echo: uint64(c.at), EchoIncarnation: 7, ConfigurationVersion: 1,
+				ConfirmedAgeUs: age(test.peer), Weights: []*nodev1.NamedWeights{{Model: "m", Version: 1}},
+			})
+		}
 		g.ApplyOperator(nil, map[string]int64{"m": 2})
-		require.Zero(t, g.weights.required("m", c.at+test.required-time.Millisecond), test.name)
+		require.Less(t, g.weights.required("m", c.at+test.required-time.Millisecond), int64(2), test.name)
 		require.Equal(t, int64(2), g.weights.required("m", c.at+test.required), test.name)
 	}
 }
 
+// One entry sees a version at once and tells another, which was held up and sees it
+// later: the date of the first holds at both.
+func TestLateSightDoesNotMoveTheDate(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	confirmed := c.at - 2*time.Second
+	g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(string, int64, time.Duration) {}))
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	seen := &nodev1.NamedWeights{Model: "m", Version: 2, AgeUs: uint64(1500 * time.Millisecond / time.Microsecond), Exact: true}
+	g.Hear(t.Context(), &nodev1.EntrySummary{
+		Address: "10.0.0.2:1", Echo: uint64(c.at), EchoIncarnation: 7,
+		ConfirmedAgeUs: age(100 * time.Millisecond), Weights: []*nodev1.NamedWeights{seen},
+	})
+	g.ApplyOperator(nil, map[string]int64{"m": 2})
+	require.Equal(t, int64(2), g.weights.required("m", c.at+6500*time.Millisecond-versionMargin))
+}
+
 func TestNotices(t *testing.T) {
 	listed := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(5), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
 	restarted := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(6), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,6 +55,7 @@
 	toldAll    time.Duration // when all peers were told
 	confirmedV int64         // version of the best confirmation
 	confirmedT time.Duration
+	confirmedW []*nodev1.NamedWeights // newest versions of weights that it is about
 	copies     map[nodev1.Table]*copyState
 }
 
@@ -253,9 +254,24 @@
 	if at > p.confirmedT {
 		p.confirmedT = at
 		p.confirmedV = m.GetConfigurationVersion()
+		p.confirmedW = m.GetWeights()
 	}
 }
 
+// confirmedWithout returns the time at which a peer knew that the version of weights
+// was not named yet, 0 for never. A summary's weights are read after the age of its
+// confirmation, so they are not older than that.
+func (p *peers) confirmedWithout(model string, version int64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.confirmedW {
+		if n.GetModel() == model && n.GetVersion() >= version {
+			return 0
+		}
+	}
+	return p.confirmedT
+}
+
 // echoes reports whether a summary was written after a stamp of this process.
 func (p *peers) echoes(m *nodev1.EntrySummary, now time.Duration) bool {
 	return m.GetEcho() != 0 && m.GetEchoIncarnation() == p.incarnation && m.GetEcho() <= uint64(now)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -18,10 +18,8 @@
 	// versionMargin covers what a request may wait at an endpoint before it begins
 	// to work.
 	versionMargin = 900 * time.Millisecond
-	// promptly is the longest time from the naming of a version until an entry
-	// whose calls to the store are answered sees it.
-	promptly = 300 * time.Millisecond
-	// confirmedLately is the age of a confirmation up to which that holds.
+	// confirmedLately is the age up to which a confirmation dates what is named after
+	// it: beyond it every entry would have asked the store, so that it was away.
 	confirmedLately = 2500 * time.Millisecond
 	// holdingTimeout bounds the belief that an endpoint loads: an agent may die
 	// before it says that it is done.
@@ -34,11 +32,12 @@
 	tellInterval = 400 * time.Millisecond
 )
 
-// weightsBook knows when the versions of weights were named. A time is exact where
-// some entry, whose calls to the store were answered, saw the version appear; it is
-// then known to all. Else nobody did: the store was away as it was named, and the
-// time is that of its return; or the process has just started, and the version binds
-// at once. It is safe for concurrent use.
+// weightsBook knows when the versions of weights were named, at the earliest. A time
+// is exact where the store confirmed the state without the version shortly before
+// some entry saw it; it is then known to all, and the latest of them is the best.
+// Else the store was away as it was named, and the time is that of its return; or the
+// process has just started, and the version binds at once. It is safe for concurrent
+// use.
 type weightsBook struct {
 	bound time.Duration
 
@@ -112,21 +111,14 @@
 // nameWeights takes in the newest versions that the store shows.
 func (g *Gateway) nameWeights(versions map[string]int64, started bool) {
 	now := g.now()
-	age, known := g.age()
-	exact := known && age < confirmedLately && !started
-	named := now
-	switch {
-	case started:
-		named = 0
-	case exact:
-		named = now - promptly
-	}
 	for model, version := range versions {
+		without := max(g.confirmed(), g.peers.confirmedWithout(model, version))
+		named, exact := dateNaming(now, without, started)
 		if !g.weights.name(model, version, named, exact) {
 			continue
 		}
 		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version,
-			"age", now-named, "exact", exact, "confirmedAge", age)
+			"age", now-named, "exact", exact, "confirmedAge", now-without)
 		g.tellNow.Store(true)
 		g.wake()
 		if _, rank := g.ranks(); exact && rank < recorders {
@@ -135,6 +127,19 @@
 	}
 }
 
+// dateNaming returns when a version that is seen now was named. The store confirmed
+// the state without it at the given time, which the naming can't precede: an entry
+// that was held up sees it late.
+func dateNaming(now, without time.Duration, started bool) (named time.Duration, exact bool) {
+	switch {
+	case started:
+		return 0, false
+	case without > 0 && now-without < confirmedLately:
+		return without, true
+	}
+	return now, false
+}
+
 // NameWeights takes in when, in boottime, a version was named at the earliest, as
 // an entry has written it down.
 func (g *Gateway) NameWeights(model string, version int64, named time.Duration) {
