Keep the date of a version when other rows of the operators change

Cause: the operators' rows are taken in whole, so that each change of the configuration (here at 26.0 and 27.3 s) named the known version again, with the date of that moment less 0.3 s; the later of two exact dates wins, at this entry and at all it tells. The bound moved by up to the age of the version.

Ruled out: late sight (the entries saw the version 20 to 110 ms after it was named); clocks (restarted entries held an inexact date, which binds at once).

A version that has a date is not dated again by sight. Dates of other entries still improve it. TestLaterChangesDoNotMoveTheDate fails before, passes after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -169,6 +169,33 @@
 	require.Equal(t, int64(2), g.weights.required("m", c.at+6500*time.Millisecond-versionMargin))
 }
 
+// The operators' rows are taken in whole with each change of any of them. What was
+// seen before keeps its date, also in a process that started after the naming.
+func TestLaterChangesDoNotMoveTheDate(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		first    map[string]int64 // with the first configuration
+		second   map[string]int64
+		required time.Duration // after the first configuration
+	}{
+		{"seen as it was named", map[string]int64{"m": 1}, map[string]int64{"m": 2}, time.Second + 8*time.Second - versionMargin - 100*time.Millisecond},
+		{"named before the start", map[string]int64{"m": 2}, map[string]int64{"m": 2}, 0},
+	} {
+		c := &clock{at: 100 * time.Second}
+		confirmed := time.Duration(0)
+		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(string, int64, time.Duration) {}))
+		g.ApplyOperator(fleet.NewConfiguration(1), test.first)
+		start := c.at
+		c.at += time.Second
+		confirmed = c.at - 100*time.Millisecond
+		g.ApplyOperator(fleet.NewConfiguration(2), test.second)
+		c.at += 4 * time.Second
+		confirmed = c.at - 100*time.Millisecond
+		g.ApplyOperator(fleet.NewConfiguration(3), test.second)
+		require.Equal(t, int64(2), g.weights.required("m", start+test.required), test.name)
+	}
+}
+
 func TestNotices(t *testing.T) {
 	listed := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(5), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
 	restarted := fleet.NewEndpoint("i", "s", "10.0.0.9:1", fleet.WithStarted(6), fleet.WithWeights(fleet.NewWeights("m", 1, true)))
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -69,6 +69,13 @@
 	return i == len(list)
 }
 
+// knows reports whether the version has a date, however good.
+func (b *weightsBook) knows(model string, version int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.models[model], func(n namedWeights) bool { return n.version == version })
+}
+
 // improve takes another time in, if it is known better.
 func (n *namedWeights) improve(named time.Duration, exact bool) {
 	if exact == n.exact {
@@ -112,6 +119,9 @@
 func (g *Gateway) nameWeights(versions map[string]int64, started bool) {
 	now := g.now()
 	for model, version := range versions {
+		if g.weights.knows(model, version) {
+			continue // a later change of another row says nothing of its date
+		}
 		without := max(g.confirmed(), g.peers.confirmedWithout(model, version))
 		named, exact := dateNaming(now, without, started)
 		if !g.weights.name(model, version, named, exact) {
