--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -42,11 +42,31 @@
 	return list
 }
 
+// logBuffer collects the log lines of a deployment. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // system is a deployment with its roles in this process.
 type system struct {
 	*standin.Deployment
 	t      *testing.T
 	runs   *runLog
+	logs   *logBuffer
 	cancel context.CancelFunc
 	ended  []chan error
 	next   int
@@ -58,7 +78,7 @@
 func startSystem(t *testing.T, options ...standin.DeploymentOption) *system {
 	t.Helper()
 	network++
-	s := &system{t: t, runs: &runLog{}}
+	s := &system{t: t, runs: &runLog{}, logs: &logBuffer{}}
 	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
 	require.NoError(t, err)
 	s.Deployment = d
@@ -82,7 +102,7 @@
 	require.NoError(s.t, err)
 	ended := make(chan error, 1)
 	s.ended = append(s.ended, ended)
-	go func() { ended <- run(ctx, settings, slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- run(ctx, settings, slog.New(slog.NewJSONHandler(s.logs, nil))) }()
 }
 
 func (s *system) stop() {
@@ -91,6 +111,9 @@
 		require.NoError(s.t, <-ended)
 	}
 	s.Close()
+	if s.t.Failed() {
+		s.t.Logf("log lines:\n%s", s.logs)
+	}
 }
 
 // reply is what a caller gets.
@@ -206,6 +229,7 @@
 		path := fmt.Sprintf("%s%d", standin.PathRead, i)
 		r := s.call("GET", path, standin.Key)
 		require.NoError(t, r.broken)
+		require.Equal(t, http.StatusOK, r.status, r.attempt)
 		require.Equal(t, standin.Body(path), r.body)
 	}
 }
