Ask peers for chunk maps over HTTP/2

Maps go over one HTTP/2 connection a peer, as reports of the product's own agents do; chunks stay on HTTP/1.1.

--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -200,7 +200,7 @@
 		if d.killed[p.Self().Name()] || p.Self().Service() != modelService {
 			continue
 		}
-		client := d.entries[0].Node().Pool().Reports(p.Self().Address())
+		client := d.entries[0].Node().Pool().AgentControl(p.Self().Address())
 		answer, err := client.Report(ctx, connect.NewRequest(&nodev1.ReportRequest{}))
 		if err == nil {
 			list = append(list, answer.Msg)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -193,7 +193,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportWait+reportTimeout)
 	defer cancel()
 	request := &nodev1.ReportRequest{KnownChange: known, WaitMs: uint32(reportWait.Milliseconds())}
-	answer, err := e.node.Pool().Reports(address).Report(ctx, connect.NewRequest(request))
+	answer, err := e.node.Pool().AgentControl(address).Report(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil
 	}
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	a := &Agent{process: newProcess(s, logger), engine: platform.NewEngine(s.EndpointAddress()), pool: nodes.NewPool(), conn: conn}
+	a := &Agent{process: newProcess(s, logger), engine: platform.NewEngine(s.EndpointAddress()), pool: newPeerPool(), conn: conn}
 	a.copies = newCopies(a)
 	self := a.memberAt(s.PeerAddress(), s.FailureDomain())
 	a.replica = replica.New(self, a.seams(),
@@ -63,7 +63,7 @@
 		replica.WithLink(s.LinkBytesPerSecond()))
 	peers := http.NewServeMux()
 	a.replica.Register(peers)
-	if err := a.serve(s.PeerAddress(), peers); err != nil {
+	if err := a.servePeers(peers); err != nil {
 		return err
 	}
 	if err := a.serveMetrics(); err != nil {
@@ -86,6 +86,18 @@
 	return nil
 }
 
+// Times of the connections to other agents. They are used while a version spreads,
+// which takes seconds: one that has gone silent must show sooner.
+const (
+	peerIdle        = 3 * time.Second
+	peerPingAfter   = time.Second
+	peerPingTimeout = 500 * time.Millisecond
+)
+
+func newPeerPool() *nodes.Pool {
+	return nodes.NewPool(nodes.WithIdle(peerIdle), nodes.WithPing(peerPingAfter, peerPingTimeout))
+}
+
 // receive takes in what entries tell agents.
 func (a *Agent) receive(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
@@ -227,7 +239,7 @@
 			return chunks.Manifest(ctx, http.DefaultClient, p.Address(), name, version)
 		},
 		ChunkMap: func(ctx context.Context, p member.Member, m *model.Manifest) (swarm.Bitmap, int, error) {
-			return chunks.Map(ctx, a.pool.Agent(p.Address()), m)
+			return chunks.Map(ctx, a.pool.AgentControl(p.Address()), m)
 		},
 		FetchPeer: func(ctx context.Context, p member.Member, d digest.Digest, offset int64) (io.ReadCloser, error) {
 			return chunks.Fetch(ctx, a.pool.Agent(p.Address()), from, d, offset)
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -23,6 +23,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
+	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 	"github.com/primrosetally/primrosetally/platform"
 )
 
@@ -60,21 +61,30 @@
 	}
 }
 
-// serve listens at an address; the error of a listener that breaks is delivered
-// on failed.
+// serve listens for what speaks HTTP/1.1 at an address; the error of a listener that
+// breaks is delivered on failed.
 func (p *process) serve(address string, handler http.Handler) error {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return p.serveProtocols(address, handler, &protocols)
+}
+
+// servePeers listens for the other processes of the system.
+func (p *process) servePeers(handler http.Handler) error {
+	return p.serveProtocols(p.settings.PeerAddress(), handler, nodes.ServerProtocols())
+}
+
+func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		Protocols:         &protocols,
+		Protocols:         protocols,
 		ErrorLog:          slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelDebug),
 	}
 	p.servers = append(p.servers, server)
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -55,6 +55,9 @@
 
 type config struct {
 	dialTimeout time.Duration
+	idle        time.Duration
+	pingAfter   time.Duration
+	pingTimeout time.Duration
 	options     []connect.ClientOption
 }
 
@@ -66,6 +69,17 @@
 	return func(c *config) { c.dialTimeout = d }
 }
 
+// WithIdle sets how long a connection for control without calls is kept.
+func WithIdle(d time.Duration) Option {
+	return func(c *config) { c.idle = d }
+}
+
+// WithPing sets the silence after which a connection for control is pinged, and how
+// long the answer may take before it is closed.
+func WithPing(after, timeout time.Duration) Option {
+	return func(c *config) { c.pingAfter, c.pingTimeout = after, timeout }
+}
+
 // WithClientOptions adds options, such as interceptors, to every client.
 func WithClientOptions(options ...connect.ClientOption) Option {
 	return func(c *config) { c.options = append(c.options, options...) }
@@ -73,14 +87,14 @@
 
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
-	c := config{dialTimeout: defaultDialTimeout}
+	c := config{dialTimeout: defaultDialTimeout, idle: idleConnTimeout, pingAfter: pingAfter, pingTimeout: pingTimeout}
 	for _, o := range options {
 		o(&c)
 	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	return &Pool{
 		data:    &http.Client{Transport: newTransport(dialer)},
-		control: &http.Client{Transport: newControlTransport(dialer)},
+		control: &http.Client{Transport: newControlTransport(dialer, c)},
 		options: c.options,
 	}
 }
@@ -98,15 +112,15 @@
 
 // newControlTransport returns a transport that speaks HTTP/2 alone. It pings a
 // connection that has been silent, so that a peer that was cut off is noticed.
-func newControlTransport(dialer *net.Dialer) *http.Transport {
+func newControlTransport(dialer *net.Dialer, c config) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
 		DialContext:        dialer.DialContext,
-		IdleConnTimeout:    idleConnTimeout,
+		IdleConnTimeout:    c.idle,
 		DisableCompression: true,
 		Protocols:          &protocols,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: c.pingAfter, PingTimeout: c.pingTimeout},
 	}
 }
 
@@ -125,8 +139,9 @@
 	return p.agentClient(&p.agents, p.data, address)
 }
 
-// Reports returns the client for the reports of the agent that listens at address.
-func (p *Pool) Reports(address string) nodev1connect.AgentServiceClient {
+// AgentControl returns the client for the reports and chunk maps of the agent that
+// listens at address.
+func (p *Pool) AgentControl(address string) nodev1connect.AgentServiceClient {
 	return p.agentClient(&p.reports, p.control, address)
 }
 
