Send callers to few entries; serve late callers behind the others

Placement has two queues now: requests that can be answered in time go first, those whose target has passed wait up to 1.2 s behind them (one of 16 placements is theirs at least) instead of being refused; what is not expected to be served is refused at once. Entries remember whom they turned away and tell those of their region, by a fingerprint, so that the target counts from the first try. Time budgets were tried first to tell who comes back, and do not: fresh callers name 85 to 100 in 100 of the longest. Addresses name as few entries of a domain as carry its slots and requests, the strongest first, and homes are dealt out to those alone.

Calls and bytes: the rows of entries are read by one entry of a region; endpoints' changes of a quarter of a second gather in one call; regions without a spare watcher; summaries to other regions half as often, with loads in every other one.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -42,7 +42,10 @@
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
 	order     []*endpoint
-	waiting   []*Ticket // most urgent first
+	waiting   queue   // for an answer in time
+	late      queue   // their targets have passed
+	sinceLate int     // placements since the last late one
+	slack     float64 // share of placements for which nobody else waited
 	held      time.Duration
 	usualGap  time.Duration // median over the endpoints
 	inFlight  int
@@ -70,7 +73,7 @@
 
 // New returns a Pool without endpoints.
 func New(options ...Option) *Pool {
-	p := &Pool{random: rand.Float64, endpoints: make(map[string]*endpoint)}
+	p := &Pool{random: rand.Float64, slack: 1, endpoints: make(map[string]*endpoint)}
 	for _, o := range options {
 		o(p)
 	}
@@ -81,8 +84,6 @@
 const (
 	// defaultHeld is the time that a request holds its place before any is known.
 	defaultHeld = time.Second
-	// minUsefulWait is the least wait worth queueing for.
-	minUsefulWait = 20 * time.Millisecond
 	// shortestReturn and longestReturn bound what a refused caller is told. Callers
 	// keep to a third of the time that they have left.
 	shortestReturn = 300 * time.Millisecond
@@ -188,39 +189,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pump(now)
-	t.queued = p.ahead(t)
-	if t.queued == 0 {
+	p.schedule(now, t)
+	if t.queued = p.waiting.ahead(t); t.queued == 0 {
 		e, first := p.best(now, r)
-		if e != nil && r.hopeless(now, first) {
-			p.refuse(now, t, ReasonOverload)
-			return t
-		}
-		if e != nil {
+		if e != nil && p.admits(now, t, first) {
 			p.place(now, t, e, first)
 			return t
 		}
 	}
-	t.expires = min(r.Arrived+r.Target-p.model.First(p.usualLoad(), 0, r.Prompt), r.Deadline)
-	switch {
-	case !p.possible(r):
-		p.refuse(now, t, ReasonNoEndpoint)
-	case t.expires-now < minUsefulWait || now+p.turn(t.queued) > t.expires:
-		p.refuse(now, t, ReasonOverload)
-	default:
-		p.enqueue(t)
-	}
+	p.enqueue(now, t, ReasonOverload)
 	return t
 }
 
+// admits reports whether a request that has just come may take the place at which
+// its answer would begin after first.
+func (p *Pool) admits(now time.Duration, t *Ticket, first time.Duration) bool {
+	if t.meets(now, first) {
+		return true
+	}
+	return p.late.ahead(t) == 0 && p.lateFits(t.request, first)
+}
+
 // Cancel withdraws a request that waits.
 func (p *Pool) Cancel(t *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, w := range p.waiting {
-		if w == t {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
+	if !p.waiting.remove(t) {
+		p.late.remove(t)
 	}
 }
 
@@ -250,28 +245,21 @@
 	p.held += (d - p.held) / 32
 }
 
-// Expire refuses what has waited for too long, and places what found room since
-// an endpoint was closed for a time.
+// Expire ends the waits that are over, and places what found room since an endpoint
+// was closed for a time.
 func (p *Pool) Expire(now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pump(now)
-	kept := p.waiting[:0]
-	for _, t := range p.waiting {
-		if now >= t.expires {
-			p.refuse(now, t, ReasonExpired)
-			continue
-		}
-		kept = append(kept, t)
-	}
-	p.waiting = kept
+	p.expire(now)
+	p.demote(now)
 }
 
 // Waiting returns how many requests wait.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.waiting)
+	return len(p.waiting) + len(p.late)
 }
 
 // Loads returns the own requests in flight at each endpoint that has any.
@@ -320,6 +308,8 @@
 	e.own.Unread += t.request.Prompt
 	e.allowance--
 	p.inFlight++
+	p.sinceLate++
+	p.noteSlack()
 	t.verdict <- Verdict{choice: choice, placed: true, waited: now - t.offered, queued: t.queued}
 }
 
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -44,9 +44,11 @@
 
 // Request is what the decision needs to know of a request.
 type Request struct {
-	// Arrived is when the caller's request was taken.
+	// Arrived is when the caller first asked: one that was refused and came back
+	// asked before the request was taken.
 	Arrived time.Duration
-	// Target is the time from Arrived within which the answer should begin.
+	// Target is the time from Arrived within which the answer should begin, 0 for any
+	// time before Deadline.
 	Target time.Duration
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Duration
@@ -130,9 +132,12 @@
 type Ticket struct {
 	request Request
 	offered time.Duration
-	expires time.Duration
-	queued  int
-	verdict chan Verdict
+	// punctual is the last moment at which a placement gives an answer within the
+	// target; the wait ends at expires.
+	punctual time.Duration
+	expires  time.Duration
+	queued   int
+	verdict  chan Verdict
 }
 
 // Verdict delivers the decision once.
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -78,6 +78,7 @@
 	random func() float64
 	active func() bool
 	wait   time.Duration
+	pause  time.Duration
 
 	relist   bool // the history after the copy is gone
 	failures int
@@ -110,6 +111,10 @@
 // WithWait sets how long the store may hold a call without changes.
 func WithWait(d time.Duration) Option { return func(w *Watcher) { w.wait = d } }
 
+// WithPause sets the time between an answer and the next call, in which changes
+// gather that would cost a call each.
+func WithPause(d time.Duration) Option { return func(w *Watcher) { w.pause = d } }
+
 // WithHold sets how long after the store's return removed rows are held.
 func WithHold(d time.Duration) Option { return func(w *Watcher) { w.table.hold = d } }
 
@@ -175,7 +180,7 @@
 // after returns the wait before the next call.
 func (w *Watcher) after(err error) time.Duration {
 	if err == nil {
-		return 0
+		return w.pause
 	}
 	return w.backoff()
 }
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -111,7 +111,7 @@
 			a.copies.learn(notice.Weights.GetEntries())
 			w := notice.Weights.GetWeights()
 			age := time.Duration(w.GetAgeUs()) * time.Microsecond
-			a.replica.Want(w.GetModel(), w.GetVersion(), age, false)
+			a.replica.Want(replica.Naming{Model: w.GetModel(), Version: w.GetVersion(), Age: age, Exact: w.GetExact()})
 		})
 		if ctx.Err() == nil {
 			telemetry.ListenerFailed.Log(ctx, a.logger, "address", a.settings.PeerAddress(), "error", err)
@@ -140,9 +140,9 @@
 		}
 		for _, name := range s.Engine().Models {
 			if v := o.Versions[name]; v > firstVersion {
-				a.replica.Want(name, v, 0, false)
+				a.replica.Want(replica.Naming{Model: name, Version: v})
 			} else {
-				a.replica.Want(name, firstVersion, 0, true)
+				a.replica.Want(replica.Naming{Model: name, Version: firstVersion, First: true})
 			}
 		}
 	})
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -28,8 +28,11 @@
 	operatorWait = 750 * time.Millisecond
 	// endpointsWait only bounds how long a dead connection goes unnoticed.
 	endpointsWait = 3 * time.Second
-	// discoverInterval is how often the rows of entries are read, for entries that
-	// no seed and no peer knows.
+	// endpointsPause gathers the changes of a second in a few calls. An endpoint that
+	// leaves is known long before the two seconds that it goes on serving.
+	endpointsPause = 250 * time.Millisecond
+	// discoverInterval is how often one entry of a region reads the rows of entries,
+	// for entries that no seed and no peer knows.
 	discoverInterval = 12 * time.Second
 	discoverRetry    = 300 * time.Millisecond
 	fetchTimeout     = 1500 * time.Millisecond
@@ -71,7 +74,7 @@
 	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), faults: make(map[string]int64)}
 	watching := watch.WithActive(func() bool { return e.gateway.Watching() })
 	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
-	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithHold(lapseHold), watching,
+	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithPause(endpointsPause), watch.WithHold(lapseHold), watching,
 		watch.WithReturned(func() time.Duration { return e.gateway.StoreReturned() }))
 	e.gateway = e.newGateway()
 	if err := e.listen(); err != nil {
@@ -105,6 +108,7 @@
 		PeerAddress:   s.PeerAddress(),
 		CallerAddress: s.CallerAddress(),
 		Incarnation:   uint64(time.Now().UnixNano()),
+		Cores:         s.Cores(),
 	}
 	return gateway.New(self, platform.Codec(),
 		gateway.WithLogger(e.logger),
@@ -131,7 +135,7 @@
 	}
 	peers := http.NewServeMux()
 	peers.Handle(entries.NewHandler(e.copyOf))
-	if err := e.serve(s.PeerAddress(), peers); err != nil {
+	if err := e.servePeers(peers); err != nil {
 		return err
 	}
 	return e.serveMetrics()
@@ -219,12 +223,15 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		written, weights := false, false
+		written, weights, read := false, false, false
 		for {
 			weights = weights || e.readWeights(ctx)
 			written = written || e.announce(ctx)
+			if !read || e.gateway.LeadsRegion() {
+				read = e.readEntries(ctx)
+			}
 			wait := discoverInterval
-			if !weights || !written || !e.readEntries(ctx) {
+			if !weights || !written || !read {
 				wait = discoverRetry
 			}
 			if !sleep(ctx, wait/2+rand.N(wait)) {
--- a/internal/fleetprocess/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/gateway"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/platform"
 )
@@ -25,16 +27,20 @@
 func (r weightsRow) key() string { return r.Model + "/" + strconv.FormatInt(r.Version, 10) }
 
 // recordWeights writes down when a version was named. It runs beside the watcher,
-// which must not wait for it.
-func (e *Entry) recordWeights(model string, version int64, named time.Duration) {
-	row := weightsRow{Model: model, Version: version, NamedMS: e.operators.Table().StoreTime(named).Milliseconds()}
+// which must not wait for it. A date that is not exact does not replace another one.
+func (e *Entry) recordWeights(v gateway.NamedVersion) {
+	row := weightsRow{Model: v.Model, Version: v.Version, NamedMS: e.operators.Table().StoreTime(v.Named).Milliseconds()}
+	write := e.store.Create
+	if v.Exact {
+		write = e.store.Put
+	}
 	go func() {
 		ctx := context.Background()
 		value, err := json.Marshal(row)
 		if err == nil {
-			err = e.store.Put(ctx, platform.TableWeights, row.key(), value)
+			err = write(ctx, platform.TableWeights, row.key(), value)
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableWeights, "error", err)
 			return
 		}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -43,12 +43,24 @@
 	events     int
 	endpoint   string
 	first      time.Duration // from arrival to the first event
+	pause      time.Duration // the longest between two events
+	eventAt    time.Duration
 	verdict    placement.Verdict
 }
 
 // placed remembers the last placement for the log.
 func (a *answerWriter) placed(v placement.Verdict) { a.verdict = v }
 
+// eventsAt takes the time in at which events go out.
+func (a *answerWriter) eventsAt(now time.Duration) {
+	if a.events == 0 {
+		a.first = now - a.arrived
+	} else {
+		a.pause = max(a.pause, now-a.eventAt)
+	}
+	a.eventAt = now
+}
+
 // begin writes the head of an endpoint's answer. Length is -1 where the answer is
 // framed anew.
 func (a *answerWriter) begin(status int, from http.Header, length int64) {
@@ -113,6 +125,13 @@
 	a.logID(id, "", outcomeRefused, status, reason, append(args, "retryAfter", retryAfter)...)
 }
 
+// turnAway refuses a request that may come back, and remembers it until then.
+func (a *answerWriter) turnAway(q *request, reason string, retryAfter time.Duration, args ...any) {
+	g := a.gateway
+	g.traffic.refusals.refused(q.refusalMark(), q.arrived-q.spent, g.now())
+	a.refuse(q.call.ID, http.StatusServiceUnavailable, reason, retryAfter, append(args, "spent", q.spent)...)
+}
+
 // reject says that the request is not allowed.
 func (a *answerWriter) reject(id string, status int, reason string) {
 	a.w.WriteHeader(status)
@@ -154,7 +173,7 @@
 	}
 	args = append(args, "route", q.route.Name(), "account", q.account, "endpoint", a.endpoint, "attempts", q.attempts)
 	if c := a.verdict.Choice(); a.verdict.Placed() {
-		args = append(args, "first", a.first, "waited", a.verdict.Waited(), "predicted", c.First(),
+		args = append(args, "first", a.first, "pause", a.pause, "spent", q.spent, "waited", a.verdict.Waited(), "predicted", c.First(),
 			"inFlight", c.InFlight(), "unread", c.Unread(), "prompt", q.call.PromptTokens, "home", c.Home)
 	}
 	a.logID(q.call.ID, service, outcome, status, reason, args...)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,9 +176,7 @@
 		batch := events.take(buf[:n], out.lastNumber)
 		if len(batch.bytes) > 0 {
 			now := g.now()
-			if out.events == 0 {
-				out.first = now - out.arrived
-			}
+			out.eventsAt(now)
 			if last == 0 {
 				q.traffic.placement.Began(now, c)
 			} else {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,8 +47,10 @@
 	// TimeLeft is how long the caller waits; Timed tells that it said so.
 	TimeLeft time.Duration
 	Timed    bool
-	// PromptTokens is the size of a generation's prompt, 0 if unknown.
+	// PromptTokens is the size of a generation's prompt, 0 if unknown. Prompt names
+	// its parts.
 	PromptTokens int
+	Prompt       string
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
 }
@@ -93,6 +95,8 @@
 	PeerAddress   string
 	CallerAddress string
 	Incarnation   uint64
+	// Cores is the share of the processor that it may use, 0 if that is not known.
+	Cores float64
 }
 
 // Gateway is the state of an entry.
@@ -109,7 +113,7 @@
 	region     func(failureDomain string) string
 	confirmed  func() time.Duration
 	revocation time.Duration
-	record     func(model string, version int64, named time.Duration)
+	record     func(v NamedVersion)
 	ratio      float64
 	reserve    float64
 	maxTTL     time.Duration
@@ -124,9 +128,11 @@
 	kick     chan struct{}
 	tellNow  atomic.Bool   // a version was named that agents do not know
 	told     time.Duration // when agents were told last; used by run alone
+	started  time.Duration
 	leaving  atomic.Bool
 	lastAway atomic.Int64 // boottime nanoseconds at which the store was away
 	active   atomic.Int64
+	rate     rateMeter
 }
 
 // New returns a gateway that knows no configuration and is not ready.
@@ -143,7 +149,7 @@
 		agent:     func(string) string { return "" },
 		region:    func(string) string { return "" },
 		kick:      make(chan struct{}, 1),
-		record:    func(string, int64, time.Duration) {},
+		record:    func(NamedVersion) {},
 		weights:   newWeightsBook(),
 		notices:   newNoticeList(),
 		confirmed: func() time.Duration { return 0 },
@@ -155,9 +161,11 @@
 	g.view.Store(&view{})
 	g.traffic.services = make(map[string]*serviceTraffic)
 	g.traffic.suspects = newSuspects()
+	g.traffic.refusals = newRefusals()
 	for _, o := range options {
 		o(g)
 	}
+	g.started = g.now()
 	return g
 }
 
@@ -193,7 +201,7 @@
 			g.traffic.expire(g.now())
 		case <-sweep.C:
 			g.pool.Sweep()
-			g.traffic.forgetSuspects(g.now())
+			g.traffic.forget(g.now())
 		case <-summary.C:
 			g.sendSummaries(false)
 			g.tellAgents()
@@ -253,16 +261,25 @@
 	}
 }
 
+// LeadsRegion reports whether this entry is the first of its region that is alive.
+func (g *Gateway) LeadsRegion() bool {
+	return g.rank().region == 0
+}
+
 // Watching reports whether this entry follows the store itself. One entry of each
-// region does, and two of all; the others take rows and confirmations over from
-// them, and follow the store too when those become old.
+// region does, and two where there is one region; the others take rows and
+// confirmations over from them, and follow the store too when those become old.
 func (g *Gateway) Watching() bool {
 	age, known := g.age()
-	region, all := g.ranks()
-	if !known || region < watchersOfRegion || all < watchersOfAll {
+	r := g.rank()
+	watchers := 1
+	if r.regions == 1 {
+		watchers = fewestWatchers
+	}
+	if !known || r.region < watchers {
 		return true
 	}
-	return age > staleAge+min(time.Duration(region)*staleStep, staleSteps)
+	return age > staleAge+min(time.Duration(r.region)*staleStep, staleSteps)
 }
 
 // Changed tells the other entries at once that a copy has changed, if this entry
@@ -289,9 +306,9 @@
 	// maxConnections bounds the connections to one endpoint where the
 	// configuration does not.
 	maxConnections = 24
-	// watchersOfRegion and watchersOfAll are the entries that follow the store.
-	watchersOfRegion = 1
-	watchersOfAll    = 2
+	// fewestWatchers is the number of entries that follow the store at least, so that
+	// one that fails leaves no gap.
+	fewestWatchers = 2
 	// staleAge is the age of the confirmation from which an entry asks the store
 	// itself, in the order of rank so that not all do at once.
 	staleAge   = 1700 * time.Millisecond
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -56,7 +56,7 @@
 // WithVersionBound sets how long after a version of weights was named requests
 // may still be sent to older ones, and what is called to keep when this entry saw
 // a version named, in boottime, for processes that start later.
-func WithVersionBound(d time.Duration, record func(model string, version int64, named time.Duration)) Option {
+func WithVersionBound(d time.Duration, record func(v NamedVersion)) Option {
 	return func(g *Gateway) {
 		g.weights.bound = d
 		g.record = record
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"hash/fnv"
-	"slices"
+	"math"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -20,7 +22,7 @@
 	// than one every peerInterval.
 	nearInterval = 100 * time.Millisecond
 	farInterval  = 300 * time.Millisecond
-	peerInterval = 12 * time.Millisecond
+	peerInterval = 24 * time.Millisecond
 	// silentAfter summaries, and at least silentTime, a peer is left out.
 	silentAfter = 4
 	silentTime  = 1200 * time.Millisecond
@@ -32,6 +34,8 @@
 	forgottenAfter = 60 * time.Second
 	// farPatience is how long rows that only another region has are waited for.
 	farPatience = 400 * time.Millisecond
+	// farLoads is the number of summaries to other regions of which one has loads.
+	farLoads = 2
 	// tellPeersEvery summaries carry the addresses of peers.
 	tellPeersEvery = 8
 )
@@ -98,21 +102,29 @@
 	return n
 }
 
-// ready returns the caller addresses of the peers that take requests; those of
-// the failure domain are returned apart.
-func (p *peers) ready(now time.Duration, domain string) (near, all []string) {
+// ready returns the peers that take requests.
+func (p *peers) ready(now time.Duration) []placement.Entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, q := range p.known {
-		if !p.alive(q, now) || !q.summary.GetReady() {
-			continue
-		}
-		all = append(all, q.summary.GetCallerAddress())
-		if q.summary.GetFailureDomain() == domain {
-			near = append(near, q.summary.GetCallerAddress())
+	var list []placement.Entry
+	for address, q := range p.known {
+		if p.alive(q, now) && q.summary.GetReady() {
+			list = append(list, q.entry(address))
 		}
 	}
-	return near, all
+	return list
+}
+
+func (q *peer) entry(address string) placement.Entry {
+	m := q.summary
+	return placement.Entry{
+		Address:       address,
+		CallerAddress: m.GetCallerAddress(),
+		Domain:        m.GetFailureDomain(),
+		Cores:         float64(m.GetMilliCores()) / 1000,
+		Rate:          float64(m.GetRequestRate()),
+		Carried:       int(m.GetActive()),
+	}
 }
 
 // confirmed returns the time at which a peer knew that no version newer than the
@@ -143,44 +155,37 @@
 	return sum
 }
 
-// entriesByDomain returns the peer addresses of the live ready entries, the own
-// one included, by failure domain and in order.
-func (g *Gateway) entriesByDomain(now time.Duration) map[string][]string {
-	byDomain := map[string][]string{g.self.FailureDomain: {g.self.PeerAddress}}
-	p := g.peers
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, q := range p.known {
-		if p.alive(q, now) && q.summary.GetReady() {
-			byDomain[q.summary.GetFailureDomain()] = append(byDomain[q.summary.GetFailureDomain()], address)
-		}
-	}
-	for _, list := range byDomain {
-		slices.Sort(list)
-	}
-	return byDomain
+// rank is the place of this entry by address among those that were heard just now.
+type rank struct {
+	region  int // in the own region
+	all     int
+	regions int // that have an entry
 }
 
-// ranks returns the place of this entry by address among the entries of its region
-// that were heard just now, and among all.
-func (g *Gateway) ranks() (region, all int) {
+// rank returns the place of this entry among the live ones.
+func (g *Gateway) rank() rank {
 	now := g.now()
 	p := g.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var r rank
+	heard := map[string]bool{g.self.Region: true}
 	for address, q := range p.known {
-		if address >= p.self || q.summary == nil {
+		near := q.summary.GetRegion() == g.self.Region
+		if !p.alive(q, now) || near && now-q.heard >= nearSilent {
 			continue
 		}
-		near := q.summary.GetRegion() == g.self.Region
-		if near && now-q.heard < nearSilent || !near && p.alive(q, now) {
-			all++
+		heard[q.summary.GetRegion()] = true
+		if address >= p.self {
+			continue
 		}
-		if near && now-q.heard < nearSilent {
-			region++
+		r.all++
+		if near {
+			r.region++
 		}
 	}
-	return region, all
+	r.regions = len(heard)
+	return r
 }
 
 // addresses returns the peer addresses of the live peers.
@@ -216,6 +221,7 @@
 			g.traffic.suspects.told(m.GetAddress(), f, m.GetCrashes()[i], now)
 		}
 	}
+	g.traffic.refusals.told(m.GetRefused(), m.GetRefusedAgeMs(), now)
 	g.hearWeights(m, now)
 	g.shareLoads(now)
 	g.catchUp(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), now)
@@ -228,18 +234,22 @@
 	defer p.mu.Unlock()
 	q := p.known[m.GetAddress()]
 	returned = !p.alive(q, now)
-	if q.summary != nil && q.summary.GetIncarnation() == m.GetIncarnation() && m.GetStamp() < q.summary.GetStamp() {
+	restarted := q.summary.GetIncarnation() != m.GetIncarnation()
+	if !restarted && m.GetStamp() < q.summary.GetStamp() {
 		return false // overtaken by a newer datagram
 	}
 	q.summary = m
 	q.heard = now
+	p.confirm(m, now)
+	if m.GetLoadsLeftOut() && !restarted {
+		return returned
+	}
 	q.work = make(map[uint32]placement.Work, len(m.GetEndpoints()))
 	for i, h := range m.GetEndpoints() {
 		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
 			q.work[h] = placement.Work{InFlight: int(m.GetInFlight()[i]), Unread: int(m.GetUnread()[i])}
 		}
 	}
-	p.confirm(m, now)
 	return returned
 }
 
@@ -349,11 +359,18 @@
 	targets, peers, all := g.peers.targets(g.now(), g.self.Region, all)
 	now := g.now()
 	g.noteOutage(now)
+	g.rate.advance(now)
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
 	g.Refresh()
-	m := g.summary(now)
-	m.Peers = peers
+	near := g.summary(now)
+	near.Peers = peers
+	near.Refused, near.RefusedAgeMs = g.traffic.refusals.takeUntold(now)
+	far := g.farSummary(near)
 	for _, to := range targets {
+		m := near
+		if !to.near {
+			m = far
+		}
 		m.Echo = to.echo
 		m.EchoIncarnation = to.incarnation
 		datagram := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: m}}
@@ -366,6 +383,26 @@
 	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, all) })
 }
 
+// farSummary returns what of a summary goes to other regions, whose links are shared
+// with all other traffic: callers do not come back to them, and little is placed
+// there, so that every farLoads-th summary with loads is enough.
+func (g *Gateway) farSummary(near *nodev1.EntrySummary) *nodev1.EntrySummary {
+	far := proto.CloneOf(near)
+	far.Refused, far.RefusedAgeMs = nil, nil
+	if g.peers.leavesLoadsOut() {
+		far.Endpoints, far.InFlight, far.Unread = nil, nil, nil
+		far.LoadsLeftOut = true
+	}
+	return far
+}
+
+// leavesLoadsOut reports whether the summary of this round to all has no loads.
+func (p *peers) leavesLoadsOut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent%farLoads != 0
+}
+
 // sharers returns how many entries share the endpoints of a region.
 func (g *Gateway) sharers(now time.Duration) placement.Sharers {
 	n := placement.Sharers{Near: 1}
@@ -397,6 +434,9 @@
 		ConfigurationVersion: v.version(),
 		OperatorContent:      g.content(nodev1.Table_TABLE_OPERATOR),
 		EndpointsContent:     g.content(nodev1.Table_TABLE_ENDPOINTS),
+		MilliCores:           uint32(g.self.Cores * 1000),
+		RequestRate:          uint32(math.Round(g.rate.value())),
+		Active:               uint32(max(g.active.Load(), 0)),
 	}
 	if at := g.confirmed(); at > 0 {
 		age := uint64((now-at)/time.Microsecond) + 1
@@ -417,6 +457,7 @@
 // target is a peer to send to and what to echo to it.
 type target struct {
 	address     string
+	near        bool // in the own region
 	echo        uint64
 	incarnation uint64
 }
@@ -443,11 +484,13 @@
 		if tell && p.alive(q, now) {
 			known = append(known, address)
 		}
-		if !all && q.summary.GetRegion() != region {
+		near := q.summary.GetRegion() == region
+		if !all && !near {
 			continue
 		}
 		list = append(list, target{
 			address:     address,
+			near:        near,
 			echo:        q.summary.GetStamp(),
 			incarnation: q.summary.GetIncarnation(),
 		})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,17 +41,25 @@
 	body     []byte
 	priority int
 	arrived  time.Duration
+	spent    time.Duration // by the caller on tries before
 	deadline time.Duration
 	mark     uint64
 	attempts int
 	sent     []string // endpoints, in order
 }
 
+// refusalMark identifies the request when its caller comes back. Bodies are alike
+// where the prompt travels apart.
+func (q *request) refusalMark() uint64 {
+	return q.mark ^ fingerprint("", "", q.call.Prompt, nil)
+}
+
 // left returns the time until the final answer is due.
 func (q *request) left(now time.Duration) time.Duration { return q.deadline - now }
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.rate.count.Add(1)
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	out := &answerWriter{gateway: g, w: w, arrived: g.now()}
@@ -107,6 +115,7 @@
 		return nil
 	}
 	q.mark = fingerprint(q.account, q.method, q.target, q.body)
+	q.spent = g.traffic.refusals.returned(q.refusalMark(), q.arrived)
 	return q
 }
 
@@ -249,11 +258,11 @@
 // await asks for an endpoint until there is a verdict or the caller is gone.
 func (g *Gateway) await(ctx context.Context, q *request, again bool) (placement.Verdict, bool) {
 	target := q.route.Target()
-	if target == 0 || again {
-		target = q.deadline - q.arrived
+	if again {
+		target = 0
 	}
 	t := q.traffic.placement.Offer(g.now(), placement.Request{
-		Arrived:  q.arrived,
+		Arrived:  q.arrived - q.spent,
 		Target:   target,
 		Deadline: q.deadline,
 		Priority: q.priority,
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -123,7 +123,7 @@
 	case s.mayRun:
 		out.fail(q, http.StatusBadGateway, reason, args...)
 	default:
-		out.refuse(q.call.ID, http.StatusServiceUnavailable, reason, retryAfter, args...)
+		out.turnAway(q, reason, retryAfter, args...)
 	}
 }
 
@@ -137,6 +137,6 @@
 	case s.mayRun:
 		out.fail(q, http.StatusGatewayTimeout, "time is over")
 	default:
-		out.refuse(q.call.ID, http.StatusServiceUnavailable, "time is over", unknownRetryAfter)
+		out.turnAway(q, "time is over", unknownRetryAfter)
 	}
 }
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -29,6 +29,7 @@
 	mu       sync.RWMutex
 	services map[string]*serviceTraffic
 	suspects *suspectList
+	refusals *refusalList
 	refilled time.Duration
 }
 
@@ -59,7 +60,11 @@
 	t.each(func(_ string, s *serviceTraffic) { s.placement.Expire(now) })
 }
 
-func (t *traffic) forgetSuspects(now time.Duration) { t.suspects.forget(now) }
+// forget drops what is known of requests that do not come again.
+func (t *traffic) forget(now time.Duration) {
+	t.suspects.forget(now)
+	t.refusals.forget(now)
+}
 
 // refill gives each budget its share of what all entries may repeat without
 // requests that pay for it.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -101,7 +101,7 @@
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
 	}
-	entries := g.entriesByDomain(now)
+	entries := g.takersByDomain(now)
 	for name, s := range v.configuration.Services() {
 		list := candidates[name]
 		placement.AssignHomes(list, entries, g.self.FailureDomain, g.self.PeerAddress)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -30,6 +30,10 @@
 	// is wanted, every tellInterval until it is there.
 	tellers      = 2
 	tellInterval = 400 * time.Millisecond
+	// datesTime is the time in which an entry that has started reads the dates that
+	// others wrote down. Agents that were told to hurry before that would all load at
+	// the same moment.
+	datesTime = 1500 * time.Millisecond
 )
 
 // weightsBook knows when the versions of weights were named, at the earliest. A time
@@ -131,8 +135,8 @@
 			"age", now-named, "exact", exact, "confirmedAge", now-without)
 		g.tellNow.Store(true)
 		g.wake()
-		if _, rank := g.ranks(); exact && rank < recorders {
-			g.record(model, version, named)
+		if !started && g.rank().all < recorders {
+			g.record(NamedVersion{Model: model, Version: version, Named: named, Exact: exact})
 		}
 	}
 }
@@ -150,6 +154,16 @@
 	return now, false
 }
 
+// NamedVersion is a version of weights with its date, for entries that start later.
+type NamedVersion struct {
+	Model   string
+	Version int64
+	// Named is the date, in boottime. It is Exact unless the store was away as the
+	// version was named; then it is the time of the store's return.
+	Named time.Duration
+	Exact bool
+}
+
 // NameWeights takes in when, in boottime, a version was named at the earliest, as
 // an entry has written it down.
 func (g *Gateway) NameWeights(model string, version int64, named time.Duration) {
@@ -174,13 +188,15 @@
 // should have, as long as they do not have it. Two entries of the region do so.
 func (g *Gateway) tellAgents() {
 	now := g.now()
-	region, _ := g.ranks()
-	if region >= tellers || now-g.told < tellInterval && !g.tellNow.Load() {
+	if g.rank().region >= tellers || now-g.told < tellInterval && !g.tellNow.Load() {
 		return
 	}
 	g.tellNow.Store(false)
 	g.told = now
 	newest := g.weights.newest(now)
+	if now-g.started < datesTime {
+		newest = slices.DeleteFunc(newest, func(n *nodev1.NamedWeights) bool { return !n.GetExact() })
+	}
 	if len(newest) == 0 {
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,7 +12,7 @@
 //
 //	r := replica.New(self, seams, replica.WithVersionBound(8*time.Second))
 //	ended := r.Start(ctx)
-//	r.Want("faq-model", 2)
+//	r.Want(replica.Naming{Model: "faq-model", Version: 2})
 //	r.Register(mux)
 package replica
 
@@ -20,6 +20,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +96,7 @@
 	model   string
 	version int64
 	since   time.Duration
+	exact   bool // some entry saw it named
 	first   bool // it is the version of the start, for which there is no bound
 }
 
@@ -163,26 +165,62 @@
 // errSuperseded ends a pass whose version is no longer wanted.
 var errSuperseded = eris.New("another version is wanted")
 
-// Want names the version to bring onto the endpoint, and how long ago it was named
-// at the most. A version that is not newer changes nothing. First marks the version
-// of the start.
-func (r *Replica) Want(model string, version int64, age time.Duration, first bool) {
+// Naming is what is known of a version that the operators named.
+type Naming struct {
+	Model   string
+	Version int64
+	// Age is the time since it was named at the most. It is Exact where an entry saw
+	// the version appear; a process that has just started does not know the age.
+	Age   time.Duration
+	Exact bool
+	// First marks the version of the start, for which there is no bound.
+	First bool
+}
+
+// Want names the version to bring onto the endpoint. One that is older than the wanted
+// one changes nothing; of a version that is known only the date may improve.
+func (r *Replica) Want(n Naming) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.wanted.model == model && version <= r.wanted.version {
+	// An age beyond the bound says that the time is not known.
+	w := want{model: n.Model, version: n.Version, since: r.now() - min(n.Age, r.bound), exact: n.Exact, first: n.First}
+	if r.refine(w) || r.wanted.model == n.Model && n.Version <= r.wanted.version {
 		return
 	}
-	// An age beyond the bound says that the time is not known.
-	since := r.now() - min(age, r.bound)
-	r.wanted = want{model: model, version: version, since: since, first: first}
-	r.named = append(r.named, r.wanted)
-	telemetry.WeightsNamed.Log(context.Background(), r.logger, "model", model, "version", version, "age", age)
+	r.wanted = w
+	r.named = append(r.named, w)
+	telemetry.WeightsNamed.Log(context.Background(), r.logger, "model", n.Model, "version", n.Version, "age", n.Age, "exact", n.Exact)
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
+// refine takes a better date of a version that is known, and reports whether it is.
+// The caller holds the mutex.
+func (r *Replica) refine(w want) bool {
+	i := slices.IndexFunc(r.named, func(k want) bool { return k.model == w.model && k.version == w.version })
+	if i < 0 {
+		return false
+	}
+	known := &r.named[i]
+	better := w.exact && !known.exact || w.exact == known.exact && w.since < known.since
+	if known.first || !better {
+		return true
+	}
+	if r.wanted == *known {
+		r.wanted.since, r.wanted.exact = w.since, w.exact
+	}
+	known.since, known.exact = w.since, w.exact
+	return true
+}
+
+// superseded reports whether another version is wanted by now.
+func (r *Replica) superseded(w want) bool {
+	now := r.current()
+	return now.model != w.model || now.version != w.version
+}
+
 func (r *Replica) current() want {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -261,7 +299,7 @@
 			}
 			return err
 		case <-r.wake:
-			if r.current() != w {
+			if r.superseded(w) {
 				cancel()
 				<-ended
 				return errSuperseded
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -89,10 +89,14 @@
 		n++
 	}
 	rank := rankAmong(r.self.Name(), peers, w.version)
-	at := waveAt(r.bound, w.since, r.usableUntil(w, report.Version), rank, n)
-	for r.now() < at && ctx.Err() == nil {
+	for ctx.Err() == nil {
+		w = r.current() // its date may have improved
+		at := waveAt(r.bound, w.since, r.usableUntil(w, report.Version), rank, n)
+		if r.now() >= at {
+			return nil
+		}
 		r.pause(ctx, min(at-r.now(), retryInterval))
-		if r.current() != w {
+		if r.superseded(w) {
 			return errSuperseded
 		}
 	}
