--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
@@ -273,6 +275,27 @@
 	require.Equal(t, []string{"10.0.0.1:2"}, list, "all others are silent")
 }
 
+// The room of endpoints is shared by the entries that callers are sent to, and those
+// that still carry requests, not by all that are ready.
+func TestSharersAreThoseWithRequests(t *testing.T) {
+	region := func(domain string) string { return strings.TrimSuffix(domain, "-a") }
+	g := newGateway(&clock{at: 10 * time.Second}, WithAgents(func(string) string { return "" }, region))
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	g.ApplyEndpoints(nil)
+	for domain, entries := range map[string]int{"riga-a": 9, "liepaja-a": 10} {
+		for i := range entries {
+			m := &nodev1.EntrySummary{Address: fmt.Sprintf("%s-%d:1", domain, i), Region: region(domain), FailureDomain: domain, Ready: true}
+			if i == entries-1 {
+				m.Active = 20
+			}
+			g.Hear(t.Context(), m)
+		}
+	}
+	list, _ := g.Addresses("liepaja-a")
+	require.Len(t, list, 3)
+	require.Equal(t, placement.Sharers{Near: 4, Far: 4}, g.sharers(10*time.Second))
+}
+
 // One entry of a region follows the store, the others when it is silent.
 func TestWatching(t *testing.T) {
 	c := &clock{at: 10 * time.Second}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"hash/fnv"
-	"math"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -22,7 +19,10 @@
 	// than one every peerInterval.
 	nearInterval = 100 * time.Millisecond
 	farInterval  = 300 * time.Millisecond
-	peerInterval = 24 * time.Millisecond
+	peerInterval = 12 * time.Millisecond
+	// idleFactor lengthens the interval of an entry that carries no requests: there is
+	// little to tell of it.
+	idleFactor = 2
 	// silentAfter summaries, and at least silentTime, a peer is left out.
 	silentAfter = 4
 	silentTime  = 1200 * time.Millisecond
@@ -34,8 +34,6 @@
 	forgottenAfter = 60 * time.Second
 	// farPatience is how long rows that only another region has are waited for.
 	farPatience = 400 * time.Millisecond
-	// farLoads is the number of summaries to other regions of which one has loads.
-	farLoads = 2
 	// tellPeersEvery summaries carry the addresses of peers.
 	tellPeersEvery = 8
 )
@@ -78,14 +76,19 @@
 	}
 }
 
-// farInterval returns how often all peers are told.
-func (p *peers) farInterval() time.Duration {
-	return max(farInterval, time.Duration(len(p.known))*peerInterval)
+// farInterval returns how often an entry tells all peers.
+func (p *peers) farInterval(carried uint32) time.Duration {
+	interval := max(farInterval, time.Duration(len(p.known))*peerInterval)
+	if carried == 0 {
+		interval *= idleFactor
+	}
+	return interval
 }
 
-// alive reports whether a peer was heard from lately.
+// alive reports whether a peer was heard from lately. One that carried requests in its
+// last summary may have none since.
 func (p *peers) alive(q *peer, now time.Duration) bool {
-	limit := max(silentAfter*p.farInterval(), silentTime)
+	limit := max(silentAfter*p.farInterval(q.summary.GetActive()), silentTime)
 	return q.summary != nil && now-q.heard < limit
 }
 
@@ -234,16 +237,12 @@
 	defer p.mu.Unlock()
 	q := p.known[m.GetAddress()]
 	returned = !p.alive(q, now)
-	restarted := q.summary.GetIncarnation() != m.GetIncarnation()
-	if !restarted && m.GetStamp() < q.summary.GetStamp() {
+	if q.summary.GetIncarnation() == m.GetIncarnation() && m.GetStamp() < q.summary.GetStamp() {
 		return false // overtaken by a newer datagram
 	}
 	q.summary = m
 	q.heard = now
 	p.confirm(m, now)
-	if m.GetLoadsLeftOut() && !restarted {
-		return returned
-	}
 	q.work = make(map[uint32]placement.Work, len(m.GetEndpoints()))
 	for i, h := range m.GetEndpoints() {
 		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
@@ -350,150 +349,3 @@
 		s.placement.SetOthers(now, func(id string) placement.Work { return sum[endpointHash(id)] })
 	})
 }
-
-// sendSummaries tells the peers of the own region what this entry knows, and all
-// peers when it is time or when it is said to be. The stamps to echo are read before
-// the ages are: an echo that is newer than the age beside it would make what the
-// receiver dates by it look younger, and the entries hand dates on to each other.
-func (g *Gateway) sendSummaries(all bool) {
-	targets, peers, all := g.peers.targets(g.now(), g.self.Region, all)
-	now := g.now()
-	g.noteOutage(now)
-	g.rate.advance(now)
-	g.traffic.refill(now, g.reserve, g.peers.count()+1)
-	g.Refresh()
-	near := g.summary(now)
-	near.Peers = peers
-	near.Refused, near.RefusedAgeMs = g.traffic.refusals.takeUntold(now)
-	far := g.farSummary(near)
-	for _, to := range targets {
-		m := near
-		if !to.near {
-			m = far
-		}
-		m.Echo = to.echo
-		m.EchoIncarnation = to.incarnation
-		datagram := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: m}}
-		if err := g.send(to.address, datagram); err != nil {
-			g.metrics.SummariesNotSent.Inc()
-		}
-	}
-	g.shareLoads(now)
-	sharers := g.sharers(now)
-	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, all) })
-}
-
-// farSummary returns what of a summary goes to other regions, whose links are shared
-// with all other traffic: callers do not come back to them, and little is placed
-// there, so that every farLoads-th summary with loads is enough.
-func (g *Gateway) farSummary(near *nodev1.EntrySummary) *nodev1.EntrySummary {
-	far := proto.CloneOf(near)
-	far.Refused, far.RefusedAgeMs = nil, nil
-	if g.peers.leavesLoadsOut() {
-		far.Endpoints, far.InFlight, far.Unread = nil, nil, nil
-		far.LoadsLeftOut = true
-	}
-	return far
-}
-
-// leavesLoadsOut reports whether the summary of this round to all has no loads.
-func (p *peers) leavesLoadsOut() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.sent%farLoads != 0
-}
-
-// sharers returns how many entries share the endpoints of a region.
-func (g *Gateway) sharers(now time.Duration) placement.Sharers {
-	n := placement.Sharers{Near: 1}
-	p := g.peers
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, q := range p.known {
-		switch {
-		case !p.alive(q, now):
-		case q.summary.GetRegion() == g.self.Region:
-			n.Near++
-		default:
-			n.Far++
-		}
-	}
-	return n
-}
-
-func (g *Gateway) summary(now time.Duration) *nodev1.EntrySummary {
-	v := g.view.Load()
-	m := &nodev1.EntrySummary{
-		Address:              g.self.PeerAddress,
-		Region:               g.self.Region,
-		FailureDomain:        g.self.FailureDomain,
-		CallerAddress:        g.self.CallerAddress,
-		Incarnation:          g.self.Incarnation,
-		Ready:                g.Ready(),
-		Stamp:                uint64(now),
-		ConfigurationVersion: v.version(),
-		OperatorContent:      g.content(nodev1.Table_TABLE_OPERATOR),
-		EndpointsContent:     g.content(nodev1.Table_TABLE_ENDPOINTS),
-		MilliCores:           uint32(g.self.Cores * 1000),
-		RequestRate:          uint32(math.Round(g.rate.value())),
-		Active:               uint32(max(g.active.Load(), 0)),
-	}
-	if at := g.confirmed(); at > 0 {
-		age := uint64((now-at)/time.Microsecond) + 1
-		m.ConfirmedAgeUs = &age
-	}
-	g.traffic.each(func(_ string, s *serviceTraffic) {
-		for _, l := range s.placement.Loads() {
-			m.Endpoints = append(m.Endpoints, endpointHash(l.ID))
-			m.InFlight = append(m.InFlight, uint32(l.InFlight))
-			m.Unread = append(m.Unread, uint32(max(l.Unread, 0)))
-		}
-	})
-	m.Weights = g.weights.newest(now)
-	m.Suspects, m.Crashes = g.traffic.suspects.ownCounts()
-	return m
-}
-
-// target is a peer to send to and what to echo to it.
-type target struct {
-	address     string
-	near        bool // in the own region
-	echo        uint64
-	incarnation uint64
-}
-
-// targets returns the peers to send to, and now and then the addresses to tell them.
-func (p *peers) targets(now time.Duration, region string, all bool) (list []target, known []string, toAll bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	all = all || now-p.toldAll >= p.farInterval()
-	tell := false
-	if all {
-		p.toldAll = now
-		p.sent++
-		tell = p.sent%tellPeersEvery == 1
-	}
-	for address, q := range p.known {
-		if q.learned == 0 {
-			q.learned = now
-		}
-		if now-max(q.heard, q.learned) > forgottenAfter {
-			delete(p.known, address)
-			continue
-		}
-		if tell && p.alive(q, now) {
-			known = append(known, address)
-		}
-		near := q.summary.GetRegion() == region
-		if !all && !near {
-			continue
-		}
-		list = append(list, target{
-			address:     address,
-			near:        near,
-			echo:        q.summary.GetStamp(),
-			incarnation: q.summary.GetIncarnation(),
-		})
-	}
-	return list, known, all
-}
