Disturb connections in the soak by a loopback proxy

A TCP proxy stands before the store, the origin and each server; it connects on from the caller's own address, which the stand-ins go by. Proxies between the system's own processes do not fit the settings, in which a process listens where it is dialled. TestProxy checks what each disturbance does.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,7 +60,7 @@
 func (r *run) injectOne(length time.Duration) func() {
 	nothing := func() {}
 	m := r.machines[r.random.IntN(len(r.machines))]
-	switch kind := r.random.IntN(12); kind {
+	switch kind := r.random.IntN(15); kind {
 	case 0:
 		r.note("kill %s", m.Name)
 		m.signal(syscall.SIGKILL)
@@ -86,7 +86,9 @@
 		r.deployment.AddRoutes(1)
 	case 10:
 		r.rotateKey()
-	case 11:
+	case 11, 12, 13:
+		return r.disturbLink(length)
+	case 14:
 		r.version++
 		r.note("version %d of the weights is named", r.version)
 		r.deployment.NameWeights(r.version)
@@ -94,6 +96,25 @@
 	return nothing
 }
 
+// disturbLink disturbs the connections to the store, the origin or a server.
+func (r *run) disturbLink(length time.Duration) func() {
+	p := r.proxies[r.random.IntN(len(r.proxies))]
+	at := p.listener.Addr()
+	switch kind := r.random.IntN(6); kind {
+	case 0:
+		r.note("connections to %s are reset", at)
+		p.resetAll()
+	case 1:
+		r.note("open connections to %s go silent", at)
+		p.muteAll()
+	default:
+		d := disturbance(kind - 1)
+		r.note("connections to %s are disturbed (%d) for %s", at, d, length)
+		p.disturb(d)
+	}
+	return func() { p.disturb(passing) }
+}
+
 // failStore lets the store fail for all machines or for some of them.
 func (r *run) failStore(length time.Duration) func() {
 	kinds := []standin.Fault{standin.FaultBusy, standin.FaultLimited, standin.FaultReset, standin.FaultSilent, standin.FaultLost}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -85,6 +86,7 @@
 	binary     string
 	deployment *standin.Deployment
 	machines   []*machine
+	proxies    []*proxy // before the store, the origin and each server
 	ledger     *ledger
 	random     *rand.Rand
 	schedule   []string
@@ -138,6 +140,7 @@
 	d, err := standin.StartDeployment(
 		standin.WithSize(r.domains, r.entries, r.agents, 1),
 		standin.WithNetwork(r.network),
+		standin.WithListen(r.listen),
 		standin.WithRunsOf(r.ledger.ran))
 	if err != nil {
 		return eris.Wrap(err, "soak")
@@ -158,10 +161,22 @@
 	return nil
 }
 
+// listen opens the listener of a server behind a proxy.
+func (r *run) listen(address string) (net.Listener, error) {
+	p, hidden, err := startProxy(address)
+	if err == nil {
+		r.proxies = append(r.proxies, p)
+	}
+	return hidden, err
+}
+
 func (r *run) stop() {
 	for _, m := range r.machines {
 		m.end()
 	}
+	for _, p := range r.proxies {
+		p.listener.Close()
+	}
 	r.deployment.Close()
 }
 
@@ -203,6 +218,9 @@
 	for _, m := range r.machines {
 		m.resume()
 	}
+	for _, p := range r.proxies {
+		p.disturb(passing)
+	}
 	r.note("all faults end")
 	pause(ctx, settleTime)
 }
