Two uploads at a time instead of eight

The origin is back at 26.5 s and has sent a copy by 31.3 s; half of the agents had staged it at 33.55 s.

Cause: every peer that polls a gateway asks it for each new chunk at once, and eight of them waited for its link, 28 ms each, before the first copy of the next chunk.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -267,9 +267,10 @@
 	return m, nil
 }
 
-// uploadSlots is the number of uploads that wait for the link at a time; the next
-// are refused and turn to other peers.
-const uploadSlots = 8
+// uploadSlots is the number of uploads at a time: one fills the link and one is at
+// hand. The next are refused and turn to those who have the chunk by then, instead of
+// holding up the first copy of another chunk.
+const uploadSlots = 2
 
 // carry marks the chunks that the version before has staged at the same place.
 func (h holding) carry(before holding) {
