--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -2,12 +2,16 @@
 // request goes to, how long it may wait for room, and when it is turned away.
 //
 // A Pool knows its own requests in flight exactly and those of the other entries
-// from the sums that they send around. A request goes to the endpoint that has
-// the most room, in its own failure domain where room is equal. While no endpoint
-// has room it waits, more urgent requests first and in order of arrival among
-// equals, but only as long as it can still be answered within its target; one
-// whose turn is not expected by then is refused on arrival, with a time to come
-// back that spreads the returns.
+// from the sums that they send around. A request goes to the endpoint at which its
+// answer should begin soonest, in its own failure domain where that is equal.
+//
+// While no endpoint has room a request waits, more urgent ones first and in order of
+// arrival among equals, as long as it can still be answered within its target. One
+// that can't, or whose caller comes back too late for that, waits behind all others
+// and not for long. What is not expected to be placed by then is refused at once,
+// with a time to come back that spreads the returns.
+//
+// A Roster is the choice of the entries that callers of a failure domain are sent to.
 //
 // The package has no I/O and no clock of its own: its owner passes the time, so
 // that the processes, the tests and the measurements run the same decisions.
