Close the listeners of an entry that leaves after 2.8 s

Cause: the listeners were closed only once no request was in progress. The other entries of the failure domain were killed or stopping too, so that callers kept coming and that never was so; what came later than the timeout allows was cut off. Ruled out: the endpoint (it was at work), the caller (its time was not over).

After 2.8 s, for callers with older address answers, the listeners close whatever is in progress; callers turn to other entries. TestLeavingEntryTakesNothingLate keeps callers coming: the entry still took connections after its half second before, none after.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -36,12 +36,12 @@
 	discoverInterval = 12 * time.Second
 	discoverRetry    = 300 * time.Millisecond
 	fetchTimeout     = 1500 * time.Millisecond
-	// lingerTime is how long an entry that leaves still takes new connections:
-	// some callers keep an address answer three times as long as they were told.
-	lingerTime = 4500 * time.Millisecond
+	// lingerTime is how long an entry that leaves still takes requests, for callers
+	// that keep an older address answer. A request that came later could not be
+	// answered before the process is killed.
+	lingerTime = 2800 * time.Millisecond
 	// stopMargin is left of the stop timeout for the end of the process.
 	stopMargin = 700 * time.Millisecond
-	idlePoll   = 50 * time.Millisecond
 )
 
 // entryRow is what an entry writes into the store about itself.
@@ -271,7 +271,7 @@
 }
 
 // stop finishes the requests in progress within the stop timeout. Callers with
-// old answers are served for a while.
+// old answers are served for a while; then the listeners close, whatever is in progress.
 func (e *Entry) stop(ctx context.Context) {
 	e.gateway.Leave()
 	telemetry.EntryLeaving.Log(ctx, e.logger, "active", e.gateway.Active())
@@ -279,8 +279,5 @@
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
 	sleep(end, min(lingerTime, limit/2))
-	for e.gateway.Active() > 0 && sleep(end, idlePoll) {
-		continue
-	}
 	e.shutdown(end)
 }
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -326,3 +327,40 @@
 		return s.call("GET", standin.PathExtra(1), standin.Key).status == http.StatusOK
 	}, 2*time.Second, 20*time.Millisecond)
 }
+
+// An entry that leaves takes requests for a while only, however many keep coming: what
+// came later would be cut off at the end of the stop timeout.
+func TestLeavingEntryTakesNothingLate(t *testing.T) {
+	s := startSystem(t)
+	front := s.Front(s.Entries[0])
+	ctx, stop := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	for i := range 4 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			for n := 0; ctx.Err() == nil; n++ {
+				request, err := standin.NewRequest("POST", front, standin.PathStream+"leave", fmt.Sprintf("leave-%d-%d", i, n), standin.Key, time.Second)
+				if err != nil {
+					return
+				}
+				response, err := client.Do(request.WithContext(ctx))
+				if err != nil {
+					continue // refused by an entry that is gone
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				response.Body.Close()
+			}
+		})
+	}
+	defer callers.Wait()
+	defer stop()
+	time.Sleep(100 * time.Millisecond)
+	s.cancel()
+	// The stop timeout of these settings leaves a second, of which half is for callers.
+	time.Sleep(750 * time.Millisecond)
+	c, err := net.DialTimeout("tcp", front, time.Second)
+	if err == nil {
+		c.Close()
+	}
+	require.Error(t, err, "the entry still takes connections")
+}
