--- a/internal/gateway/refusals.go
+++ b/internal/gateway/refusals.go
@@ -10,8 +10,7 @@
 	// refusalKept is longer than any caller is told to stay away.
 	refusalKept = 4 * time.Second
 	maxRefusals = 4096
-	// maxToldRefusals bounds a summary; one of more than this many milliseconds of
-	// refusals is a share of them.
+	// maxToldRefusals bounds what one summary tells, so that it stays one datagram.
 	maxToldRefusals = 64
 )
 
