--- a/internal/replica/manifest.go
+++ b/internal/replica/manifest.go
@@ -18,7 +18,7 @@
 const (
 	secondPatience = 400 * time.Millisecond // of the second in rank
 	otherPatience  = 1500 * time.Millisecond
-	peerPause      = 50 * time.Millisecond
+	peerPause      = 30 * time.Millisecond
 	// manifestReads bounds the tries for two readings that agree.
 	manifestReads = 4
 )
@@ -37,19 +37,29 @@
 	}
 	begun := r.now()
 	for try := 0; r.now()-begun < patience && ctx.Err() == nil; try++ {
-		m, err := r.seams.PeerManifest(ctx, peers[try%len(peers)], w.model, w.version)
+		m, err := r.seams.PeerManifest(ctx, peers[askedAt(try, len(peers))], w.model, w.version)
 		if err == nil && m != nil {
 			return m, nil
 		}
 		// A peer that can't be asked is as good as one that has none yet.
 		r.sleep(ctx, peerPause)
-		if r.current() != w {
+		if r.superseded(w) {
 			return nil, errSuperseded
 		}
 	}
 	return r.readManifest(ctx, w)
 }
 
+// askedAt returns the rank of the peer to ask at a try. Every second one goes to the
+// first in rank, who has the manifest before all others, and the next ones to the
+// others in turn.
+func askedAt(try, peers int) int {
+	if try%2 == 0 || peers == 1 {
+		return 0
+	}
+	return 1 + try/2%(peers-1)
+}
+
 // regionPeers returns the other agents of the own region.
 func (r *Replica) regionPeers(ctx context.Context) []member.Member {
 	all, err := r.seams.Peers(ctx)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,9 +1,12 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -163,3 +166,82 @@
 	}
 	require.Equal(t, time.Minute+7*time.Second, r.usableUntil(r.current(), 2), "until version 3 binds")
 }
+
+// A version that is named while an endpoint waits for its turn with the one before takes
+// its place: the endpoint must not load the older one and fetch the newer one afterwards.
+func TestVersionNamedDuringWave(t *testing.T) {
+	peers := []member.Member{agent(1), agent(2), agent(3)}
+	last := slices.MaxFunc(peers, func(a, b member.Member) int {
+		return cmp.Compare(rankOf(a.Name(), 2), rankOf(b.Name(), 2))
+	})
+	for _, test := range []struct {
+		name  string
+		named time.Duration // after the wait began
+	}{
+		{"as the wait begins", 0},
+		{"during the wait", 2 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			begun := time.Now()
+			var r *Replica
+			r = New(last, Seams{
+				Report: func(context.Context, string) (Report, error) { return Report{Version: 1}, nil },
+				Peers: func(context.Context) ([]member.Member, error) {
+					time.AfterFunc(test.named, func() { r.Want(Naming{Model: "m", Version: 3, Exact: true}) })
+					synctest.Wait()
+					return peers, nil
+				},
+			}, WithVersionBound(8*time.Second), WithClock(func() time.Duration { return time.Minute + time.Since(begun) }))
+			r.Want(Naming{Model: "m", Version: 1, First: true})
+			r.Want(Naming{Model: "m", Version: 2, Exact: true})
+			require.ErrorIs(t, r.awaitWave(t.Context(), r.current()), errSuperseded, test.name)
+			require.Equal(t, test.named, time.Since(begun), test.name)
+		})
+	}
+}
+
+// The first in rank is asked every second time; the others take turns.
+func TestManifestAskedOf(t *testing.T) {
+	for _, test := range []struct {
+		peers int
+		want  []int
+	}{
+		{1, []int{0, 0, 0, 0}},
+		{2, []int{0, 1, 0, 1, 0, 1}},
+		{4, []int{0, 1, 0, 2, 0, 3, 0, 1}},
+	} {
+		var asked []int
+		for try := range test.want {
+			asked = append(asked, askedAt(try, test.peers))
+		}
+		require.Equal(t, test.want, asked)
+	}
+}
+
+// A better date of the version that is wanted does not end the search for its manifest.
+func TestManifestSearchOutlivesDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		good := manifest(t, 2, "a")
+		self := agent(1)
+		var peers []member.Member
+		for i := 2; rankAmong(self.Name(), peers, 2) < 2; i++ {
+			peers = append(peers, agent(i))
+		}
+		begun := time.Now()
+		var r *Replica
+		r = New(self, Seams{
+			Peers: func(context.Context) ([]member.Member, error) { return peers, nil },
+			PeerManifest: func(context.Context, member.Member, string, int64) (*model.Manifest, error) {
+				if time.Since(begun) < 200*time.Millisecond {
+					r.Want(Naming{Model: "m", Version: 2, Age: time.Second, Exact: true})
+					return nil, eris.New("not yet")
+				}
+				return good, nil
+			},
+		}, WithVersionBound(8*time.Second), WithClock(func() time.Duration { return time.Minute + time.Since(begun) }))
+		r.Want(Naming{Model: "m", Version: 2})
+		m, err := r.fetchManifest(t.Context(), r.current())
+		require.NoError(t, err)
+		require.Equal(t, good.ID(), m.ID())
+	})
+}
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -90,15 +90,15 @@
 	}
 	rank := rankAmong(r.self.Name(), peers, w.version)
 	for ctx.Err() == nil {
+		if r.superseded(w) {
+			return errSuperseded
+		}
 		w = r.current() // its date may have improved
 		at := waveAt(r.bound, w.since, r.usableUntil(w, report.Version), rank, n)
 		if r.now() >= at {
 			return nil
 		}
 		r.pause(ctx, min(at-r.now(), retryInterval))
-		if r.superseded(w) {
-			return errSuperseded
-		}
 	}
 	return ctx.Err()
 }
