Summaries and copies that do not grow with the square of the fleet

Every entry sent summaries to every other one: near every 100 ms, far every 12 ms x entries, with the addresses of all peers in each eighth; and each agent that started took the whole list of endpoints from an entry drawn from all regions.

Now an entry speaks for its region if it places requests or is among the first two in rank. Those that speak tell each other as often as before; all others are told every 60 ms x entries between regions and every 6 ms x entries inside one. A summary says how long until the next, so that the receiver knows when the sender is missed. Addresses are told sixteen at a time. Agents are told with each answer which entries stand in their region, and ask one of these first; notices of endpoints go to entries that speak and to the own region.

TestEntriesFindEachOther: without the store a seed still makes everyone known.

--- a/internal/fleetprocess/copies.go
+++ b/internal/fleetprocess/copies.go
@@ -20,13 +20,13 @@
 	// agents of new versions; this finds what they could not tell.
 	refreshInterval = 6 * time.Second
 	refreshRetry    = 500 * time.Millisecond
-	// entriesAsked are tried before the store is.
+	// entriesAsked of all entries are tried before the store is.
 	entriesAsked = 2
 )
 
 // copies are an agent's copies of the store's tables. They are brought up to date
-// from entries, and from the store when no entry answers: the store's calls are
-// few, and an agent needs its rows seldom.
+// from entries of the own region, else from any, and from the store when no entry
+// answers: the store's calls are few, and an agent needs its rows seldom.
 type copies struct {
 	agent     *Agent
 	client    *entries.Client
@@ -34,17 +34,19 @@
 	listed    *watch.Watcher
 
 	mu    sync.Mutex
-	known []string // peer addresses of entries
+	known []string // peer addresses of entries that place requests, and of the own region
+	near  []string // those of the own region
 }
 
 func newCopies(a *Agent) *copies {
-	return &copies{
+	c := &copies{
 		agent:     a,
-		client:    entries.NewClient(),
 		operators: a.watch(platform.TableOperator, a.applyOperator, watch.WithWait(0)),
 		listed:    a.watch(platform.TableEndpoints, a.applyEndpoints, watch.WithWait(0)),
 		known:     a.settings.Seeds(),
 	}
+	c.client = entries.NewClient(entries.WithRegion(a.settings.Region(), c.learnNear))
+	return c
 }
 
 // learn replaces the entries to ask and to tell.
@@ -57,6 +59,33 @@
 	c.known = addresses
 }
 
+// learnNear replaces the entries to ask first.
+func (c *copies) learnNear(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.near = addresses
+}
+
+// toAsk returns the entries to ask for rows, in order: one of the own region, then two
+// of all.
+func (c *copies) toAsk() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []string
+	if len(c.near) > 0 {
+		list = append(list, c.near[rand.IntN(len(c.near))])
+	}
+	for i, n := range rand.Perm(len(c.known)) {
+		if i < entriesAsked {
+			list = append(list, c.known[n])
+		}
+	}
+	return list
+}
+
 // entries returns the entries to tell.
 func (c *copies) entries() []string {
 	c.mu.Lock()
@@ -92,16 +121,12 @@
 // sync brings a copy up to date.
 func (c *copies) sync(ctx context.Context, name nodev1.Table) error {
 	w := c.watcher(name)
-	known := c.entries()
-	for i, n := range rand.Perm(len(known)) {
-		if i >= entriesAsked {
-			break
-		}
-		err := c.fetch(ctx, known[n], name, w)
+	for _, address := range c.toAsk() {
+		err := c.fetch(ctx, address, name, w)
 		if err == nil {
 			return nil
 		}
-		telemetry.PeerCopyNotFetched.Log(ctx, c.agent.logger, "peer", known[n], "table", name.String(), "error", err)
+		telemetry.PeerCopyNotFetched.Log(ctx, c.agent.logger, "peer", address, "table", name.String(), "error", err)
 	}
 	return w.Step(ctx)
 }
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -134,7 +134,7 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	peers.Handle(entries.NewHandler(e.copyOf))
+	peers.Handle(entries.NewHandler(e.copyOf, e.gateway.Entries))
 	if err := e.servePeers(peers); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 		ratio:     defaultRatio,
 		maxTTL:    defaultTTL,
 		pool:      endpoints.NewPool(endpoints.WithLimit(maxConnections)),
-		peers:     newPeers(self.PeerAddress, self.Incarnation),
+		peers:     newPeers(self.PeerAddress, self.Region, self.Incarnation),
 	}
 	g.view.Store(&view{})
 	g.traffic.services = make(map[string]*serviceTraffic)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,15 +14,25 @@
 // Times of what entries tell each other.
 const (
 	// nearInterval is how often entries of the own region are told: an endpoint ends
-	// one of its requests in about that time. All are told every farInterval, or less
-	// often where there are many, so that an entry sends no more datagrams a second
-	// than one every peerInterval.
+	// one of its requests in about that time. Entries of other regions that speak are
+	// told every farInterval, or less often where there are many, so that an entry
+	// sends no more datagrams a second than one every peerInterval.
 	nearInterval = 100 * time.Millisecond
 	farInterval  = 300 * time.Millisecond
 	peerInterval = 12 * time.Millisecond
+	// nearPeerInterval bounds in the same way what entries of the own region are told
+	// of which either side does not speak.
+	nearPeerInterval = 6 * time.Millisecond
 	// idleFactor lengthens the interval of an entry that carries no requests: there is
 	// little to tell of it.
 	idleFactor = 2
+	// seldomInterval is how often all other entries are told, or one every
+	// seldomPeerInterval: they hear the same sooner from those of their own region.
+	seldomInterval     = 2 * time.Second
+	seldomPeerInterval = 60 * time.Millisecond
+	// speakers is the number of entries of a region that speak to other regions for it,
+	// beside those that place requests: the one that follows the store and the next.
+	speakers = 2
 	// silentAfter summaries, and at least silentTime, a peer is left out.
 	silentAfter = 4
 	silentTime  = 1200 * time.Millisecond
@@ -34,8 +44,10 @@
 	forgottenAfter = 60 * time.Second
 	// farPatience is how long rows that only another region has are waited for.
 	farPatience = 400 * time.Millisecond
-	// tellPeersEvery summaries carry the addresses of peers.
-	tellPeersEvery = 8
+	// tellPeersEvery summaries to the own region, and those to all, carry addresses of
+	// peers, toldPeers of them at a time.
+	tellPeersEvery = 24
+	toldPeers      = 16
 )
 
 // peer is another entry.
@@ -49,20 +61,29 @@
 // peers are the other entries. They are safe for concurrent use.
 type peers struct {
 	self        string
+	region      string
 	incarnation uint64
 
-	mu         sync.Mutex
-	known      map[string]*peer
-	sent       int
-	toldAll    time.Duration // when all peers were told
-	confirmedV int64         // version of the best confirmation
-	confirmedT time.Duration
-	confirmedW []*nodev1.NamedWeights // newest versions of weights that it is about
-	copies     map[nodev1.Table]*copyState
+	mu          sync.Mutex
+	speaks      bool // this entry speaks for its region
+	speaksSince time.Duration
+	known       map[string]*peer
+	sent        int
+	near        int           // number of known peers in the own region
+	toldNear    time.Duration // when all peers of the own region were told
+	toldFar     time.Duration // when those that speak for other regions were told
+	toldAll     time.Duration // when all peers were told
+	confirmedV  int64         // version of the best confirmation
+	confirmedT  time.Duration
+	confirmedW  []*nodev1.NamedWeights // newest versions of weights that it is about
+	copies      map[nodev1.Table]*copyState
 }
 
-func newPeers(self string, incarnation uint64) *peers {
-	return &peers{self: self, incarnation: incarnation, known: make(map[string]*peer), copies: make(map[nodev1.Table]*copyState)}
+func newPeers(self, region string, incarnation uint64) *peers {
+	return &peers{
+		self: self, region: region, incarnation: incarnation, speaks: true,
+		known: make(map[string]*peer), copies: make(map[nodev1.Table]*copyState),
+	}
 }
 
 // learn adds addresses to send summaries to.
@@ -76,20 +97,48 @@
 	}
 }
 
-// farInterval returns how often an entry tells all peers.
-func (p *peers) farInterval(carried uint32) time.Duration {
-	interval := max(farInterval, time.Duration(len(p.known))*peerInterval)
+// farInterval returns how often an entry tells those that speak for other regions.
+func (p *peers) farInterval(speaks bool, carried uint32) time.Duration {
+	if !speaks {
+		return p.seldomInterval()
+	}
+	spoken := 0
+	for _, q := range p.known {
+		if q.summary == nil || q.summary.GetSpeaks() {
+			spoken++
+		}
+	}
+	interval := max(farInterval, time.Duration(spoken)*peerInterval)
 	if carried == 0 {
 		interval *= idleFactor
 	}
 	return interval
 }
 
-// alive reports whether a peer was heard from lately. One that carried requests in its
-// last summary may have none since.
+// nearInterval returns how often an entry tells all of its region.
+func (p *peers) nearInterval() time.Duration {
+	return max(nearInterval, time.Duration(p.near)*nearPeerInterval)
+}
+
+// seldomInterval returns how often an entry tells all others.
+func (p *peers) seldomInterval() time.Duration {
+	return max(seldomInterval, time.Duration(len(p.known))*seldomPeerInterval)
+}
+
+// alive reports whether a peer was heard from lately. Those of other regions tell this
+// entry seldom while it does not speak, and for a while after they learn that it does.
 func (p *peers) alive(q *peer, now time.Duration) bool {
-	limit := max(silentAfter*p.farInterval(q.summary.GetActive()), silentTime)
-	return q.summary != nil && now-q.heard < limit
+	if q.summary == nil {
+		return false
+	}
+	interval := p.nearInterval()
+	if q.summary.GetRegion() != p.region {
+		interval = time.Duration(q.summary.GetFarIntervalMs()) * time.Millisecond
+		if !p.speaks || p.speaksSince > 0 && now-p.speaksSince < p.seldomInterval() {
+			interval = max(interval, p.seldomInterval())
+		}
+	}
+	return now-q.heard < max(silentAfter*interval, silentTime)
 }
 
 // count returns how many peers have ever been heard from and are not forgotten.
@@ -191,19 +240,29 @@
 	return r
 }
 
-// addresses returns the peer addresses of the live peers.
-func (p *peers) addresses(now time.Duration) []string {
+// addresses returns the peer addresses of live peers: those that speak, and those of a
+// region, in which all do.
+func (p *peers) addresses(now time.Duration, region string, speaking bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []string
 	for address, q := range p.known {
-		if p.alive(q, now) {
+		if p.alive(q, now) && (q.summary.GetRegion() == region || speaking && q.summary.GetSpeaks()) {
 			list = append(list, address)
 		}
 	}
 	return list
 }
 
+// Entries returns the peer addresses of the live entries of a region.
+func (g *Gateway) Entries(region string) []string {
+	list := g.peers.addresses(g.now(), region, false)
+	if region == g.self.Region {
+		list = append(list, g.self.PeerAddress)
+	}
+	return list
+}
+
 // Learn adds the address of another entry.
 func (g *Gateway) Learn(address string) { g.peers.learn(address) }
 
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,13 +11,16 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
-// sendSummaries tells the peers of the own region what this entry knows, and all
-// peers when it is time or when it is said to be. The stamps to echo are read before
-// the ages are: an echo that is newer than the age beside it would make what the
-// receiver dates by it look younger, and the entries hand dates on to each other.
-func (g *Gateway) sendSummaries(all bool) {
+// sendSummaries tells the peers of the own region what this entry knows, and those of
+// other regions when it is time. With urgent set, those that speak for other regions are
+// told now. The stamps to echo are read before the ages are: an echo that is newer than
+// the age beside it would make what the receiver dates by it look younger, and the
+// entries hand dates on to each other.
+func (g *Gateway) sendSummaries(urgent bool) {
+	takers := g.takersByDomain(g.now())
+	speaks := g.speaks(takers)
 	carried := uint32(max(g.active.Load(), 0))
-	r := g.peers.nextRound(g.now(), g.self.Region, carried, all)
+	r := g.peers.nextRound(g.now(), speaks, carried, urgent)
 	now := g.now()
 	g.noteOutage(now)
 	g.rate.advance(now)
@@ -24,8 +28,9 @@
 	g.Refresh()
 	near := g.summary(now)
 	near.Peers = r.peers
+	near.Speaks, near.FarIntervalMs = speaks, uint32(r.interval.Milliseconds())
 	near.Refused, near.RefusedAgeMs = g.traffic.refusals.takeUntold(now)
-	far := farSummary(near)
+	far := farSummary(near, r.all)
 	for _, to := range r.targets {
 		m := near
 		if !to.near {
@@ -39,26 +44,35 @@
 		}
 	}
 	g.shareLoads(now)
-	sharers := g.sharers(now)
-	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, r.all) })
+	sharers := g.sharers(takers)
+	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, r.far) })
+}
+
+// speaks reports whether this entry tells other regions what it knows: it places
+// requests, or it is among the first of its region.
+func (g *Gateway) speaks(takers map[string][]string) bool {
+	return slices.Contains(takers[g.self.FailureDomain], g.self.PeerAddress) || g.rank().region < speakers
 }
 
 // farSummary returns what of a summary goes to other regions, to which callers do not
-// come back.
-func farSummary(near *nodev1.EntrySummary) *nodev1.EntrySummary {
+// come back. Addresses of peers are told there with those seldom ones that go to all.
+func farSummary(near *nodev1.EntrySummary, all bool) *nodev1.EntrySummary {
 	far := proto.CloneOf(near)
 	far.Refused, far.RefusedAgeMs = nil, nil
+	if !all {
+		far.Peers = nil
+	}
 	return far
 }
 
 // sharers returns how many entries place requests on the endpoints of a region.
-func (g *Gateway) sharers(now time.Duration) placement.Sharers {
+func (g *Gateway) sharers(takers map[string][]string) placement.Sharers {
 	var n placement.Sharers
-	for domain, takers := range g.takersByDomain(now) {
+	for domain, list := range takers {
 		if g.region(domain) == g.self.Region {
-			n.Near += len(takers)
+			n.Near += len(list)
 		} else {
-			n.Far += len(takers)
+			n.Far += len(list)
 		}
 	}
 	return n
@@ -107,23 +121,40 @@
 
 // round is whom summaries go to at one time.
 type round struct {
-	targets []target
-	all     bool     // peers of other regions are among them
-	peers   []string // addresses of peers to tell them, now and then
+	targets  []target
+	far      bool          // those that speak for other regions are among them
+	all      bool          // everybody is
+	interval time.Duration // until they are told again
+	peers    []string      // addresses of peers to tell, now and then
 }
 
-// nextRound chooses the peers to send to. Those of other regions are told when their
-// interval is over, or when all is set.
-func (p *peers) nextRound(now time.Duration, region string, carried uint32, all bool) round {
+// nextRound chooses the peers to send to: those of the own region, those that speak for
+// other regions when their interval is over or it is urgent, and all seldom. Of a peer
+// that has not been heard nobody knows yet whether it speaks.
+func (p *peers) nextRound(now time.Duration, speaks bool, carried uint32, urgent bool) round {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := round{all: all || now-p.toldAll >= p.farInterval(carried)}
-	tell := false
-	if r.all {
+	changed := speaks != p.speaks
+	if changed {
+		p.speaks, p.speaksSince = speaks, now
+	}
+	r := round{interval: p.farInterval(speaks, carried)}
+	due := urgent || now-p.toldFar >= min(r.interval, p.farInterval(true, carried))
+	all := changed || now-p.toldAll >= p.seldomInterval()
+	if due || all {
+		p.toldFar = now
+	}
+	if all {
 		p.toldAll = now
-		p.sent++
-		tell = p.sent%tellPeersEvery == 1
 	}
+	r.all, r.far = all, all || due && speaks
+	nearDue := urgent || now-p.toldNear >= p.nearInterval()
+	if nearDue {
+		p.toldNear = now
+	}
+	p.sent++
+	tell := all || p.sent%tellPeersEvery == 1
+	p.near = 0
 	for address, q := range p.known {
 		if q.learned == 0 {
 			q.learned = now
@@ -132,11 +163,14 @@
 			delete(p.known, address)
 			continue
 		}
-		if tell && p.alive(q, now) {
+		if tell && len(r.peers) < toldPeers && p.alive(q, now) {
 			r.peers = append(r.peers, address)
 		}
-		near := q.summary.GetRegion() == region
-		if !r.all && !near {
+		near := q.summary.GetRegion() == p.region
+		if near {
+			p.near++
+		}
+		if !all && !p.due(q, near, nearDue, due) {
 			continue
 		}
 		r.targets = append(r.targets, target{
@@ -148,3 +182,13 @@
 	}
 	return r
 }
+
+// due decides whether to tell a peer now. Two that speak tell each other of their load
+// with each round in a region, and with each far round between regions.
+func (p *peers) due(q *peer, near, nearDue, farDue bool) bool {
+	both := p.speaks && q.summary.GetSpeaks()
+	if near {
+		return nearDue || both
+	}
+	return farDue && (both || q.summary == nil)
+}
--- /dev/null
+++ b/internal/gateway/summary_test.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+// mesh is a number of entries in three regions that send each other summaries without
+// any network.
+type mesh struct {
+	clock   clock
+	entries map[string]*Gateway
+	region  map[string]string
+	near    int // datagrams inside regions
+	far     int // datagrams between regions
+}
+
+func newMesh(entries int) *mesh {
+	m := &mesh{clock: clock{at: time.Minute}, entries: make(map[string]*Gateway), region: make(map[string]string)}
+	seed := ""
+	for i := range entries {
+		region := fmt.Sprintf("region-%d", i%3)
+		address := fmt.Sprintf("10.%d.0.%03d:1", i%3, i/3)
+		self := Identity{Name: address, Region: region, FailureDomain: region + "-a", PeerAddress: address, CallerAddress: address, Incarnation: uint64(i + 1)}
+		seeds := []string{seed}
+		if seed == "" {
+			seed, seeds = address, nil
+		}
+		send := func(to string, d *nodev1.Datagram) error {
+			m.deliver(region, to, d)
+			return nil
+		}
+		g := New(self, Codec{}, WithClock(m.clock.now), WithPeers(seeds, send),
+			WithAgents(func(string) string { return "" }, func(domain string) string { return domain[:len(domain)-2] }))
+		g.ApplyOperator(fleet.NewConfiguration(1), nil)
+		g.ApplyEndpoints(nil)
+		m.entries[address], m.region[address] = g, region
+	}
+	return m
+}
+
+func (m *mesh) deliver(from, to string, d *nodev1.Datagram) {
+	if m.region[to] == from {
+		m.near++
+	} else {
+		m.far++
+	}
+	m.entries[to].Hear(nil, d.GetSummary())
+}
+
+// introduce tells everyone of everyone, as the rows of entries in the store do.
+func (m *mesh) introduce() {
+	for _, g := range m.entries {
+		for other := range m.entries {
+			g.Learn(other)
+		}
+	}
+}
+
+// play lets time pass.
+func (m *mesh) play(d time.Duration) {
+	for end := m.clock.at + d; m.clock.at < end; m.clock.at += nearInterval {
+		for _, g := range m.entries {
+			g.sendSummaries(false)
+		}
+	}
+}
+
+// What an entry sends does not grow with the square of the fleet, and everyone still
+// counts as alive.
+func TestSummariesGrowth(t *testing.T) {
+	const settle, span = 12 * time.Second, 6 * time.Second
+	for _, test := range []struct {
+		entries   int
+		near, far float64 // datagrams a second that an entry sends, at most
+	}{
+		{9, 25, 25},
+		{30, 100, 25},
+		{75, 170, 25},
+	} {
+		m := newMesh(test.entries)
+		m.introduce()
+		m.play(settle)
+		m.near, m.far = 0, 0
+		m.play(span)
+		perEntry := float64(test.entries) * span.Seconds()
+		t.Logf("%d entries: %.1f near, %.1f far datagrams a second and entry", test.entries, float64(m.near)/perEntry, float64(m.far)/perEntry)
+		require.LessOrEqual(t, float64(m.near)/perEntry, test.near, "near, %d entries", test.entries)
+		require.LessOrEqual(t, float64(m.far)/perEntry, test.far, "far, %d entries", test.entries)
+		for address, g := range m.entries {
+			ready := 0
+			for _, r := range g.rosters(m.clock.at) {
+				ready += len(r.Listed())
+			}
+			require.GreaterOrEqual(t, ready, min(9, test.entries), address)
+			require.Len(t, g.peers.addresses(m.clock.at, "", true), m.speakersBeside(address), address)
+		}
+	}
+}
+
+// speakersBeside returns how many others speak.
+func (m *mesh) speakersBeside(address string) int {
+	n := 0
+	for other, g := range m.entries {
+		if other != address && g.speaks(g.takersByDomain(m.clock.at)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Entries that know only one seed find each other without the store.
+func TestEntriesFindEachOther(t *testing.T) {
+	m := newMesh(18)
+	m.play(12 * time.Second)
+	for address, g := range m.entries {
+		require.Equal(t, len(m.entries)-1, g.peers.count(), address)
+	}
+}
+
+// An entry of another region that begins to place requests is heard at once by those that
+// speak, and one that dies is missed within its interval.
+func TestSpeakersAreHeard(t *testing.T) {
+	m := newMesh(30)
+	m.introduce()
+	m.play(8 * time.Second)
+	quiet := m.entries["10.1.0.009:1"]
+	listener := m.entries["10.0.0.000:1"]
+	require.NotContains(t, listener.peers.addresses(m.clock.at, "", true), "10.1.0.009:1")
+	quiet.active.Store(20)
+	m.play(time.Second)
+	require.Contains(t, listener.peers.addresses(m.clock.at, "", true), "10.1.0.009:1")
+	require.Len(t, listener.takersByDomain(m.clock.at)["region-1-a"], 4)
+	m.region["10.1.0.009:1"] = ""
+	delete(m.entries, "10.1.0.009:1")
+	m.entries["10.1.0.009:1"] = newGateway(&m.clock) // it hears and says nothing
+	m.play(4 * time.Second)
+	require.NotContains(t, listener.peers.addresses(m.clock.at, "", true), "10.1.0.009:1")
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -201,7 +201,7 @@
 		return
 	}
 	v := g.view.Load()
-	addresses := append(g.peers.addresses(now), g.self.PeerAddress)
+	addresses := append(g.peers.addresses(now, g.self.Region, true), g.self.PeerAddress)
 	for _, e := range v.endpoints {
 		s := v.configuration.Services()[e.Service()]
 		if s == nil || s.Engine() == nil || e.Draining() || g.region(e.FailureDomain()) != g.self.Region {
--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -57,17 +57,21 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			mux := http.NewServeMux()
-			mux.Handle(NewHandler(func(nodev1.Table) *watch.Table { return test.source }))
+			near := func(region string) []string { return []string{"entry-of-" + region} }
+			mux.Handle(NewHandler(func(nodev1.Table) *watch.Table { return test.source }, near))
 			server := httptest.NewServer(mux)
 			defer server.Close()
 			own := tableOf(t)
 			now := func() time.Duration { return time.Minute }
-			err := NewClient().Sync(t.Context(), server.Listener.Addr().String(), nodev1.Table_TABLE_OPERATOR, own, now)
+			var learned []string
+			client := NewClient(WithRegion("riga", func(list []string) { learned = list }))
+			err := client.Sync(t.Context(), server.Listener.Addr().String(), nodev1.Table_TABLE_OPERATOR, own, now)
 			if test.fails {
 				require.Error(t, err)
 				return
 			}
 			require.NoError(t, err)
+			require.Equal(t, []string{"entry-of-riga"}, learned)
 			require.Equal(t, test.source.Content(), own.Content())
 			require.LessOrEqual(t, own.Confirmed(), test.source.Confirmed(), "a copy of a copy is not younger")
 			require.InDelta(t, float64(50*time.Second), float64(own.Confirmed()), float64(time.Millisecond))
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -17,14 +17,19 @@
 // errNoCopy is returned for a table that the entry has no copy of yet.
 var errNoCopy = eris.New("no copy of the table yet")
 
+// maxEntries bounds the addresses of entries in an answer.
+const maxEntries = 16
+
 // NewHandler returns the path and the handler at which an entry hands out its
-// copies; table returns nil for a table without one.
-func NewHandler(table func(name nodev1.Table) *watch.Table) (string, http.Handler) {
-	return nodev1connect.NewEntryServiceHandler(handler{table: table})
+// copies; table returns nil for a table without one. Near returns the peer addresses of
+// the entries in a region.
+func NewHandler(table func(name nodev1.Table) *watch.Table, near func(region string) []string) (string, http.Handler) {
+	return nodev1connect.NewEntryServiceHandler(handler{table: table, near: near})
 }
 
 type handler struct {
 	table func(name nodev1.Table) *watch.Table
+	near  func(region string) []string
 }
 
 // FetchRows returns what the caller's copy lacks.
@@ -40,6 +45,10 @@
 		StoreTimeUs: p.StoreTime.Microseconds(),
 		AgeUs:       p.Age.Microseconds() + 1, // rounded up: an answer must not look younger
 	}
+	if region := q.Msg.GetRegion(); region != "" {
+		list := h.near(region)
+		answer.Entries = list[:min(len(list), maxEntries)]
+	}
 	for _, r := range p.Rows {
 		answer.Rows = append(answer.Rows, &nodev1.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 	}
@@ -54,17 +63,33 @@
 
 // Client asks entries for rows. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	region string
+	learn  func(entries []string)
+}
+
+// ClientOption sets a property of a Client.
+type ClientOption func(*Client)
+
+// WithRegion sets the region of an agent, and what is told the addresses of entries in
+// it with each answer.
+func WithRegion(region string, learn func(entries []string)) ClientOption {
+	return func(c *Client) { c.region, c.learn = region, learn }
 }
 
 // NewClient returns a client.
-func NewClient() *Client {
+func NewClient(options ...ClientOption) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	c := &Client{learn: func([]string) {}}
+	c.http = &http.Client{Transport: &http.Transport{
 		DialContext:        dialer.DialContext,
 		IdleConnTimeout:    idleConnTimeout,
 		DisableCompression: true,
-	}}}
+	}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // FetchRows asks the entry at an address what a copy with the given content lacks.
@@ -72,11 +97,12 @@
 	// The rows stay uncompressed: entries of one region are near each other, and
 	// compressing costs each more processor time than the bytes cost the link.
 	service := nodev1connect.NewEntryServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
-	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Content: content}))
+	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Content: content, Region: c.region}))
 	if err != nil {
 		return watch.Page{}, err
 	}
 	m := answer.Msg
+	c.learn(m.GetEntries())
 	p := watch.Page{
 		Version:   m.GetVersion(),
 		Full:      m.GetFull(),
