--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,7 +67,7 @@
 func commands() []*command {
 	return []*command{
 		entryCommand(), agentCommand(), demoCommand(), checkCommand(), submitCommand(), diffCommand(),
-		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), measureCommand(), versionCommand(),
+		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), measureCommand(), soakCommand(), versionCommand(),
 	}
 }
 
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -50,7 +50,7 @@
 
 // RunAgent runs an agent until ctx ends.
 func RunAgent(ctx context.Context, s *platform.Settings, logger *slog.Logger) error {
-	conn, err := entries.Listen(s.PeerAddress())
+	conn, err := entries.Listen(s.Listen(s.PeerAddress()))
 	if err != nil {
 		return err
 	}
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -67,14 +67,15 @@
 // RunEntry runs an entry until ctx ends, and then until its requests are
 // answered.
 func RunEntry(ctx context.Context, s *platform.Settings, logger *slog.Logger) error {
-	conn, err := entries.Listen(s.PeerAddress())
+	conn, err := entries.Listen(s.Listen(s.PeerAddress()))
 	if err != nil {
 		return err
 	}
 	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), faults: make(map[string]int64)}
 	watching := watch.WithActive(func() bool { return e.gateway.Watching() })
 	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
-	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithPause(endpointsPause), watch.WithHold(lapseHold), watching,
+	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithPause(endpointsPause), watch.WithHold(lapseHold),
+		watch.WithActive(func() bool { return e.gateway.WatchingEndpoints() }),
 		watch.WithReturned(func() time.Duration { return e.gateway.StoreReturned() }))
 	e.gateway = e.newGateway()
 	if err := e.listen(); err != nil {
--- a/internal/fleetprocess/main.go
+++ b/internal/fleetprocess/main.go
@@ -41,9 +41,10 @@
 func Main(arguments []string, stdout, stderr io.Writer) (status int) {
 	parser := flaggy.NewParser("primrosetally-fleet")
 	parser.Description = "Runs primrosetally on the users' platform."
-	var file string
+	var file, listenIP string
 	check := false
 	parser.String(&file, "s", "settings", "settings file; the default is the one named in the environment")
+	parser.String(&listenIP, "", "listen-ip", "IP address to listen at, where others reach the process by another one")
 	parser.Bool(&check, "c", "check", "check the settings and end")
 	subcommands := make(map[*flaggy.Subcommand]role)
 	for _, r := range roles() {
@@ -71,7 +72,7 @@
 	if file == "" {
 		file = os.Getenv(platform.SettingsVariable)
 	}
-	s, err := platform.LoadSettings(file)
+	s, err := platform.LoadSettings(file, platform.WithListenIP(listenIP))
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return statusUsage
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -75,7 +75,7 @@
 }
 
 func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols) error {
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", p.settings.Listen(address))
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -99,7 +99,7 @@
 }
 
 func (s *system) start(ctx context.Context, m standin.Machine, run func(context.Context, *platform.Settings, *slog.Logger) error) {
-	settings, err := platform.ParseSettings(s.Settings(m))
+	settings, err := platform.ParseSettings(s.Settings(m, s.StoreAddress()))
 	require.NoError(s.t, err)
 	ended := make(chan error, 1)
 	s.ended = append(s.ended, ended)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -282,6 +282,17 @@
 	return age > staleAge+min(time.Duration(r.region)*staleStep, staleSteps)
 }
 
+// WatchingEndpoints reports whether this entry follows the store's list of endpoints. A
+// process that has none takes it over from another one of its region, or asks the store
+// when its turn comes: the list of a large fleet, read by all that start together, would
+// fill the link to the store's region for many times as long as one reading takes.
+func (g *Gateway) WatchingEndpoints() bool {
+	if g.view.Load().listed {
+		return g.Watching()
+	}
+	return g.now()-g.started >= hearTime+time.Duration(g.rank().region)*listStep
+}
+
 // Changed tells the other entries at once that a copy has changed, if this entry
 // follows the store.
 func (g *Gateway) Changed() {
@@ -314,6 +325,11 @@
 	staleAge   = 1700 * time.Millisecond
 	staleStep  = 60 * time.Millisecond
 	staleSteps = 600 * time.Millisecond
+	// hearTime is that in which a process that starts hears the entries of its region.
+	// They then read what none of them has in turn, a listStep apart: about the time
+	// that one reading takes between regions.
+	hearTime = 150 * time.Millisecond
+	listStep = 250 * time.Millisecond
 	// outageAge is the age of the confirmation from which the store counts as away:
 	// every entry has asked it by then.
 	outageAge    = 2 * time.Second
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -311,6 +311,48 @@
 	require.True(t, g.Watching(), "the confirmation is old")
 }
 
+// Entries that start together read the list of endpoints one after the other, and one
+// that has it follows the store by its rank alone.
+func TestWatchingEndpoints(t *testing.T) {
+	c := &clock{at: 10 * time.Second}
+	g := newGateway(c, WithConfirmation(func() time.Duration { return c.at }, 0))
+	g.started = c.at
+	require.False(t, g.WatchingEndpoints(), "the others of the region are not heard yet")
+	c.at += hearTime
+	require.True(t, g.WatchingEndpoints(), "there are none")
+	for _, address := range []string{"10.0.0.0:1", "10.0.0.0:2"} {
+		g.Hear(t.Context(), &nodev1.EntrySummary{Address: address, Region: "riga"})
+	}
+	require.False(t, g.WatchingEndpoints(), "it is the turn of another one")
+	c.at += 2 * listStep
+	require.True(t, g.WatchingEndpoints(), "the others failed")
+	g.ApplyEndpoints(nil)
+	g.Hear(t.Context(), &nodev1.EntrySummary{Address: "10.0.0.0:1", Region: "riga"})
+	g.Hear(t.Context(), &nodev1.EntrySummary{Address: "10.0.0.0:2", Region: "riga"})
+	require.False(t, g.WatchingEndpoints(), "it has the list and is not the first")
+}
+
+// Rows that only another region has are fetched by the first of the own region, and by
+// the others one after the other if it can't.
+func TestRowsOfAnotherRegion(t *testing.T) {
+	const table = nodev1.Table_TABLE_ENDPOINTS
+	for _, test := range []struct {
+		name     string
+		patience time.Duration
+		at       []time.Duration // of summaries that show newer rows
+		fetches  []bool
+	}{
+		{"near", 0, []time.Duration{0}, []bool{true}},
+		{"far, the first", farPatience, []time.Duration{0, farPatience}, []bool{false, true}},
+		{"far, the third", farPatience + 2*listStep, []time.Duration{0, farPatience, farPatience + 2*listStep}, []bool{false, false, true}},
+	} {
+		p := newPeers("self", "riga", 1)
+		for i, after := range test.at {
+			require.Equal(t, test.fetches[i], p.begin(table, 2, 1, test.patience, time.Minute+after), "%s, %s", test.name, after)
+		}
+	}
+}
+
 // An entry that knows the configuration and not yet the endpoints would refuse every
 // request.
 func TestReady(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -42,7 +42,8 @@
 	nearSilent = 450 * time.Millisecond
 	// forgottenAfter a silent peer is not sent to any more.
 	forgottenAfter = 60 * time.Second
-	// farPatience is how long rows that only another region has are waited for.
+	// farPatience is how long rows that only another region has are waited for, by the
+	// first of a region.
 	farPatience = 400 * time.Millisecond
 	// tellPeersEvery summaries to the own region, and those to all, carry addresses of
 	// peers, toldPeers of them at a time.
@@ -346,10 +347,15 @@
 }
 
 // catchUp brings a copy up to date with that of a peer that has newer rows. One of
-// another region is only asked when the own region has not had them for a while.
+// another region is only asked when the own region has not had them for a while, by one
+// entry after the other.
 func (g *Gateway) catchUp(ctx context.Context, m *nodev1.EntrySummary, table nodev1.Table, content int64, now time.Duration) {
 	near := m.GetRegion() == g.self.Region
-	if !g.peers.begin(table, content, g.content(table), near, now) {
+	patience := time.Duration(0)
+	if !near {
+		patience = farPatience + time.Duration(g.rank().region)*listStep
+	}
+	if !g.peers.begin(table, content, g.content(table), patience, now) {
 		return
 	}
 	go func() {
@@ -366,8 +372,9 @@
 	behind   time.Duration // since when a peer has newer rows, 0 if none has
 }
 
-// begin decides whether to fetch newer rows now.
-func (p *peers) begin(table nodev1.Table, theirs, own int64, near bool, now time.Duration) bool {
+// begin decides whether to fetch newer rows now, which must have been missing for as
+// long as the patience.
+func (p *peers) begin(table nodev1.Table, theirs, own int64, patience, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.copies[table]
@@ -378,10 +385,10 @@
 	if theirs <= own {
 		return false
 	}
-	if c.behind == 0 || now-c.behind > farPatience*4 {
+	if c.behind == 0 || now-c.behind > 4*max(patience, farPatience) {
 		c.behind = now
 	}
-	if c.fetching || !near && now-c.behind < farPatience {
+	if c.fetching || now-c.behind < patience {
 		return false
 	}
 	c.fetching = true
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/primrosetally/primrosetally/platform/standin"
@@ -23,8 +21,6 @@
 	thinkTime      = 15 * time.Millisecond
 )
 
-var attempts atomic.Int64
-
 // caller asks for addresses, keeps the answer, and sends requests over connections
 // that it keeps open until the process is gone.
 type caller struct {
@@ -34,6 +30,7 @@
 	client    *http.Client
 	addresses []string
 	until     time.Time
+	keeps     int // how many times longer than allowed it keeps an answer
 }
 
 // startCallers starts the callers; the function returned ends them.
@@ -44,9 +41,13 @@
 		c := &caller{
 			run:    r,
 			domain: r.machines[i%len(r.deployment.Entries)].Domain,
-			random: rand.New(rand.NewPCG(r.seed, uint64(100+i))),
+			random: r.newRandom(i),
+			keeps:  1,
 			client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true}},
 		}
+		if i%3 == 2 {
+			c.keeps = 3
+		}
 		ended.Go(func() {
 			for ctx.Err() == nil {
 				c.one()
@@ -69,10 +70,10 @@
 		return
 	}
 	at := c.addresses[c.random.IntN(len(c.addresses))]
-	number := attempts.Add(1)
+	number := c.run.attempts.Add(1)
 	q := call{attempt: fmt.Sprintf("s%d-%d", c.run.seed, number), key: c.run.ledger.key(c.random.IntN)}
 	method := http.MethodPost
-	switch c.random.IntN(4) {
+	switch c.random.IntN(5) {
 	case 0, 1:
 		q.path = fmt.Sprintf("%sd%d", standin.PathStream, number)
 		q.want, q.idempotent = streamOf(q.path), true
@@ -83,12 +84,28 @@
 	case 3:
 		q.path = fmt.Sprintf("%sp%d", standin.PathPublish, number)
 		q.want = standin.Body(q.path)
+	case 4:
+		q = c.extra(q, number)
+		method = http.MethodGet
 	}
 	if c.send(method, at, q) == 0 {
 		c.until = time.Time{} // ask again after a failure
 	}
 }
 
+// extra makes a call on one of the added routes, or on the read route where there is
+// none yet.
+func (c *caller) extra(q call, number int64) call {
+	prefix := standin.PathRead
+	if routes := int(c.run.routes.Load()); routes > 0 {
+		q.route = 1 + c.random.IntN(routes)
+		prefix = standin.PathExtra(q.route)
+	}
+	q.path = fmt.Sprintf("%se%d", prefix, number)
+	q.want, q.idempotent = standin.Body(q.path), true
+	return q
+}
+
 // resolve asks any entry for addresses.
 func (c *caller) resolve() {
 	entries := c.run.deployment.Entries
@@ -99,7 +116,7 @@
 			continue
 		}
 		c.addresses = addresses
-		c.until = time.Now().Add(ttl)
+		c.until = time.Now().Add(time.Duration(c.keeps) * ttl)
 		return
 	}
 }
@@ -108,6 +125,7 @@
 func (c *caller) send(method, at string, q call) int {
 	q.sent = time.Now()
 	q.entry = at
+	lifetime := c.run.lifetime(at)
 	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerPatience)
 	if err != nil {
 		c.run.ledger.violate("soak: %v", err)
@@ -119,87 +137,28 @@
 		response.Body.Close()
 		q.status, q.body, q.whole = response.StatusCode, string(body), readErr == nil
 	}
+	q.ended = time.Now()
+	if c.run.lifetime(at) == lifetime {
+		q.lifetime = lifetime
+	}
 	c.run.ledger.answered(q)
 	return q.status
 }
 
-func streamOf(path string) string {
-	var b strings.Builder
-	for n := range standin.Events(path) {
-		b.WriteString(standin.Event(path, n+1))
-	}
-	return b.String()
-}
-
-// calmPhase checks what must hold without faults: changes in force everywhere in
-// time, planned stops that cut nothing off, a leaving server without new work.
-func (r *run) calmPhase(ctx context.Context) {
-	r.note("calm: a route is added")
-	begun := time.Now()
-	route := r.extraRoutes() + 1
-	r.deployment.AddRoutes(1)
+// lifetime returns which lifetime of its process an entry is in, 0 for no entry.
+func (r *run) lifetime(front string) int64 {
 	for _, m := range r.machines {
-		if m.role == "entry" {
-			r.checkRoute(ctx, m, standin.PathExtra(route), begun)
+		if m.role == "entry" && r.deployment.Front(m.Machine) == front {
+			return m.lifetime.Load()
 		}
 	}
-	stops := time.Now()
-	for _, m := range r.machines {
-		if m.role == "entry" {
-			r.note("calm: terminate %s", m.Name)
-			m.signal(syscall.SIGTERM)
-			pause(ctx, 2*time.Second)
-		}
-	}
-	pause(ctx, settleTime)
-	for _, c := range r.ledger.since(stops) {
-		if c.status == 0 && r.ranWhole(c) {
-			r.ledger.violate("stops: %s at %s was cut off", c.attempt, c.entry)
-		}
-	}
-	served := 0
-	all := r.ledger.since(time.Now().Add(-3 * time.Second))
-	for _, c := range all {
-		if c.status == 200 && c.whole || c.status == 401 {
-			served++
-		}
-	}
-	if served*10 < len(all)*9 {
-		r.ledger.violate("recovery: only %d of %d calls are served after the faults", served, len(all))
-	}
+	return 0
 }
 
-// ranWhole reports whether a server worked on a call that got no answer.
-func (r *run) ranWhole(c call) bool {
-	r.ledger.mu.Lock()
-	defer r.ledger.mu.Unlock()
-	return len(r.ledger.runs[c.attempt]) > 0
-}
-
-func (r *run) extraRoutes() int {
-	n := 0
-	for _, line := range r.schedule {
-		if strings.HasSuffix(line, "a route is added") {
-			n++
-		}
-	}
-	return n - 1 // the note of the calm phase itself
-}
-
-// checkRoute waits until an entry serves a route, for as long as it may take.
-func (r *run) checkRoute(ctx context.Context, m *machine, prefix string, begun time.Time) {
-	c := &caller{run: r, client: &http.Client{Timeout: callTimeout}}
-	for ctx.Err() == nil {
-		number := attempts.Add(1)
-		path := fmt.Sprintf("%sc%d", prefix, number)
-		q := call{attempt: fmt.Sprintf("s%d-%d", r.seed, number), key: standin.Key, path: path, want: standin.Body(path), idempotent: true}
-		if c.send(http.MethodGet, r.deployment.Front(m.Machine), q) == http.StatusOK {
-			return
-		}
-		if time.Since(begun) > calmBound {
-			r.ledger.violate("configuration: %s does not serve a route %s after it was added", m.Name, time.Since(begun))
-			return
-		}
-		pause(ctx, 50*time.Millisecond)
+func streamOf(path string) string {
+	var b strings.Builder
+	for n := range standin.Events(path) {
+		b.WriteString(standin.Event(path, n+1))
 	}
+	return b.String()
 }
--- /dev/null
+++ b/internal/soak/calm.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// Times of the calm phase.
+const (
+	// stopGap is between the planned stops of two entries.
+	stopGap = 2 * time.Second
+	// stopsAtMost bounds the planned stops of a large deployment.
+	stopsAtMost = 6
+	// recoverySpan is the last part of the phase, in which nearly all must be served.
+	recoverySpan = 3 * time.Second
+)
+
+// calmPhase checks what must hold without faults: changes in force everywhere in time,
+// new weights within their bound, an endpoint that leaves without new work, planned
+// stops that cut nothing off, and nearly all calls served.
+func (r *run) calmPhase(ctx context.Context) {
+	r.ledger.named(r.nameWeights(), time.Now())
+	leaving := r.engines[len(r.engines)-1]
+	r.note("calm: %s leaves", leaving)
+	r.ledger.leaves(leaving, time.Now())
+	r.deployment.Servers[leaving].Drain()
+	begun := time.Now()
+	route := r.addRoute()
+	for _, m := range r.machines {
+		if m.role == "entry" {
+			r.checkRoute(ctx, m, standin.PathExtra(route), begun)
+		}
+	}
+	r.checkStops(ctx)
+	pause(ctx, settleTime)
+	r.checkRecovery()
+}
+
+// checkStops stops entries one after the other, under load.
+func (r *run) checkStops(ctx context.Context) {
+	begun := time.Now()
+	stops := 0
+	for _, m := range r.machines {
+		if m.role != "entry" || stops >= stopsAtMost {
+			continue
+		}
+		stops++
+		r.note("calm: terminate %s", m.Name)
+		m.signal(syscall.SIGTERM)
+		pause(ctx, stopGap)
+	}
+	pause(ctx, settleTime)
+	for _, c := range r.ledger.since(begun) {
+		if c.status == 0 && r.ledger.hasRun(c.attempt) {
+			r.ledger.violate("stops: %s at %s was cut off", c.attempt, c.entry)
+		}
+	}
+}
+
+func (r *run) checkRecovery() {
+	all := r.ledger.since(time.Now().Add(-recoverySpan))
+	served := 0
+	for _, c := range all {
+		if c.status == http.StatusOK && c.whole || c.status == http.StatusUnauthorized {
+			served++
+		}
+	}
+	if len(all) == 0 || served*10 < len(all)*9 {
+		r.ledger.violate("recovery: only %d of %d calls are served after the faults", served, len(all))
+	}
+}
+
+// checkRoute waits until an entry serves a route, for as long as it may take.
+func (r *run) checkRoute(ctx context.Context, m *machine, prefix string, begun time.Time) {
+	c := &caller{run: r, client: &http.Client{Timeout: callTimeout}}
+	for ctx.Err() == nil {
+		number := r.attempts.Add(1)
+		path := fmt.Sprintf("%sc%d", prefix, number)
+		q := call{attempt: fmt.Sprintf("s%d-%d", r.seed, number), key: standin.Key, path: path, want: standin.Body(path), idempotent: true}
+		if c.send(http.MethodGet, r.deployment.Front(m.Machine), q) == http.StatusOK {
+			return
+		}
+		if time.Since(begun) > calmBound {
+			r.ledger.violate("configuration: %s does not serve a route %s after it was added, %s", m.Name, time.Since(begun), strings.TrimSuffix(prefix, "/"))
+			return
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -12,144 +12,174 @@
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
-// meanGap is the mean time between two faults; each lasts up to longestFault, so
-// that they overlap.
+// Bounds of single faults.
 const (
-	meanGap      = 900 * time.Millisecond
-	longestFault = 4 * time.Second
+	// slowStore is the delay of each answer of a slow store.
+	slowStore = 200 * time.Millisecond
+	// seriesGap is between two processes that are stopped in series.
+	seriesGap = 700 * time.Millisecond
+	longest   = 4 // processes in a series
 )
 
-// storeFault decides on a call to the store by the machine that makes it.
-func (r *run) storeFault(q *http.Request) standin.Fault {
-	r.mu.Lock()
-	fault := r.fault
-	r.mu.Unlock()
-	if fault == nil {
-		return standin.FaultNone
-	}
-	ip, _, err := net.SplitHostPort(q.RemoteAddr)
-	if err != nil {
-		return standin.FaultNone
-	}
-	return fault(ip)
+// storeFault is a fault of the store in progress.
+type storeFault struct {
+	fault    int // its number
+	kind     standin.Fault
+	machines map[string]bool // by the address at which they reach the store
 }
 
-func (r *run) setStoreFault(fault func(ip string) standin.Fault) {
+// decideStore decides on a call to the store by the machine that makes it, which the
+// address tells that it called.
+func (r *run) decideStore(q *http.Request) standin.Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fault = fault
+	for _, f := range r.storeFaults {
+		if f.machines[q.Host] {
+			return f.kind
+		}
+	}
+	return standin.FaultNone
 }
 
-// injectFaults injects faults at random until the duration is over. Each fault has
-// its own end, so that several are there at a time.
+// injectFaults carries out the plan. Each fault has its own end, so that several are
+// there at a time.
 func (r *run) injectFaults(ctx context.Context) {
 	var ends sync.WaitGroup
 	defer ends.Wait()
-	for time.Since(r.started) < r.duration && ctx.Err() == nil {
-		length := time.Duration(r.random.Float64() * float64(longestFault))
-		end := r.injectOne(length)
+	for i, f := range r.plan {
+		pause(ctx, time.Until(r.started.Add(f.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		end := r.inject(ctx, i, f)
 		ends.Go(func() {
-			pause(ctx, length)
+			pause(ctx, f.Length)
 			end()
 		})
-		pause(ctx, time.Duration(r.random.ExpFloat64()*float64(meanGap)))
 	}
+	pause(ctx, time.Until(r.started.Add(r.duration)))
 }
 
-// injectOne begins a fault and returns what ends it.
-func (r *run) injectOne(length time.Duration) func() {
-	nothing := func() {}
-	m := r.machines[r.random.IntN(len(r.machines))]
-	switch kind := r.random.IntN(15); kind {
-	case 0:
+// inject begins a fault and returns what ends it.
+func (r *run) inject(ctx context.Context, number int, f Fault) (end func()) {
+	m := r.machines[f.pick(0, len(r.machines))]
+	switch f.Kind {
+	case KillProcess:
 		r.note("kill %s", m.Name)
 		m.signal(syscall.SIGKILL)
-	case 1:
+	case TerminateProcess:
 		r.note("terminate %s", m.Name)
 		m.signal(syscall.SIGTERM)
-	case 2:
-		r.note("pause %s for %s", m.Name, length)
-		m.signal(syscall.SIGSTOP)
+	case PauseProcess:
+		r.note("pause %s for %s", m.Name, f.Length)
+		m.pause()
 		return m.resume
-	case 3:
+	case HangUpProcess:
 		r.note("hang up %s", m.Name)
 		m.signal(syscall.SIGHUP)
-	case 4, 5:
-		return r.failStore(length)
-	case 6:
+	case StopInSeries:
+		r.stopInSeries(ctx, f)
+	case FailStore:
+		return r.failStore(number, f)
+	case SlowStore:
+		r.note("the store is slow for %s", f.Length)
+		r.deployment.Store.SetDelay(slowStore)
+		return func() { r.deployment.Store.SetDelay(0) }
+	case ForgetHistory:
 		r.note("the store forgets its history")
 		r.deployment.Store.Compact()
-	case 7, 8:
-		return r.failServer(length)
-	case 9:
-		r.note("a route is added")
-		r.deployment.AddRoutes(1)
-	case 10:
+	case SpoilServer:
+		return r.spoilServer(f)
+	case SpoilOrigin:
+		return r.spoilOrigin(f)
+	case SpoilChunk:
+		id := r.engines[f.pick(0, len(r.engines))]
+		chunk := f.pick(1, standin.SmallEngine.Chunks)
+		r.note("chunk %d at %s turns bad", chunk, id)
+		r.deployment.Servers[id].Spoil(chunk)
+	case AddRoute:
+		r.addRoute()
+	case RotateKey:
 		r.rotateKey()
-	case 11, 12, 13:
-		return r.disturbLink(length)
-	case 14:
-		r.version++
-		r.note("version %d of the weights is named", r.version)
-		r.deployment.NameWeights(r.version)
+	case NameWeights:
+		r.nameWeights()
+	case DisturbLink:
+		return r.disturbLink(number, f, r.links[f.pick(0, len(r.links))])
+	case CutMachine:
+		d := []disturbance{cutThere, cutBack, silenced}[f.pick(1, 3)]
+		r.note("%s is cut off (%d) for %s", m.Name, d, f.Length)
+		m.store.disturb(number, d)
+		m.peers.disturb(number, d)
+		return func() {
+			m.store.heal(number)
+			m.peers.heal(number)
+		}
 	}
-	return nothing
+	return func() {}
 }
 
-// disturbLink disturbs the connections to the store, the origin or a server.
-func (r *run) disturbLink(length time.Duration) func() {
-	p := r.proxies[r.random.IntN(len(r.proxies))]
-	at := p.listener.Addr()
-	switch kind := r.random.IntN(6); kind {
+// stopInSeries ends some processes one after the other, or at once.
+func (r *run) stopInSeries(ctx context.Context, f Fault) {
+	first, count := f.pick(0, len(r.machines)), 2+f.pick(1, longest-1)
+	signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[f.pick(2, 2)]
+	together := f.pick(3, 4) == 0
+	if together {
+		count = len(r.machines)
+		signal = syscall.SIGKILL
+	}
+	r.note("%s to %d processes from %s on, together: %t", signal, count, r.machines[first].Name, together)
+	for i := range count {
+		r.machines[(first+i)%len(r.machines)].signal(signal)
+		if !together {
+			pause(ctx, seriesGap)
+		}
+	}
+}
+
+// disturbLink disturbs the connections of one link.
+func (r *run) disturbLink(number int, f Fault, l *link) func() {
+	switch kind := f.pick(1, int(disturbances)+2); kind {
 	case 0:
-		r.note("connections to %s are reset", at)
-		p.resetAll()
+		r.note("connections of %s are reset", l.name)
+		l.resetAll()
 	case 1:
-		r.note("open connections to %s go silent", at)
-		p.muteAll()
+		r.note("open connections of %s go silent", l.name)
+		l.muteAll()
+	case 2:
+		r.note("open connections of %s are half open", l.name)
+		l.halveAll()
 	default:
-		d := disturbance(kind - 1)
-		r.note("connections to %s are disturbed (%d) for %s", at, d, length)
-		p.disturb(d)
+		d := disturbance(kind - 2)
+		r.note("connections of %s are disturbed (%d) for %s", l.name, d, f.Length)
+		l.disturb(number, d)
 	}
-	return func() { p.disturb(passing) }
+	return func() { l.heal(number) }
 }
 
 // failStore lets the store fail for all machines or for some of them.
-func (r *run) failStore(length time.Duration) func() {
+func (r *run) failStore(number int, f Fault) func() {
 	kinds := []standin.Fault{standin.FaultBusy, standin.FaultLimited, standin.FaultReset, standin.FaultSilent, standin.FaultLost}
-	kind := kinds[r.random.IntN(len(kinds))]
-	share := r.random.Float64()
-	whom := make(map[string]bool)
-	for _, m := range r.machines {
-		whom[m.IP] = share > 0.7 || r.random.Float64() < share
+	fault := storeFault{fault: number, kind: kinds[f.pick(0, len(kinds))], machines: make(map[string]bool)}
+	share := f.share(1) * 1.4 // more than the whole is all
+	for i, m := range r.machines {
+		fault.machines[m.storeAt] = float64((f.Draws[2]+uint64(i)*0x9e3779b97f4a7c15)%1000)/1000 < share
+	}
+	r.note("the store fails (%d) for %.1f of the machines for %s", fault.kind, min(share, 1), f.Length)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeFaults = append(r.storeFaults, fault)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.storeFaults = slices.DeleteFunc(r.storeFaults, func(s storeFault) bool { return s.fault == number })
 	}
-	r.note("the store fails (%d) for %.1f of the machines for %s", kind, min(share/0.7, 1), length)
-	r.setStoreFault(func(ip string) standin.Fault {
-		if whom[ip] {
-			return kind
-		}
-		return standin.FaultNone
-	})
-	return func() { r.setStoreFault(nil) }
 }
 
-// failServer lets a server spoil part of its answers.
-func (r *run) failServer(length time.Duration) func() {
-	ids := make([]string, 0, len(r.deployment.Servers))
-	for d := range r.domains {
-		for a := range r.agents {
-			ids = append(ids, fmt.Sprintf("i-engine-%d-%d", d+1, a+1))
-		}
-		ids = append(ids, fmt.Sprintf("i-plain-%d-1", d+1))
-	}
-	id := ids[r.random.IntN(len(ids))]
-	kind := standin.Breakage(1 + r.random.IntN(4))
-	r.note("%s spoils a third of its answers (%d) for %s", id, kind, length)
-	s := r.deployment.Servers[id]
+// everyThird returns what spoils each third answer.
+func everyThird(kind standin.Breakage) func() standin.Breakage {
 	var mu sync.Mutex
 	n := 0
-	s.SetBroken(func() standin.Breakage {
+	return func() standin.Breakage {
 		mu.Lock()
 		defer mu.Unlock()
 		n++
@@ -157,8 +187,43 @@
 			return kind
 		}
 		return standin.BreakNone
-	})
-	return func() { s.SetBroken(func() standin.Breakage { return standin.BreakNone }) }
+	}
+}
+
+func whole() standin.Breakage { return standin.BreakNone }
+
+// spoilServer lets a server spoil part of its answers.
+func (r *run) spoilServer(f Fault) func() {
+	id := r.servers[f.pick(0, len(r.servers))]
+	kind := standin.Breakage(1 + f.pick(1, 4))
+	r.note("%s spoils a third of its answers (%d) for %s", id, kind, f.Length)
+	s := r.deployment.Servers[id]
+	s.SetBroken(everyThird(kind))
+	return func() { s.SetBroken(whole) }
+}
+
+// spoilOrigin lets the origin send nothing, or wrong bytes, in part of its answers.
+func (r *run) spoilOrigin(f Fault) func() {
+	kind := []standin.Breakage{standin.BreakBefore, standin.BreakError}[f.pick(0, 2)]
+	r.note("the origin spoils a third of its answers (%d) for %s", kind, f.Length)
+	r.deployment.Origin.SetBroken(everyThird(kind))
+	return func() { r.deployment.Origin.SetBroken(whole) }
+}
+
+// addRoute adds a route and returns its number.
+func (r *run) addRoute() int {
+	n := int(r.routes.Add(1))
+	r.note("route %d is added", n)
+	r.deployment.AddRoutes(1)
+	return n
+}
+
+// nameWeights names the next version and returns it.
+func (r *run) nameWeights() int64 {
+	r.version++
+	r.note("version %d of the weights is named", r.version)
+	r.deployment.NameWeights(r.version)
+	return r.version
 }
 
 // rotateKey adds a key and takes the one before the last away.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,16 +11,18 @@
 
 // call is one request of a caller and its answer.
 type call struct {
-	attempt    string
-	path       string
-	key        string
-	idempotent bool
-	sent       time.Time
-	entry      string
-	status     int // 0 for a connection that broke
-	body       string
-	whole      bool
-	want       string
+	attempt     string
+	path        string
+	key         string
+	idempotent  bool
+	route       int // number of the added route, 0 for another one
+	sent, ended time.Time
+	entry       string
+	lifetime    int64 // of the entry's process, 0 if it ended meanwhile
+	status      int   // 0 for a connection that broke
+	body        string
+	whole       bool
+	want        string
 }
 
 // ledger holds what callers and servers saw and checks it against the promises. It
@@ -31,6 +34,9 @@
 	served     int
 	removed    map[string]time.Time // keys that were taken away, and when
 	keys       []string             // keys that callers may use
+	leaving    map[string]time.Time // servers that leave, and since when
+	version    int64                // that was named without any fault
+	versionAt  time.Time
 	violations []string
 }
 
@@ -40,6 +46,7 @@
 		runs:    make(map[string][]standin.Run),
 		removed: make(map[string]time.Time),
 		keys:    []string{standin.Key},
+		leaving: make(map[string]time.Time),
 	}
 }
 
@@ -66,6 +73,27 @@
 	}
 }
 
+// named records a version that is named without any fault.
+func (l *ledger) named(version int64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version, l.versionAt = version, at
+}
+
+// leaves records that a server leaves, without any fault.
+func (l *ledger) leaves(server string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[server] = at
+}
+
+// hasRun reports whether a server worked on a call.
+func (l *ledger) hasRun(attempt string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs[attempt]) > 0
+}
+
 func (l *ledger) keyAdded(key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,27 +144,118 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for attempt, c := range l.calls {
-		runs := l.runs[attempt]
-		if !c.idempotent && len(runs) > 1 {
-			l.violateLocked("at most once: %s ran %d times", attempt, len(runs))
+		l.checkCall(attempt, c, l.runs[attempt])
+	}
+	for attempt, runs := range l.runs {
+		if _, known := l.calls[attempt]; !known {
+			l.violateLocked("requests: %s ran and no caller sent it", attempt)
 		}
-		if !c.idempotent && notRun(c.status) && len(runs) > 0 {
-			l.violateLocked("not run: %s was answered %d and ran at %s", attempt, c.status, runs[0].Server)
+		for _, run := range runs {
+			l.checkRun(run)
 		}
-		if at, gone := l.removed[c.key]; gone && len(runs) > 0 && c.sent.Sub(at) > revocation {
-			l.violateLocked("revoked: %s ran %s after its key was taken away", attempt, c.sent.Sub(at))
+	}
+	l.checkReverts()
+	l.checkRepeats()
+}
+
+func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
+	if !c.idempotent && len(runs) > 1 {
+		l.violateLocked("at most once: %s ran %d times", attempt, len(runs))
+	}
+	if !c.idempotent && notRun(c.status) && len(runs) > 0 {
+		l.violateLocked("not run: %s was answered %d and ran at %s", attempt, c.status, runs[0].Server)
+	}
+	if at, gone := l.removed[c.key]; gone && len(runs) > 0 && c.sent.Sub(at) > revocation {
+		l.violateLocked("revoked: %s ran %s after its key was taken away", attempt, c.sent.Sub(at))
+	}
+	for _, run := range runs {
+		if run.Target != c.path {
+			l.violateLocked("requests: %s ran as %s, not %s", attempt, run.Target, c.path)
 		}
-		for _, run := range runs {
-			if run.Target != c.path {
-				l.violateLocked("requests: %s ran as %s, not %s", attempt, run.Target, c.path)
+	}
+}
+
+func (l *ledger) checkRun(run standin.Run) {
+	if at, leaves := l.leaving[run.Server]; leaves && run.Began.Sub(at) > drainBound {
+		l.violateLocked("leaving: %s ran at %s %s after it said that it leaves", run.Attempt, run.Server, run.Began.Sub(at))
+	}
+	if late := run.Began.Sub(l.versionAt); l.version > 0 && run.Version > 0 && run.Version < l.version && late > versionBound {
+		l.violateLocked("versions: %s began on version %d at %s, %s after version %d was named", run.Attempt, run.Version, run.Server, late, l.version)
+	}
+}
+
+// process is one lifetime of an entry's process.
+type process struct {
+	entry    string
+	lifetime int64
+}
+
+// checkReverts finds processes that served an added route and did not know it later.
+func (l *ledger) checkReverts() {
+	served := make(map[process][]call)
+	for _, c := range l.calls {
+		if c.route > 0 && c.lifetime > 0 && c.status == 200 {
+			p := process{c.entry, c.lifetime}
+			served[p] = append(served[p], c)
+		}
+	}
+	for _, c := range l.calls {
+		if c.route == 0 || c.lifetime == 0 || c.status != 404 {
+			continue
+		}
+		for _, before := range served[process{c.entry, c.lifetime}] {
+			if before.route >= c.route && c.sent.Sub(before.ended) > revertSlack {
+				l.violateLocked("configuration: %s got 404 for route %d at %s, which had served route %d", c.attempt, c.route, c.entry, before.route)
+				break
 			}
 		}
 	}
-	for attempt := range l.runs {
-		if _, known := l.calls[attempt]; !known {
-			l.violateLocked("requests: %s ran and no caller sent it", attempt)
+}
+
+// began is the begin of a run; a repeat is one of a request that had run before.
+type began struct {
+	at     time.Time
+	repeat bool
+}
+
+// checkRepeats counts, in each window that begins with a run, how often requests of a
+// service ran again.
+func (l *ledger) checkRepeats() {
+	byService := make(map[string][]began)
+	for _, runs := range l.runs {
+		for i, run := range runs {
+			byService[run.Service] = append(byService[run.Service], began{run.Began, i > 0})
+		}
+	}
+	for service, list := range byService {
+		slices.SortFunc(list, func(a, b began) int { return a.at.Compare(b.at) })
+		if requests, repeats := worstWindow(list); repeats > 0 {
+			l.violateLocked("repeats: %d of %d requests for %s ran again within %s", repeats, requests, service, retryWindow)
+		}
+	}
+}
+
+// worstWindow returns the requests and repeats of a window with more repeats than are
+// allowed, 0 if there is none.
+func worstWindow(list []began) (requests, repeats int) {
+	counts := [2]int{} // of first runs, and of repeats
+	index := func(b began) int {
+		if b.repeat {
+			return 1
+		}
+		return 0
+	}
+	end := 0
+	for _, first := range list {
+		for ; end < len(list) && list[end].at.Sub(first.at) <= retryWindow; end++ {
+			counts[index(list[end])]++
+		}
+		if float64(counts[1]) > standin.RetryRatio*float64(counts[0])+standin.RetryReserve {
+			return counts[0], counts[1]
 		}
+		counts[index(first)]--
 	}
+	return 0, 0
 }
 
 func (l *ledger) report() *Report {
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,26 +17,74 @@
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
-// restartDelay is the time after which the platform starts a process that ended.
-const restartDelay = 300 * time.Millisecond
+const (
+	// restartDelay is the time after which the platform starts a process that ended.
+	restartDelay = 300 * time.Millisecond
+	// listenNetworks is added to the second number of the addresses by which others
+	// reach a process: it listens there, behind the proxies.
+	listenNetworks = 60
+)
 
 // machine runs one process and starts it again when it ends. Only processes that
 // it started are signalled, by their ids.
 type machine struct {
 	standin.Machine
-	role string
-	run  *run
+	role  string
+	run   *run
+	index int
+	// store is the machine's way to the store, peers that of other processes to it,
+	// front that of callers.
+	store, peers, front *link
+	storeAt             string
+	lifetime            atomic.Int64
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	stopped bool // the soak is over
-	halted  bool // the process is paused
+	halted  int  // faults that pause the process
 	ended   chan struct{}
 }
 
+// connect opens the proxies before the process and between it and the store.
+func (m *machine) connect() error {
+	d := m.run.deployment
+	_, host, _ := strings.Cut(m.IP, fmt.Sprintf("127.%d.", m.run.network))
+	listen := fmt.Sprintf("127.%d.%s", int(m.run.network)+listenNetworks, host)
+	behind := func(address string) string { return strings.Replace(address, m.IP, listen, 1) }
+	m.store, m.peers, m.front = newLink("store of "+m.Name), newLink("peers of "+m.Name), newLink("callers of "+m.Name)
+	m.storeAt = fmt.Sprintf("127.%d.%d.%d:8007", m.run.network, 100+m.index/250, 1+m.index%250)
+	if err := m.store.stream(m.storeAt, d.StoreAddress()); err != nil {
+		return err
+	}
+	peer := d.PeerAddress(m.Machine)
+	if err := m.peers.stream(peer, behind(peer)); err != nil {
+		return err
+	}
+	if err := m.peers.datagrams(peer, behind(peer)); err != nil {
+		return err
+	}
+	if m.role != "entry" {
+		return nil
+	}
+	for _, address := range []string{d.Front(m.Machine), d.Ready(m.Machine), d.Directory(m.Machine)} {
+		if err := m.front.stream(address, behind(address)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *machine) links() []*link {
+	if m.role == "entry" {
+		return []*link{m.store, m.peers, m.front}
+	}
+	return []*link{m.store, m.peers}
+}
+
 func (m *machine) start() error {
 	settings := filepath.Join(m.run.logs, m.Name+".conf")
-	if err := os.WriteFile(settings, []byte(m.run.deployment.Settings(m.Machine)), 0o600); err != nil {
+	text := m.run.deployment.Settings(m.Machine, m.storeAt)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "soak")
 	}
 	output, err := os.OpenFile(filepath.Join(m.run.logs, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -45,13 +97,15 @@
 	if m.stopped {
 		return nil
 	}
-	c := exec.Command(m.run.binary, m.role, "--settings", settings)
+	listen := strings.Replace(m.IP, fmt.Sprintf("127.%d.", m.run.network), fmt.Sprintf("127.%d.", int(m.run.network)+listenNetworks), 1)
+	c := exec.Command(m.run.binary, m.role, "--settings", settings, "--listen-ip", listen)
 	c.Stdout, c.Stderr = output, output
 	if err := c.Start(); err != nil {
 		return eris.Wrap(err, "soak")
 	}
 	m.command = c
-	m.halted = false
+	m.halted = 0
+	m.lifetime.Add(1)
 	m.ended = make(chan struct{})
 	go m.watch(c, m.ended)
 	return nil
@@ -79,18 +133,25 @@
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s == syscall.SIGSTOP {
-		m.halted = true
-	}
 	// A process that has just ended is started again; the signal is then lost.
 	_ = m.command.Process.Signal(s)
 }
 
+// pause halts the process, and resume lets it go on once no fault halts it.
+func (m *machine) pause() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.halted++
+	_ = m.command.Process.Signal(syscall.SIGSTOP)
+}
+
 func (m *machine) resume() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.halted {
-		m.halted = false
+	if m.halted == 0 {
+		return // the process was ended and started meanwhile
+	}
+	if m.halted--; m.halted == 0 {
 		_ = m.command.Process.Signal(syscall.SIGCONT)
 	}
 }
@@ -101,11 +162,26 @@
 	m.stopped = true
 	c, ended := m.command, m.ended
 	m.mu.Unlock()
-	if c == nil {
-		return
+	if c != nil {
+		_ = c.Process.Kill() // it may have ended already
+		<-ended
+	}
+	for _, l := range m.links() {
+		if l != nil {
+			l.stop()
+		}
 	}
-	_ = c.Process.Kill() // it may have ended already
-	<-ended
 }
 
 func (m *machine) ready() bool { return m.run.deployment.IsReady(m.Machine) }
+
+// awaitReady waits until an entry is ready.
+func (m *machine) awaitReady(ctx context.Context, deadline time.Time) error {
+	for m.role == "entry" && !m.ready() {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return eris.Errorf("soak: %s is not ready", m.Name)
+		}
+		pause(ctx, 50*time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Kind is what a fault does.
+type Kind int
+
+// The kinds of faults.
+const (
+	KillProcess Kind = iota
+	TerminateProcess
+	PauseProcess
+	HangUpProcess
+	// StopInSeries ends several processes one after the other, or all at once.
+	StopInSeries
+	// FailStore lets the store fail for some machines or for all.
+	FailStore
+	SlowStore
+	ForgetHistory
+	// SpoilServer lets a server spoil part of its answers, SpoilOrigin the origin, and
+	// SpoilChunk turns a staged chunk bad.
+	SpoilServer
+	SpoilOrigin
+	SpoilChunk
+	AddRoute
+	RotateKey
+	NameWeights
+	// DisturbLink disturbs what passes one link.
+	DisturbLink
+	// CutMachine disturbs all links of a machine but those of its callers.
+	CutMachine
+)
+
+var kindNames = []string{
+	"kill", "terminate", "pause", "hang up", "stop in series", "store fails", "store is slow", "store forgets its history",
+	"server spoils answers", "origin spoils chunks", "staged chunk turns bad", "route is added", "key is rotated",
+	"weights are named", "link is disturbed", "machine is cut off",
+}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// weights of the kinds in a plan.
+var kindWeights = []int{2, 2, 2, 1, 1, 3, 1, 2, 3, 1, 2, 2, 2, 2, 8, 2}
+
+// Fault is one fault of a plan. Draws decide the rest, whatever the size of the
+// deployment is.
+type Fault struct {
+	At, Length time.Duration
+	Kind       Kind
+	Draws      [4]uint64
+}
+
+// pick returns a number below n by one of the draws.
+func (f Fault) pick(draw, n int) int { return int(f.Draws[draw] % uint64(max(n, 1))) }
+
+// share returns a number below 1 by one of the draws.
+func (f Fault) share(draw int) float64 { return float64(f.Draws[draw]>>11) / (1 << 53) }
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%8s %8s  %s %x", f.At.Truncate(time.Millisecond), f.Length.Truncate(time.Millisecond), f.Kind, f.Draws[0]&0xffff)
+}
+
+// Times of a plan: the mean time between two faults, and the longest duration of one, so
+// that they overlap.
+const (
+	meanGap      = 900 * time.Millisecond
+	longestFault = 4 * time.Second
+)
+
+// Plan returns the faults of a seed, which are the same each time.
+func Plan(seed uint64, duration time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	total := 0
+	for _, w := range kindWeights {
+		total += w
+	}
+	var plan []Fault
+	for at := time.Duration(0); at < duration; at += time.Duration(random.ExpFloat64() * float64(meanGap)) {
+		f := Fault{At: at, Length: time.Duration(random.Float64() * float64(longestFault))}
+		for n := random.IntN(total); n >= kindWeights[f.Kind]; f.Kind++ {
+			n -= kindWeights[f.Kind]
+		}
+		for i := range f.Draws {
+			f.Draws[i] = random.Uint64()
+		}
+		plan = append(plan, f)
+	}
+	return plan
+}
+
+// Minimize returns a plan with fewer faults that still fails: it leaves out ever smaller
+// parts and keeps what is left where that fails. Fails plays a plan; it is called at most
+// plays times.
+func Minimize(plan []Fault, plays int, fails func(plan []Fault) bool) []Fault {
+	for size := (len(plan) + 1) / 2; size > 0 && plays > 0; {
+		reduced := false
+		for from := 0; from < len(plan) && plays > 0; from += size {
+			rest := append(append([]Fault{}, plan[:from]...), plan[min(from+size, len(plan)):]...)
+			plays--
+			if fails(rest) {
+				plan, reduced = rest, true
+				break
+			}
+		}
+		if !reduced {
+			size /= 2
+		}
+	}
+	return plan
+}
+
+// Text returns a plan, a fault a line.
+func Text(plan []Fault) string {
+	var b strings.Builder
+	for _, f := range plan {
+		b.WriteString(f.String() + "\n")
+	}
+	return b.String()
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// disturbance is what a proxy does to the bytes that pass.
+// disturbance is what a link does to the bytes that pass.
 type disturbance int
 
 // The disturbances.
@@ -23,6 +23,9 @@
 	cutBack
 	// silenced loses the bytes of both.
 	silenced
+	// dripping bytes arrive a few at a time.
+	dripping
+	disturbances
 )
 
 const (
@@ -32,139 +35,228 @@
 	// could outlive the caller, or a key its bound.
 	proxyDelay  = 150 * time.Millisecond
 	proxyBuffer = 32 << 10
+	// dripBytes pass a dripping link each dripPause.
+	dripBytes = 256
+	dripPause = 4 * time.Millisecond
+	// maxDatagram is that of the system.
+	maxDatagram = 64 << 10
 )
 
-// proxy passes connections on to a server on the same loopback address, and disturbs
-// them. The server sees the address of the process that connects.
-type proxy struct {
-	listener net.Listener
-	target   string
+// link is one way to a process or a server. Its proxies share what disturbs it.
+type link struct {
+	name string
 
-	mu    sync.Mutex
-	now   disturbance
-	pairs map[*pair]bool
+	mu        sync.Mutex
+	active    map[int]disturbance // by the number of the fault
+	pairs     map[*pair]bool
+	listeners []io.Closer
 }
 
-// pair is a connection through a proxy. Its fields are guarded by the proxy's mutex.
+// pair is a connection through a proxy. Its fields are guarded by the link's mutex.
 type pair struct {
 	caller, server net.Conn
 	lost           bool // bytes were lost, so that nothing may follow them
 	mute           bool // nothing passes any more
 }
 
-// startProxy listens at an address and returns the listener of the server behind it.
-func startProxy(address string) (*proxy, net.Listener, error) {
+func newLink(name string) *link {
+	return &link{name: name, active: make(map[int]disturbance), pairs: make(map[*pair]bool)}
+}
+
+// hide listens at an address and returns the listener of the server behind it.
+func (l *link) hide(address string) (net.Listener, error) {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "proxy")
+		return nil, eris.Wrap(err, "proxy")
 	}
 	n, err := strconv.Atoi(port)
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "proxy")
+		return nil, eris.Wrap(err, "proxy")
 	}
 	hidden, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(n+hiddenPorts)))
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "proxy")
+		return nil, eris.Wrap(err, "proxy")
+	}
+	if err := l.stream(address, hidden.Addr().String()); err != nil {
+		hidden.Close()
+		return nil, err
 	}
+	return hidden, nil
+}
+
+// stream passes TCP connections to an address on to a target.
+func (l *link) stream(address, target string) error {
 	front, err := net.Listen("tcp", address)
 	if err != nil {
-		hidden.Close()
-		return nil, nil, eris.Wrap(err, "proxy")
+		return eris.Wrap(err, "proxy")
 	}
-	p := &proxy{listener: front, target: hidden.Addr().String(), pairs: make(map[*pair]bool)}
-	go p.accept()
-	return p, hidden, nil
+	l.listeners = append(l.listeners, front)
+	go func() {
+		for {
+			caller, err := front.Accept()
+			if err != nil {
+				return // closed with the soak
+			}
+			go l.serve(caller, target)
+		}
+	}()
+	return nil
 }
 
-func (p *proxy) accept() {
-	for {
-		caller, err := p.listener.Accept()
-		if err != nil {
-			return // closed with the soak
+// datagrams passes datagrams to an address on to a target.
+func (l *link) datagrams(address, target string) error {
+	at, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return eris.Wrap(err, "proxy")
+	}
+	to, err := net.ResolveUDPAddr("udp4", target)
+	if err != nil {
+		return eris.Wrap(err, "proxy")
+	}
+	socket, err := net.ListenUDP("udp4", at)
+	if err != nil {
+		return eris.Wrap(err, "proxy")
+	}
+	l.listeners = append(l.listeners, socket)
+	go func() {
+		buf := make([]byte, maxDatagram)
+		for {
+			n, err := socket.Read(buf)
+			if err != nil {
+				return // closed with the soak
+			}
+			l.forward(socket, to, append([]byte(nil), buf[:n]...))
 		}
-		go p.serve(caller)
+	}()
+	return nil
+}
+
+// forward sends a datagram on; a process that does not run gets none.
+func (l *link) forward(socket *net.UDPConn, to *net.UDPAddr, data []byte) {
+	send := func() { _, _ = socket.WriteToUDP(data, to) }
+	switch l.now() {
+	case silenced, cutThere:
+	case delayed, dripping:
+		time.AfterFunc(proxyDelay, send)
+	default:
+		send()
 	}
 }
 
-func (p *proxy) serve(caller net.Conn) {
-	from := caller.RemoteAddr().(*net.TCPAddr)
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: from.IP}, Timeout: time.Second}
-	server, err := dialer.Dial("tcp", p.target)
+func (l *link) serve(caller net.Conn, target string) {
+	server, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
-		caller.Close()
+		reset(caller)
 		return
 	}
 	c := &pair{caller: caller, server: server}
-	p.mu.Lock()
-	p.pairs[c] = true
-	p.mu.Unlock()
-	go p.pass(c, server, caller, cutBack)
-	p.pass(c, caller, server, cutThere)
+	l.mu.Lock()
+	l.pairs[c] = true
+	l.mu.Unlock()
+	go l.pass(c, server, caller, cutBack)
+	l.pass(c, caller, server, cutThere)
 }
 
 // pass copies one direction until either side ends.
-func (p *proxy) pass(c *pair, from, to net.Conn, cut disturbance) {
+func (l *link) pass(c *pair, from, to net.Conn, cut disturbance) {
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && p.passes(c, cut) {
-			if _, err := to.Write(buf[:n]); err != nil {
-				break
-			}
+		if n > 0 && l.write(c, to, buf[:n], cut) != nil {
+			break
 		}
-		if err == io.EOF && p.halfClose(c, to) {
+		if err == io.EOF && l.halfClose(c, to) {
 			return
 		}
 		if err != nil {
 			break
 		}
 	}
-	p.close(c)
+	l.close(c)
+}
+
+// write passes bytes on that have arrived, late or in drips where that is disturbed.
+func (l *link) write(c *pair, to net.Conn, data []byte, cut disturbance) error {
+	for len(data) > 0 {
+		now, passes := l.passes(c, cut)
+		if !passes {
+			return nil
+		}
+		n := len(data)
+		switch now {
+		case delayed:
+			time.Sleep(proxyDelay)
+		case dripping:
+			n = min(n, dripBytes)
+			time.Sleep(dripPause)
+		}
+		if _, err := to.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
 }
 
-// passes decides on bytes that have arrived, and waits where they are delayed.
-func (p *proxy) passes(c *pair, cut disturbance) bool {
-	p.mu.Lock()
-	now := p.now
+// passes decides on bytes that have arrived.
+func (l *link) passes(c *pair, cut disturbance) (now disturbance, passes bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now = l.nowLocked()
 	if now == silenced || now == cut {
 		c.lost = true
 	}
-	passes := !c.lost && !c.mute
-	p.mu.Unlock()
-	if passes && now == delayed {
-		time.Sleep(proxyDelay)
+	return now, !c.lost && !c.mute
+}
+
+func (l *link) now() disturbance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nowLocked()
+}
+
+// nowLocked returns the strongest of the disturbances in progress.
+func (l *link) nowLocked() disturbance {
+	now := passing
+	for _, d := range l.active {
+		if now == passing || d == silenced || d > now && now != silenced {
+			now = d
+		}
 	}
-	return passes
+	return now
 }
 
 // halfClose passes the end of one direction on and reports whether the other one goes
 // on.
-func (p *proxy) halfClose(c *pair, to net.Conn) bool {
-	p.mu.Lock()
+func (l *link) halfClose(c *pair, to net.Conn) bool {
+	l.mu.Lock()
 	silent := c.lost || c.mute
-	p.mu.Unlock()
+	l.mu.Unlock()
 	tcp, ok := to.(*net.TCPConn)
 	return ok && !silent && tcp.CloseWrite() == nil
 }
 
-func (p *proxy) close(c *pair) {
-	p.mu.Lock()
-	delete(p.pairs, c)
-	p.mu.Unlock()
+func (l *link) close(c *pair) {
+	l.mu.Lock()
+	delete(l.pairs, c)
+	l.mu.Unlock()
 	c.caller.Close()
 	c.server.Close()
 }
 
-// disturb begins a disturbance. Passing ends it; connections that lost bytes are then
-// reset.
-func (p *proxy) disturb(d disturbance) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.now = d
-	if d != passing {
-		return
-	}
-	for c := range p.pairs {
+// disturb begins the disturbance of a fault.
+func (l *link) disturb(fault int, d disturbance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active[fault] = d
+}
+
+// heal ends the disturbance of a fault; connections that lost bytes are then reset.
+func (l *link) heal(fault int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.active, fault)
+	for c := range l.pairs {
 		if c.lost {
 			reset(c.caller)
 			reset(c.server)
@@ -173,22 +265,41 @@
 }
 
 // resetAll resets every connection.
-func (p *proxy) resetAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.pairs {
+func (l *link) resetAll() {
+	l.each(func(c *pair) {
 		reset(c.caller)
 		reset(c.server)
-	}
+	})
 }
 
 // muteAll silences every open connection for good; new ones work.
-func (p *proxy) muteAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.pairs {
+func (l *link) muteAll() {
+	l.each(func(c *pair) { c.mute = true })
+}
+
+// halveAll ends the server's side of every connection, of which the caller's side is
+// not told.
+func (l *link) halveAll() {
+	l.each(func(c *pair) {
 		c.mute = true
+		reset(c.server)
+	})
+}
+
+func (l *link) each(do func(c *pair)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.pairs {
+		do(c)
+	}
+}
+
+// stop closes the listeners and the connections.
+func (l *link) stop() {
+	for _, c := range l.listeners {
+		c.Close()
 	}
+	l.resetAll()
 }
 
 func reset(c net.Conn) {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -21,27 +21,30 @@
 	return err == nil
 }
 
-func TestProxy(t *testing.T) {
+func TestLinks(t *testing.T) {
 	const address = "127.59.0.1:9100"
 	for _, test := range []struct {
 		name      string
-		disturb   func(p *proxy)
+		disturb   func(l *link)
 		during    bool // an open connection works meanwhile
 		fresh     bool // a new connection works meanwhile
 		afterward bool // the open connection works when it is over
 	}{
-		{"undisturbed", func(*proxy) {}, true, true, true},
-		{"delayed", func(p *proxy) { p.disturb(delayed) }, true, true, true},
-		{"cut towards the server", func(p *proxy) { p.disturb(cutThere) }, false, false, false},
-		{"cut towards the caller", func(p *proxy) { p.disturb(cutBack) }, false, false, false},
-		{"silenced", func(p *proxy) { p.disturb(silenced) }, false, false, false},
-		{"reset", (*proxy).resetAll, false, true, false},
-		{"muted for good", (*proxy).muteAll, false, true, false},
+		{"undisturbed", func(*link) {}, true, true, true},
+		{"delayed", func(l *link) { l.disturb(1, delayed) }, true, true, true},
+		{"dripping", func(l *link) { l.disturb(1, dripping) }, true, true, true},
+		{"cut towards the server", func(l *link) { l.disturb(1, cutThere) }, false, false, false},
+		{"cut towards the caller", func(l *link) { l.disturb(1, cutBack) }, false, false, false},
+		{"silenced", func(l *link) { l.disturb(1, silenced) }, false, false, false},
+		{"reset", (*link).resetAll, false, true, false},
+		{"muted for good", (*link).muteAll, false, true, false},
+		{"half open", (*link).halveAll, false, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			p, hidden, err := startProxy(address)
+			l := newLink("test")
+			hidden, err := l.hide(address)
 			require.NoError(t, err)
-			defer p.listener.Close()
+			defer l.stop()
 			defer hidden.Close()
 			go func() {
 				for {
@@ -60,12 +63,12 @@
 			open := dial()
 			defer open.Close()
 			require.True(t, exchange(t, open))
-			test.disturb(p)
+			test.disturb(l)
 			require.Equal(t, test.during, exchange(t, open))
 			fresh := dial()
 			defer fresh.Close()
 			require.Equal(t, test.fresh, exchange(t, fresh))
-			p.disturb(passing)
+			l.heal(1)
 			require.Equal(t, test.afterward, exchange(t, open))
 			last := dial()
 			defer last.Close()
@@ -73,3 +76,54 @@
 		})
 	}
 }
+
+// A disturbance that ends does not end another one on the same link.
+func TestOverlappingDisturbances(t *testing.T) {
+	l := newLink("test")
+	for _, test := range []struct {
+		do   func()
+		want disturbance
+	}{
+		{func() { l.disturb(1, delayed) }, delayed},
+		{func() { l.disturb(2, silenced) }, silenced},
+		{func() { l.disturb(3, dripping) }, silenced},
+		{func() { l.heal(2) }, dripping},
+		{func() { l.heal(3) }, delayed},
+		{func() { l.heal(1) }, passing},
+	} {
+		test.do()
+		require.Equal(t, test.want, l.now())
+	}
+}
+
+// Datagrams pass, and are lost towards a process that is cut off.
+func TestDatagrams(t *testing.T) {
+	const address, target = "127.59.0.1:9101", "127.59.0.2:9101"
+	receiver, err := net.ListenPacket("udp4", target)
+	require.NoError(t, err)
+	defer receiver.Close()
+	l := newLink("test")
+	require.NoError(t, l.datagrams(address, target))
+	defer l.stop()
+	sender, err := net.Dial("udp4", address)
+	require.NoError(t, err)
+	defer sender.Close()
+	for _, test := range []struct {
+		name    string
+		now     disturbance
+		arrives bool
+	}{
+		{"passing", passing, true},
+		{"delayed", delayed, true},
+		{"cut towards the process", cutThere, false},
+		{"silenced", silenced, false},
+		{"passing again", passing, true},
+	} {
+		l.disturb(1, test.now)
+		_, err = sender.Write([]byte{7})
+		require.NoError(t, err)
+		require.NoError(t, receiver.SetReadDeadline(time.Now().Add(3*proxyDelay)))
+		_, _, err = receiver.ReadFrom(make([]byte, 1))
+		require.Equal(t, test.arrives, err == nil, test.name)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -2,10 +2,12 @@
 // the platform, injects faults from outside of them, and checks the promises of the
 // system by what callers, servers and the operator see.
 //
-// The schedule of faults follows from the seed alone. Faults come in series and
-// overlap: signals to processes, faults of the store for all or for some machines,
-// answers of servers that are lost, cut, spoilt or failed, and changes of the
-// operator. Afterwards a calm phase checks what must hold without any fault.
+// The plan of faults follows from the seed alone. Faults come in series and overlap:
+// signals to processes, faults of the store for all or for some machines, connections
+// that loopback proxies delay, cut, silence, drip or reset between every two processes,
+// answers of servers that are lost, cut, spoilt or failed, and changes of the operator.
+// Afterwards a calm phase checks what must hold without any fault. A plan that fails can
+// be reduced to the faults that it needs.
 //
 // # Usage
 //
@@ -20,7 +22,10 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,19 +35,25 @@
 
 // Times of a run.
 const (
-	readyTimeout = 15 * time.Second
-	// settleTime lets what faults left behind heal before the calm phase.
-	settleTime = 7 * time.Second
-	// revocation is the bound that the stand-in's settings give.
-	revocation = 5 * time.Second
-	// calmBound is the time in which a change must be in force everywhere.
-	calmBound = 2500 * time.Millisecond
+	// readyTimeout is that of the first process; more take longer to start together.
+	readyTimeout     = 15 * time.Second
+	readyPerProcess  = 200 * time.Millisecond
+	settleTime       = 7 * time.Second // lets what faults left behind heal
+	revocation       = 5 * time.Second // the bounds that the stand-in's settings give
+	versionBound     = 8 * time.Second
+	drainBound       = 2 * time.Second
+	calmBound        = 2500 * time.Millisecond // for a change to be in force everywhere
+	retryWindow      = 10 * time.Second
+	revertSlack      = 250 * time.Millisecond
+	processesADomain = 8 // until more processes mean larger domains
+	mostDomains      = 3
 )
 
 // Report is the result of a run.
 type Report struct {
 	Seed       uint64
-	Schedule   []string
+	Plan       []Fault
+	Schedule   []string // what was done, with its time
 	Requests   int
 	Served     int
 	Runs       int
@@ -51,6 +62,7 @@
 
 type config struct {
 	seed     uint64
+	plan     []Fault
 	duration time.Duration
 	domains  int
 	entries  int
@@ -63,21 +75,29 @@
 // Option sets a property of a run.
 type Option func(*config)
 
-// WithSeed sets the seed of the schedule.
+// WithSeed sets the seed of the plan.
 func WithSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
 
+// WithPlan sets the plan instead of the one of the seed.
+func WithPlan(plan []Fault) Option { return func(c *config) { c.plan = plan } }
+
 // WithDuration sets how long faults are injected.
 func WithDuration(d time.Duration) Option { return func(c *config) { c.duration = d } }
 
-// WithSize sets the failure domains, and the entries and agents in each.
-func WithSize(domains, entries, agents int) Option {
-	return func(c *config) { c.domains, c.entries, c.agents = domains, entries, agents }
+// WithProcesses sets how many processes run, entries and agents in equal parts.
+func WithProcesses(n int) Option {
+	return func(c *config) {
+		c.domains = min(max(n/processesADomain, 2), mostDomains)
+		c.entries = max(n/(2*c.domains), 1)
+		c.agents = max(n/c.domains-c.entries, 1)
+		c.callers = max(n, 8)
+	}
 }
 
 // WithLogs sets the directory that keeps what the processes write.
 func WithLogs(directory string) Option { return func(c *config) { c.logs = directory } }
 
-// WithNetwork sets the second number of the machines' addresses, 127.N.x.y.
+// WithNetwork sets the second number of the machines' addresses, 127.N.x.y, below 128.
 func WithNetwork(n byte) Option { return func(c *config) { c.network = n } }
 
 // run is a soak in progress.
@@ -86,36 +106,44 @@
 	binary     string
 	deployment *standin.Deployment
 	machines   []*machine
-	proxies    []*proxy // before the store, the origin and each server
+	links      []*link  // all of them
+	hidden     []*link  // before the store, the origin and the servers
+	servers    []string // identities
+	engines    []string
 	ledger     *ledger
-	random     *rand.Rand
 	schedule   []string
 	started    time.Time
 	version    int64
 	keys       int
+	routes     atomic.Int64
+	attempts   atomic.Int64
 
-	mu    sync.Mutex
-	fault func(remote string) standin.Fault
+	mu          sync.Mutex
+	storeFaults []storeFault
 }
 
 // Run builds up a deployment of the binary and soaks it. The error is of the soak
 // itself; broken promises are in the report.
 func Run(ctx context.Context, binary string, options ...Option) (*Report, error) {
-	c := config{seed: 1, duration: 15 * time.Second, domains: 2, entries: 2, agents: 2, callers: 8, network: 60}
+	c := config{seed: 1, duration: 15 * time.Second, network: 60}
+	WithProcesses(8)(&c)
 	for _, o := range options {
 		o(&c)
 	}
+	if c.plan == nil {
+		c.plan = Plan(c.seed, c.duration)
+	}
 	if c.logs == "" {
 		c.logs = filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", c.seed))
 	}
 	if err := os.MkdirAll(c.logs, 0o755); err != nil {
 		return nil, eris.Wrap(err, "soak")
 	}
-	r := &run{config: c, binary: binary, ledger: newLedger(), random: rand.New(rand.NewPCG(c.seed, 1)), version: 1}
+	r := &run{config: c, binary: binary, ledger: newLedger(), version: 1}
+	defer r.stop()
 	if err := r.start(); err != nil {
 		return nil, err
 	}
-	defer r.stop()
 	if err := r.awaitReady(ctx); err != nil {
 		return nil, err
 	}
@@ -125,15 +153,11 @@
 	r.heal(ctx)
 	r.calmPhase(ctx)
 	callers()
+	r.checkWeights()
 	r.ledger.conclude()
-	for id, s := range r.deployment.Servers {
-		if _, whole := s.Version(); !whole {
-			r.ledger.violate("weights: %s loaded a version that was not whole", id)
-		}
-	}
 	report := r.ledger.report()
-	report.Seed, report.Schedule = c.seed, r.schedule
-	return report, nil
+	report.Seed, report.Plan, report.Schedule = c.seed, c.plan, r.schedule
+	return report, r.keep(report)
 }
 
 func (r *run) start() error {
@@ -146,14 +170,27 @@
 		return eris.Wrap(err, "soak")
 	}
 	r.deployment = d
-	d.Store.SetFault(r.storeFault)
+	d.Store.SetFault(r.decideStore)
+	for id := range d.Servers {
+		r.servers = append(r.servers, id)
+		if strings.HasPrefix(id, "i-engine") {
+			r.engines = append(r.engines, id)
+		}
+	}
+	slices.Sort(r.servers)
+	slices.Sort(r.engines)
 	for _, m := range d.Entries {
-		r.machines = append(r.machines, &machine{Machine: m, role: "entry", run: r})
+		r.machines = append(r.machines, &machine{Machine: m, role: "entry", run: r, index: len(r.machines)})
 	}
 	for _, m := range d.Agents {
-		r.machines = append(r.machines, &machine{Machine: m, role: "agent", run: r})
+		r.machines = append(r.machines, &machine{Machine: m, role: "agent", run: r, index: len(r.machines)})
 	}
+	r.links = append(r.links, r.hidden...)
 	for _, m := range r.machines {
+		if err := m.connect(); err != nil {
+			return err
+		}
+		r.links = append(r.links, m.links()...)
 		if err := m.start(); err != nil {
 			return err
 		}
@@ -161,33 +198,37 @@
 	return nil
 }
 
-// listen opens the listener of a server behind a proxy.
+// listen opens the listener of the store, or of a server behind a proxy. The store is
+// reached by a proxy for each machine.
 func (r *run) listen(address string) (net.Listener, error) {
-	p, hidden, err := startProxy(address)
+	if strings.HasSuffix(address, ".0.1:8007") {
+		return net.Listen("tcp", address)
+	}
+	l := newLink("server at " + address)
+	listener, err := l.hide(address)
 	if err == nil {
-		r.proxies = append(r.proxies, p)
+		r.hidden = append(r.hidden, l)
 	}
-	return hidden, err
+	return listener, err
 }
 
 func (r *run) stop() {
 	for _, m := range r.machines {
 		m.end()
 	}
-	for _, p := range r.proxies {
-		p.listener.Close()
+	for _, l := range r.hidden {
+		l.stop()
+	}
+	if r.deployment != nil {
+		r.deployment.Close()
 	}
-	r.deployment.Close()
 }
 
 func (r *run) awaitReady(ctx context.Context) error {
-	deadline := time.Now().Add(readyTimeout)
+	deadline := time.Now().Add(readyTimeout + time.Duration(len(r.machines))*readyPerProcess)
 	for _, m := range r.machines {
-		for m.role == "entry" && !m.ready() {
-			if time.Now().After(deadline) || ctx.Err() != nil {
-				return eris.Errorf("soak: %s is not ready", m.Name)
-			}
-			pause(ctx, 50*time.Millisecond)
+		if err := m.awaitReady(ctx, deadline); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -202,25 +243,41 @@
 	}
 }
 
+// clockFormat is that of times in a schedule, as in the logs of the processes.
+const clockFormat = "15:04:05.000"
+
 // note writes an entry of the schedule.
 func (r *run) note(format string, args ...any) {
-	at := time.Since(r.started).Truncate(time.Millisecond)
-	r.schedule = append(r.schedule, fmt.Sprintf("%8s  ", at)+fmt.Sprintf(format, args...))
+	now := time.Now()
+	at := now.Sub(r.started).Truncate(time.Millisecond)
+	r.schedule = append(r.schedule, fmt.Sprintf("%s %8s  ", now.UTC().Format(clockFormat), at)+fmt.Sprintf(format, args...))
 }
 
-// heal ends every fault and waits until what it left behind is mended.
+// heal waits until what the faults left behind is mended: each has ended by now.
 func (r *run) heal(ctx context.Context) {
-	r.setStoreFault(nil)
-	r.deployment.Store.SetDelay(0)
-	for _, s := range r.deployment.Servers {
-		s.SetBroken(func() standin.Breakage { return standin.BreakNone })
-	}
-	for _, m := range r.machines {
-		m.resume()
+	r.note("all faults have ended")
+	pause(ctx, settleTime)
+}
+
+func (r *run) checkWeights() {
+	for id, s := range r.deployment.Servers {
+		if _, whole := s.Version(); !whole {
+			r.ledger.violate("weights: %s loaded a version that was not whole", id)
+		}
 	}
-	for _, p := range r.proxies {
-		p.disturb(passing)
+}
+
+// keep writes the schedule and the violations beside the logs.
+func (r *run) keep(report *Report) error {
+	text := strings.Join(report.Schedule, "\n") + "\n"
+	for _, v := range report.Violations {
+		text += "VIOLATION " + v + "\n"
 	}
-	r.note("all faults end")
-	pause(ctx, settleTime)
+	err := os.WriteFile(filepath.Join(r.logs, scheduleFile), []byte(text), 0o600)
+	return eris.Wrap(err, "soak")
+}
+
+// newRandom returns the numbers of one caller.
+func (r *run) newRandom(caller int) *rand.Rand {
+	return rand.New(rand.NewPCG(r.seed, uint64(100+caller)))
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,11 @@
 	ran := func(attempt, target string) standin.Run {
 		return standin.Run{Attempt: attempt, Target: target, Account: standin.Account, Server: "i"}
 	}
+	later := func(version int64, d time.Duration) standin.Run {
+		r := ran("a", "/p")
+		r.Began, r.Version = now.Add(d), version
+		return r
+	}
 	for _, test := range []struct {
 		name string
 		call call
@@ -38,9 +43,21 @@
 		{"another account", call{attempt: "a", path: "/p"}, []standin.Run{{Attempt: "a", Target: "/p", Account: "x"}}, "accounts"},
 		{"revoked", call{attempt: "a", path: "/p", key: "old", sent: now.Add(revocation + time.Second)}, []standin.Run{ran("a", "/p")}, "revoked"},
 		{"revoked just now", call{attempt: "a", path: "/p", key: "old", sent: now.Add(time.Second)}, []standin.Run{ran("a", "/p")}, ""},
+		{"on a server that leaves", call{attempt: "a", path: "/p"}, []standin.Run{later(0, drainBound+time.Second)}, "leaving"},
+		{"on a server that leaves just now", call{attempt: "a", path: "/p"}, []standin.Run{later(0, time.Second)}, ""},
+		{"on old weights", call{attempt: "a", path: "/p"}, []standin.Run{later(2, versionBound+time.Second)}, "versions"},
+		{"on old weights in time", call{attempt: "a", path: "/p"}, []standin.Run{later(2, versionBound-time.Second)}, ""},
+		{"on new weights", call{attempt: "a", path: "/p"}, []standin.Run{later(3, versionBound+time.Second)}, ""},
 	} {
 		l := newLedger()
 		l.removed["old"] = now
+		l.named(3, now)
+		l.leaves("leaving", now)
+		for i := range test.runs {
+			if test.runs[i].Version == 0 && !test.runs[i].Began.IsZero() {
+				test.runs[i].Server = "leaving"
+			}
+		}
 		for _, r := range test.runs {
 			l.ran(r)
 		}
@@ -55,6 +72,103 @@
 	}
 }
 
+// What only shows between several calls.
+func TestCheckersOfSeries(t *testing.T) {
+	now := time.Now()
+	routed := func(attempt string, route, status int, lifetime int64, after time.Duration) call {
+		at := now.Add(after)
+		return call{attempt: attempt, path: "/p", idempotent: true, route: route, status: status, entry: "e", lifetime: lifetime, sent: at, ended: at, whole: true}
+	}
+	for _, test := range []struct {
+		name  string
+		calls []call
+		find  string
+	}{
+		{"a route that is known and not known later", []call{routed("a", 2, 200, 1, 0), routed("b", 1, 404, 1, time.Second)}, "configuration"},
+		{"a route that is newer", []call{routed("a", 1, 200, 1, 0), routed("b", 2, 404, 1, time.Second)}, ""},
+		{"another lifetime", []call{routed("a", 2, 200, 1, 0), routed("b", 2, 404, 2, time.Second)}, ""},
+		{"within the slack", []call{routed("a", 2, 200, 1, 0), routed("b", 2, 404, 1, revertSlack/2)}, ""},
+	} {
+		l := newLedger()
+		for _, c := range test.calls {
+			l.answered(c)
+		}
+		l.conclude()
+		found := strings.Join(l.report().Violations, "\n")
+		if test.find == "" {
+			require.Empty(t, found, test.name)
+			continue
+		}
+		require.Contains(t, found, test.find+":", test.name)
+	}
+	for _, test := range []struct {
+		repeats int
+		span    time.Duration
+		broken  bool
+	}{
+		{standin.RetryReserve, time.Second, false},
+		{standin.RetryReserve + 1, time.Second, true},
+		{2 * standin.RetryReserve, 4 * retryWindow, false},
+	} {
+		var list []began
+		for i := range test.repeats {
+			list = append(list, began{now.Add(time.Duration(i) * test.span / time.Duration(test.repeats)), true})
+		}
+		_, repeats := worstWindow(list)
+		require.Equal(t, test.broken, repeats > 0, test.repeats)
+	}
+}
+
+// The plan follows from the seed, and has every kind of fault.
+func TestPlan(t *testing.T) {
+	const duration = 10 * time.Second
+	require.Equal(t, Plan(7, duration), Plan(7, duration))
+	require.NotEqual(t, Plan(7, duration), Plan(8, duration))
+	seen := make(map[Kind]bool)
+	for seed := range uint64(40) {
+		for _, f := range Plan(seed, duration) {
+			seen[f.Kind] = true
+			require.Less(t, f.At, duration)
+		}
+	}
+	require.Len(t, seen, len(kindNames))
+	require.Len(t, kindWeights, len(kindNames))
+}
+
+// A plan that fails by two of its faults is reduced to these.
+func TestMinimize(t *testing.T) {
+	plan := Plan(7, 20*time.Second)
+	first, second := plan[1], plan[len(plan)-2]
+	plays := 0
+	fails := func(p []Fault) bool {
+		plays++
+		found := 0
+		for _, f := range p {
+			if f == first || f == second {
+				found++
+			}
+		}
+		return found == 2
+	}
+	require.Equal(t, []Fault{first, second}, Minimize(plan, 200, fails))
+	require.Less(t, plays, 120)
+	plays = 0
+	require.Contains(t, Minimize(plan, 5, fails), first)
+	require.Equal(t, 5, plays)
+}
+
+// One command shows what the processes wrote of a request, and what the soak did near it.
+func TestExplain(t *testing.T) {
+	lines, err := Explain("testdata/explain", "s1-7")
+	require.NoError(t, err)
+	require.Equal(t, []string{
+		"soak: 10:00:01.000       1s  kill agent-1-1",
+		`{"time":"2026-12-04T10:00:02.5Z","msg":"fleetAttemptFailed","request":"s1-7"}`,
+		`{"time":"2026-12-04T10:00:02.7Z","msg":"fleetRequestEnded","request":"s1-7"}`,
+		"VIOLATION not run: s1-7 was answered 503 and ran at i",
+	}, lines)
+}
+
 // A short run with fixed seeds. A seed that ever failed stays here, with a line on
 // its cause.
 func TestSoak(t *testing.T) {
@@ -62,13 +176,14 @@
 	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/primrosetally-fleet").CombinedOutput()
 	require.NoError(t, err, string(output))
 	for _, test := range []struct {
-		seed     uint64
-		duration time.Duration
+		seed      uint64
+		duration  time.Duration
+		processes int
 	}{
-		{1, 6 * time.Second},
+		{1, 6 * time.Second, 8},
 	} {
 		report, err := Run(t.Context(), binary, WithSeed(test.seed), WithDuration(test.duration),
-			WithNetwork(59), WithLogs(t.TempDir()))
+			WithProcesses(test.processes), WithNetwork(59), WithLogs(t.TempDir()))
 		require.NoError(t, err)
 		require.Empty(t, report.Violations, strings.Join(report.Schedule, "\n"))
 		require.Positive(t, report.Served)
