--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,7 +45,7 @@
 func (k Kind) String() string { return kindNames[k] }
 
 // weights of the kinds in a plan.
-var kindWeights = []int{2, 2, 2, 1, 1, 3, 1, 2, 3, 1, 2, 2, 2, 2, 8, 2}
+var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2}
 
 // Fault is one fault of a plan. Draws decide the rest, whatever the size of the
 // deployment is.
@@ -68,7 +68,7 @@
 // Times of a plan: the mean time between two faults, and the longest duration of one, so
 // that they overlap.
 const (
-	meanGap      = 900 * time.Millisecond
+	meanGap      = 500 * time.Millisecond
 	longestFault = 4 * time.Second
 )
 
