--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -15,7 +15,7 @@
 const (
 	// firstNetwork and networks are the second numbers of the addresses that runs use.
 	firstNetwork = 1
-	networks     = 60
+	networks     = 30
 	mostSoaked   = 600 // processes
 	// minimizePlays bounds how often a plan that fails is played again.
 	minimizePlays = 40
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -22,7 +22,7 @@
 	restartDelay = 300 * time.Millisecond
 	// listenNetworks is added to the second number of the addresses by which others
 	// reach a process: it listens there, behind the proxies.
-	listenNetworks = 60
+	listenNetworks = 30
 )
 
 // machine runs one process and starts it again when it ends. Only processes that
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestLinks(t *testing.T) {
-	const address = "127.59.0.1:9100"
+	const address = "127.62.0.1:9100"
 	for _, test := range []struct {
 		name      string
 		disturb   func(l *link)
@@ -98,7 +98,7 @@
 
 // Datagrams pass, and are lost towards a process that is cut off.
 func TestDatagrams(t *testing.T) {
-	const address, target = "127.59.0.1:9101", "127.59.0.2:9101"
+	const address, target = "127.62.0.1:9101", "127.62.0.2:9101"
 	receiver, err := net.ListenPacket("udp4", target)
 	require.NoError(t, err)
 	defer receiver.Close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -97,7 +97,7 @@
 // WithLogs sets the directory that keeps what the processes write.
 func WithLogs(directory string) Option { return func(c *config) { c.logs = directory } }
 
-// WithNetwork sets the second number of the machines' addresses, 127.N.x.y, below 128.
+// WithNetwork sets the second number of the machines' addresses, 127.N.x.y, below 98.
 func WithNetwork(n byte) Option { return func(c *config) { c.network = n } }
 
 // run is a soak in progress.
