Check that the mutants of the soak still fit the code

A patch that no longer applies would be counted as one that nothing finds. The test fails when a patch is out of step (seen by reverting a line of one of them).

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -189,3 +189,18 @@
 		require.Positive(t, report.Served)
 	}
 }
+
+// The mutants still fit the code: a patch that does not would find nothing.
+func TestMutantsApply(t *testing.T) {
+	patches, err := filepath.Glob("testdata/mutants/*.patch")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(patches), 10)
+	for _, p := range patches {
+		absolute, err := filepath.Abs(p)
+		require.NoError(t, err)
+		check := exec.Command("git", "apply", "--check", absolute)
+		check.Dir = "../.."
+		output, err := check.CombinedOutput()
+		require.NoError(t, err, "%s: %s", p, output)
+	}
+}
