Soak: a key taken away during a long cut, and all servers of a service spoilt

Cause: three mutants could not be found by the plan as it was. No cut lasted as long as a revoked key may work (4 s against 5 s), so that one that forgets the age of its confirmation was never asked; no more than one server spoilt answers, so that repeats without a budget stayed below it (80 of the 220 that are allowed in ten seconds); and the mutant that passes on half an event ended in a division by zero, which broke the answer off as if it had been right.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,8 @@
 	// seriesGap is between two processes that are stopped in series.
 	seriesGap = 700 * time.Millisecond
 	longest   = 4 // processes in a series
+	// longCut is longer than the bound on revoked keys.
+	longCut = revocation + 3*time.Second
 )
 
 // storeFault is a fault of the store in progress.
@@ -89,7 +92,7 @@
 		r.note("the store forgets its history")
 		r.deployment.Store.Compact()
 	case SpoilServer:
-		return r.spoilServer(f)
+		return r.spoilServers(f)
 	case SpoilOrigin:
 		return r.spoilOrigin(f)
 	case SpoilChunk:
@@ -107,17 +110,30 @@
 		return r.disturbLink(number, f, r.links[f.pick(0, len(r.links))])
 	case CutMachine:
 		d := []disturbance{cutThere, cutBack, silenced}[f.pick(1, 3)]
-		r.note("%s is cut off (%d) for %s", m.Name, d, f.Length)
-		m.store.disturb(number, d)
-		m.peers.disturb(number, d)
+		return r.cut(number, m, d, f.Length)
+	case RevokeDuringCut:
+		entry := r.machines[f.pick(0, len(r.deployment.Entries))]
+		end := r.cut(number, entry, silenced, longCut)
+		r.rotateKey()
 		return func() {
-			m.store.heal(number)
-			m.peers.heal(number)
+			pause(ctx, longCut-f.Length)
+			end()
 		}
 	}
 	return func() {}
 }
 
+// cut disturbs all links of a machine but those of its callers.
+func (r *run) cut(number int, m *machine, d disturbance, length time.Duration) (end func()) {
+	r.note("%s is cut off (%d) for %s", m.Name, d, length)
+	m.store.disturb(number, d)
+	m.peers.disturb(number, d)
+	return func() {
+		m.store.heal(number)
+		m.peers.heal(number)
+	}
+}
+
 // stopInSeries ends some processes one after the other, or at once.
 func (r *run) stopInSeries(ctx context.Context, f Fault) {
 	first, count := f.pick(0, len(r.machines)), 2+f.pick(1, longest-1)
@@ -192,14 +208,24 @@
 
 func whole() standin.Breakage { return standin.BreakNone }
 
-// spoilServer lets a server spoil part of its answers.
-func (r *run) spoilServer(f Fault) func() {
-	id := r.servers[f.pick(0, len(r.servers))]
+// spoilServers lets a server spoil part of its answers, or all servers of its service:
+// more are then to be repeated than may be.
+func (r *run) spoilServers(f Fault) func() {
+	ids := []string{r.servers[f.pick(0, len(r.servers))]}
 	kind := standin.Breakage(1 + f.pick(1, 4))
-	r.note("%s spoils a third of its answers (%d) for %s", id, kind, f.Length)
-	s := r.deployment.Servers[id]
-	s.SetBroken(everyThird(kind))
-	return func() { s.SetBroken(whole) }
+	if f.pick(2, 4) == 0 {
+		service, _, _ := strings.Cut(strings.TrimPrefix(ids[0], "i-"), "-")
+		ids = slices.DeleteFunc(slices.Clone(r.servers), func(id string) bool { return !strings.HasPrefix(id, "i-"+service) })
+	}
+	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
+	for _, id := range ids {
+		r.deployment.Servers[id].SetBroken(everyThird(kind))
+	}
+	return func() {
+		for _, id := range ids {
+			r.deployment.Servers[id].SetBroken(whole)
+		}
+	}
 }
 
 // spoilOrigin lets the origin send nothing, or wrong bytes, in part of its answers.
@@ -226,18 +252,14 @@
 	return r.version
 }
 
-// rotateKey adds a key and takes the one before the last away.
+// rotateKey adds a key and takes the last one away.
 func (r *run) rotateKey() {
 	r.keys++
 	key := func(n int) string { return fmt.Sprintf("%s-%d", standin.Key, n) }
-	r.note("key %d is added, key %d is taken away", r.keys, r.keys-2)
-	keep := []string{standin.Key, key(r.keys)}
-	if r.keys > 1 {
-		keep = append(keep, key(r.keys-1))
-	}
-	r.deployment.SetKeys(keep...)
+	r.note("key %d is added, key %d is taken away", r.keys, r.keys-1)
+	r.deployment.SetKeys(standin.Key, key(r.keys))
 	r.ledger.keyAdded(key(r.keys))
-	if r.keys > 2 {
-		r.ledger.keyRemoved(key(r.keys - 2))
+	if r.keys > 1 {
+		r.ledger.keyRemoved(key(r.keys - 1))
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -114,7 +114,7 @@
 	schedule   []string
 	started    time.Time
 	version    int64
-	keys       int
+	keys       int // that were added; the first is there from the start
 	routes     atomic.Int64
 	attempts   atomic.Int64
 
@@ -148,6 +148,7 @@
 		return nil, err
 	}
 	r.started = time.Now()
+	r.rotateKey() // so that there is one to take away
 	callers := r.startCallers(ctx)
 	r.injectFaults(ctx)
 	r.heal(ctx)
