Soak: a stream that a planned stop cuts counts as cut off

The checker of planned stops looked for calls without any answer; a stream that is cut has its head, so that it was taken for one that a server broke off. Nothing breaks off in the calm phase, so that every call that ran must have a whole answer there.

Ruled out: that no call is in progress as the listener closes (callers that keep addresses three times too long have about one in three stops).

--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -57,7 +57,7 @@
 	}
 	pause(ctx, settleTime)
 	for _, c := range r.ledger.since(begun) {
-		if c.status == 0 && r.ledger.hasRun(c.attempt) {
+		if !c.whole && r.ledger.hasRun(c.attempt) {
 			r.ledger.violate("stops: %s at %s was cut off", c.attempt, c.entry)
 		}
 	}
