Tell refusals to the whole region; one place decides whom a round tells

Cause, found by reading: fingerprints of refused requests went with the next summary only, and since entries that do not speak are told every 6 ms x entries of their region, those of a region of 17 or more missed what was refused in between: a caller that came back to one of them counted as new. They go with the next summary that all of the region get (TestRefusalsReachTheRegion failed: 0 of 1 at the entries that do not speak).

Besides: nextRound computed the far interval twice and had the choice of targets in three places; beginRound now decides which groups are told, isTarget who is in them.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -98,11 +98,9 @@
 	}
 }
 
-// farInterval returns how often an entry tells those that speak for other regions.
-func (p *peers) farInterval(speaks bool, carried uint32) time.Duration {
-	if !speaks {
-		return p.seldomInterval()
-	}
+// farInterval returns how often an entry that speaks tells those that speak for other
+// regions, and any entry those of which it has not heard.
+func (p *peers) farInterval(carried uint32) time.Duration {
 	spoken := 0
 	for _, q := range p.known {
 		if q.summary == nil || q.summary.GetSpeaks() {
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -29,7 +29,9 @@
 	near := g.summary(now)
 	near.Peers = r.peers
 	near.Speaks, near.FarIntervalMs = speaks, uint32(r.interval.Milliseconds())
-	near.Refused, near.RefusedAgeMs = g.traffic.refusals.takeUntold(now)
+	if r.near {
+		near.Refused, near.RefusedAgeMs = g.traffic.refusals.takeUntold(now)
+	}
 	far := farSummary(near, r.all)
 	for _, to := range r.targets {
 		m := near
@@ -45,7 +47,7 @@
 	}
 	g.shareLoads(now)
 	sharers := g.sharers(takers)
-	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, r.far) })
+	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, r.all || r.far && speaks) })
 }
 
 // speaks reports whether this entry tells other regions what it knows: it places
@@ -121,11 +123,12 @@
 
 // round is whom summaries go to at one time.
 type round struct {
-	targets  []target
-	far      bool          // those that speak for other regions are among them
+	near     bool          // all of the own region are told
+	far      bool          // those that speak for other regions are
 	all      bool          // everybody is
-	interval time.Duration // until they are told again
-	peers    []string      // addresses of peers to tell, now and then
+	interval time.Duration // until those that speak for other regions are told again
+	targets  []target
+	peers    []string // addresses of peers to tell, now and then
 }
 
 // nextRound chooses the peers to send to: those of the own region, those that speak for
@@ -134,26 +137,9 @@
 func (p *peers) nextRound(now time.Duration, speaks bool, carried uint32, urgent bool) round {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := speaks != p.speaks
-	if changed {
-		p.speaks, p.speaksSince = speaks, now
-	}
-	r := round{interval: p.farInterval(speaks, carried)}
-	due := urgent || now-p.toldFar >= min(r.interval, p.farInterval(true, carried))
-	all := changed || now-p.toldAll >= p.seldomInterval()
-	if due || all {
-		p.toldFar = now
-	}
-	if all {
-		p.toldAll = now
-	}
-	r.all, r.far = all, all || due && speaks
-	nearDue := urgent || now-p.toldNear >= p.nearInterval()
-	if nearDue {
-		p.toldNear = now
-	}
+	r := p.beginRound(now, speaks, carried, urgent)
 	p.sent++
-	tell := all || p.sent%tellPeersEvery == 1
+	tell := r.all || p.sent%tellPeersEvery == 1
 	p.near = 0
 	for address, q := range p.known {
 		if q.learned == 0 {
@@ -170,25 +156,56 @@
 		if near {
 			p.near++
 		}
-		if !all && !p.due(q, near, nearDue, due) {
-			continue
+		if p.isTarget(q, near, r) {
+			r.targets = append(r.targets, target{
+				address:     address,
+				near:        near,
+				echo:        q.summary.GetStamp(),
+				incarnation: q.summary.GetIncarnation(),
+			})
 		}
-		r.targets = append(r.targets, target{
-			address:     address,
-			near:        near,
-			echo:        q.summary.GetStamp(),
-			incarnation: q.summary.GetIncarnation(),
-		})
 	}
 	return r
 }
 
-// due decides whether to tell a peer now. Two that speak tell each other of their load
-// with each round in a region, and with each far round between regions.
-func (p *peers) due(q *peer, near, nearDue, farDue bool) bool {
+// beginRound decides which groups of peers are told now. The caller holds the mutex.
+func (p *peers) beginRound(now time.Duration, speaks bool, carried uint32, urgent bool) round {
+	changed := speaks != p.speaks
+	if changed {
+		p.speaks, p.speaksSince = speaks, now
+	}
+	interval := p.farInterval(carried)
+	r := round{
+		near:     urgent || now-p.toldNear >= p.nearInterval(),
+		far:      urgent || now-p.toldFar >= interval,
+		all:      changed || now-p.toldAll >= p.seldomInterval(),
+		interval: interval,
+	}
+	if !speaks {
+		r.interval = p.seldomInterval()
+	}
+	r.near, r.far = r.near || r.all, r.far || r.all
+	if r.near {
+		p.toldNear = now
+	}
+	if r.far {
+		p.toldFar = now
+	}
+	if r.all {
+		p.toldAll = now
+	}
+	return r
+}
+
+// isTarget decides whether a peer is told in a round. Two that speak tell each other of
+// their load with each round in a region, and with each far round between regions.
+func (p *peers) isTarget(q *peer, near bool, r round) bool {
 	both := p.speaks && q.summary.GetSpeaks()
-	if near {
-		return nearDue || both
+	switch {
+	case r.all:
+		return true
+	case near:
+		return r.near || both
 	}
-	return farDue && (both || q.summary == nil)
+	return r.far && (both || q.summary == nil)
 }
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -143,3 +143,30 @@
 	m.play(4 * time.Second)
 	require.NotContains(t, listener.peers.addresses(m.clock.at, "", true), "10.1.0.009:1")
 }
+
+// What was refused is told to the whole region, also to entries that are not told with
+// each round.
+func TestRefusalsReachTheRegion(t *testing.T) {
+	c := &clock{at: time.Minute}
+	told := make(map[string]int)
+	send := func(to string, d *nodev1.Datagram) error {
+		told[to] += len(d.GetSummary().GetRefused())
+		return nil
+	}
+	g := newGateway(c, WithPeers(nil, send))
+	const peers = 30
+	for i := range peers {
+		m := &nodev1.EntrySummary{Address: fmt.Sprintf("10.0.1.%d:1", i), Region: "riga", Speaks: i < 3}
+		g.Hear(t.Context(), m)
+	}
+	g.sendSummaries(false)
+	g.traffic.refusals.refused(7, c.at, c.at)
+	for range 3 {
+		c.at += nearInterval
+		g.sendSummaries(false)
+	}
+	require.Len(t, told, peers)
+	for to, n := range told {
+		require.Equal(t, 1, n, to)
+	}
+}
