Soak: names for its figures, and a plan that shows how long a cut lasts

Read as a newcomer: a field of the log line that nothing reads, a share and a mixing constant without names, and a fault whose end waited for longer than the length that the plan prints. Machines of a fault of the store are drawn by the fault's own numbers now.

--- a/internal/soak/explain.go
+++ b/internal/soak/explain.go
@@ -23,7 +23,6 @@
 type logLine struct {
 	Time    time.Time `json:"time"`
 	Request string    `json:"request"`
-	Peer    string    `json:"-"`
 	text    string
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,10 +19,11 @@
 	// slowStore is the delay of each answer of a slow store.
 	slowStore = 200 * time.Millisecond
 	// seriesGap is between two processes that are stopped in series.
-	seriesGap = 700 * time.Millisecond
-	longest   = 4 // processes in a series
-	// longCut is longer than the bound on revoked keys.
-	longCut = revocation + 3*time.Second
+	seriesGap     = 700 * time.Millisecond
+	longestSeries = 4 // processes
+	// failedShare is above 1, so that the store fails for all machines in a quarter of
+	// its faults.
+	failedShare = 1.4
 )
 
 // storeFault is a fault of the store in progress.
@@ -113,12 +115,9 @@
 		return r.cut(number, m, d, f.Length)
 	case RevokeDuringCut:
 		entry := r.machines[f.pick(0, len(r.deployment.Entries))]
-		end := r.cut(number, entry, silenced, longCut)
+		end = r.cut(number, entry, silenced, f.Length)
 		r.rotateKey()
-		return func() {
-			pause(ctx, longCut-f.Length)
-			end()
-		}
+		return end
 	}
 	return func() {}
 }
@@ -136,7 +135,7 @@
 
 // stopInSeries ends some processes one after the other, or at once.
 func (r *run) stopInSeries(ctx context.Context, f Fault) {
-	first, count := f.pick(0, len(r.machines)), 2+f.pick(1, longest-1)
+	first, count := f.pick(0, len(r.machines)), 2+f.pick(1, longestSeries-1)
 	signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[f.pick(2, 2)]
 	together := f.pick(3, 4) == 0
 	if together {
@@ -176,9 +175,10 @@
 func (r *run) failStore(number int, f Fault) func() {
 	kinds := []standin.Fault{standin.FaultBusy, standin.FaultLimited, standin.FaultReset, standin.FaultSilent, standin.FaultLost}
 	fault := storeFault{fault: number, kind: kinds[f.pick(0, len(kinds))], machines: make(map[string]bool)}
-	share := f.share(1) * 1.4 // more than the whole is all
-	for i, m := range r.machines {
-		fault.machines[m.storeAt] = float64((f.Draws[2]+uint64(i)*0x9e3779b97f4a7c15)%1000)/1000 < share
+	share := f.share(1) * failedShare
+	machines := rand.New(rand.NewPCG(f.Draws[2], f.Draws[3]))
+	for _, m := range r.machines {
+		fault.machines[m.storeAt] = machines.Float64() < share
 	}
 	r.note("the store fails (%d) for %.1f of the machines for %s", fault.kind, min(share, 1), f.Length)
 	r.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -68,11 +68,13 @@
 	return fmt.Sprintf("%8s %8s  %s %x", f.At.Truncate(time.Millisecond), f.Length.Truncate(time.Millisecond), f.Kind, f.Draws[0]&0xffff)
 }
 
-// Times of a plan: the mean time between two faults, and the longest duration of one, so
+// Times of a plan: the mean time between two faults, and the longest duration of most, so
 // that they overlap.
 const (
 	meanGap      = 500 * time.Millisecond
 	longestFault = 4 * time.Second
+	// longCut is the length of a cut in which a key goes: longer than the key may work.
+	longCut = revocation + 3*time.Second
 )
 
 // Plan returns the faults of a seed, which are the same each time.
@@ -88,6 +90,9 @@
 		for n := random.IntN(total); n >= kindWeights[f.Kind]; f.Kind++ {
 			n -= kindWeights[f.Kind]
 		}
+		if f.Kind == RevokeDuringCut {
+			f.Length = longCut
+		}
 		for i := range f.Draws {
 			f.Draws[i] = random.Uint64()
 		}
