A failed test of the processes shows where each process stands

TestRolloutWithKilledAgentAndFrozenEntry (KNOWN-RED) failed once without a trace: the thawed entry neither logs nor follows. On a failure each process now writes its goroutines (SIGQUIT) before it is killed. Three copies of the test beside each other took each other's ports, which is no finding: the test takes ports by its process id.

Ruled out by reading: a lost fetch (each end of one is an input), a lock between the view of the members and the spread (views are read without one), another test's signals (the soak signals its own processes by handle).

--- a/cmd/primrosetally/deployment_test.go
+++ b/cmd/primrosetally/deployment_test.go
@@ -119,6 +119,9 @@
 	}()
 	t.Cleanup(func() {
 		p.signal(t, syscall.SIGCONT)
+		if t.Failed() {
+			p.dump(t)
+		}
 		p.signal(t, syscall.SIGKILL)
 		<-p.ended
 		if strings.Contains(p.stderr.String(), "DATA RACE") {
@@ -131,8 +134,22 @@
 	return p, bufio.NewReader(out)
 }
 
+// dump ends the process with a trace of its goroutines on its standard error.
+func (p *proc) dump(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGQUIT)
+	select {
+	case <-p.ended:
+	case <-time.After(dumpTimeout):
+		t.Logf("%s writes no trace of its goroutines", p.name)
+	}
+}
+
+// dumpTimeout is above what a process takes to write its goroutines beside load.
+const dumpTimeout = 5 * time.Second
+
 func tail(text string) string {
-	const limit = 4000
+	const limit = 60_000 // bytes: a trace of a few hundred goroutines
 	return text[max(0, len(text)-limit):]
 }
 
