Endpoints that ask to be left alone; bounds on what an endpoint may send

Cause: nothing read what a server says of itself in its answers (Server-Leaving, and Retry-After of a 503). An endpoint that left went on getting requests until its row said so, one that asked for a pause was closed for 120 ms. Beside it, a head without end was read into memory, as were interim answers, answers of other requests and an event without a blank line.

What changed: coordination/admission keeps what each life of an endpoint asked for; placement holds it, sends two requests first when the hold is over, refuses at once what no endpoint takes in time, with the time at which the first does. What was chosen is looked at again just before the first byte (endpoint, key, weights), since a connection or a suspension may lie between. An answer that names no request proves nothing on a used connection: it may be a late one to the request before.

Ruled out: telling peers what an endpoint asked. A hold is meant for one machine, the list names those that leave, and each entry hears it with its first answer.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -43,6 +43,44 @@
 	closedUntil time.Duration
 	gap         time.Duration
 	allowance   int // requests that may still be placed before the next allotment
+	hold        hold
+}
+
+// probes is how many requests an endpoint is given after a hold until one of them is
+// being answered: all who waited for it at once would overload it again.
+const probes = 2
+
+// hold is a time in which an endpoint wants no requests.
+type hold struct {
+	until   time.Duration
+	probing bool // it is over, and no request placed since is being answered yet
+	probed  int  // requests placed since
+}
+
+// extend holds the endpoint until a time at least.
+func (h *hold) extend(until time.Duration) {
+	if until > h.until {
+		*h = hold{until: until, probing: true}
+	}
+}
+
+// admits reports whether the hold lets another request through.
+func (h *hold) admits(now time.Duration) bool {
+	return now >= h.until && (!h.probing || h.probed < probes)
+}
+
+// answered ends the probing where the answer is to a request placed after the hold.
+func (h *hold) answered(placed time.Duration) {
+	if placed >= h.until {
+		h.probing = false
+	}
+}
+
+// unanswered makes room for the next probe.
+func (h *hold) unanswered(placed time.Duration) {
+	if h.probing && placed >= h.until && h.probed > 0 {
+		h.probed--
+	}
 }
 
 // Work is what an endpoint has to do for some requests.
@@ -55,7 +93,7 @@
 
 // room reports whether another request may be placed.
 func (e *endpoint) room(now time.Duration, overfill int) bool {
-	if now < e.closedUntil {
+	if now < e.closedUntil || !e.hold.admits(now) {
 		return false
 	}
 	if e.MaxInFlight > 0 && e.own.InFlight >= e.MaxInFlight {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -111,7 +111,11 @@
 		if e.Candidate.Address != c.Address || e.Version != c.Version {
 			e.failures, e.misplaced, e.closedUntil = 0, 0, 0
 		}
+		if e.Candidate.Started != c.Started {
+			e.hold = hold{}
+		}
 		e.Candidate = c
+		e.hold.extend(c.HeldUntil)
 		p.order = append(p.order, e)
 	}
 	p.shuffle()
@@ -237,10 +241,43 @@
 	e.learn(now, outcome)
 	if outcome == Succeeded {
 		p.learnHeld(now - c.placed)
+		e.hold.answered(c.placed)
+	} else {
+		e.hold.unanswered(c.placed)
 	}
 	p.pump(now)
 }
 
+// Hold keeps requests from an endpoint until a time. What is in flight there goes on.
+func (p *Pool) Hold(now time.Duration, id string, until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.endpoints[id]; e != nil {
+		e.hold.extend(until)
+	}
+	p.refuseHeld(now)
+}
+
+// Opens returns how long no endpoint takes requests because all are held, 0 where one
+// is not.
+func (p *Pool) Opens(now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opens(now)
+}
+
+// opens is Opens for a caller that holds the mutex.
+func (p *Pool) opens(now time.Duration) time.Duration {
+	if len(p.order) == 0 {
+		return 0
+	}
+	first := p.order[0].hold.until
+	for _, e := range p.order {
+		first = min(first, e.hold.until)
+	}
+	return max(first-now, 0)
+}
+
 // learnHeld keeps a moving mean over about 32 requests.
 func (p *Pool) learnHeld(d time.Duration) {
 	if p.held == 0 {
@@ -285,6 +322,7 @@
 	defer p.mu.Unlock()
 	if e := p.endpoints[c.ID]; e != nil {
 		e.own.Unread -= c.unreadLeft()
+		e.hold.answered(c.placed)
 	}
 	c.began = true
 	p.pump(now)
@@ -311,6 +349,7 @@
 	e.own.InFlight++
 	e.own.Unread += t.request.Prompt
 	e.allowance--
+	e.hold.probed++
 	p.inFlight++
 	p.sinceLate++
 	p.noteSlack()
@@ -320,7 +359,7 @@
 func (p *Pool) refuse(now time.Duration, t *Ticket, reason Reason) {
 	t.verdict <- Verdict{
 		reason:     reason,
-		retryAfter: p.retryAfter(reason),
+		retryAfter: p.retryAfter(now, reason),
 		waited:     now - t.offered,
 		queued:     t.queued,
 	}
@@ -328,13 +367,14 @@
 
 // retryAfter spreads returns evenly, so that those who were refused together do
 // not meet again. While no endpoint can take work at all, they come late: endpoints
-// come back one after the other.
-func (p *Pool) retryAfter(reason Reason) time.Duration {
+// come back one after the other. While all are held, nobody returns before the first
+// hold ends.
+func (p *Pool) retryAfter(now time.Duration, reason Reason) time.Duration {
 	shortest := shortestReturn
 	if reason == ReasonNoEndpoint {
 		shortest = longestReturn / 2
 	}
-	return shortest + time.Duration(p.random()*float64(longestReturn-shortest))
+	return p.opens(now) + shortest + time.Duration(p.random()*float64(longestReturn-shortest))
 }
 
 // usualLoad returns the mean number of requests at an endpoint.
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -372,6 +372,93 @@
 	}
 }
 
+// Under load an endpoint asks to be left alone. Nothing is placed there before the time
+// is over; then two requests go first, and the others that wait once one of them is
+// being answered.
+func TestHold(t *testing.T) {
+	p := newPool(candidates(1, 8, true))
+	r := Request{Target: 0, Deadline: 10 * time.Second}
+	before := verdict(t, p.Offer(0, r))
+	p.Hold(0, "e0", time.Second)
+	var waiting []*Ticket
+	for range 6 {
+		waiting = append(waiting, p.Offer(0, r))
+	}
+	p.Expire(time.Second - ms)
+	require.Equal(t, 6, p.Waiting())
+	p.Expire(time.Second)
+	require.Equal(t, 4, p.Waiting(), "probes")
+	p.Release(time.Second, before.Choice(), Succeeded)
+	require.Equal(t, 4, p.Waiting(), "the answer to what was placed before the hold tells nothing")
+	first := verdict(t, waiting[0]).Choice()
+	p.Release(time.Second, first, Broken)
+	require.Equal(t, 3, p.Waiting(), "the next probe")
+	second := verdict(t, waiting[1]).Choice()
+	p.Began(time.Second, &second)
+	require.Zero(t, p.Waiting())
+}
+
+// A request that no endpoint takes while it is of use is refused on arrival, also where
+// the hold becomes known while it waits. It is told when the first hold ends.
+func TestHeldService(t *testing.T) {
+	r := Request{Target: 0, Deadline: 6 * time.Second}
+	for _, test := range []struct {
+		name  string
+		holds []time.Duration // of each endpoint
+		waits bool
+		back  time.Duration // the least time that the caller is told
+	}{
+		{"none held", []time.Duration{0, 0}, true, 0},
+		{"one held", []time.Duration{20 * time.Second, 0}, true, 0},
+		{"all held, one not for long", []time.Duration{20 * time.Second, 100 * ms}, true, 0},
+		{"all held", []time.Duration{20 * time.Second, 8 * time.Second}, false, 8 * time.Second},
+	} {
+		for _, late := range []bool{false, true} {
+			p := newPool(candidates(2, 0, true)) // no room, so that requests wait
+			var ticket *Ticket
+			if late {
+				ticket = p.Offer(0, r)
+			}
+			for i, hold := range test.holds {
+				if hold > 0 {
+					p.Hold(0, fmt.Sprintf("e%d", i), hold)
+				}
+			}
+			if !late {
+				ticket = p.Offer(0, r)
+			}
+			require.Equal(t, test.waits, p.Waiting() == 1, test.name)
+			if !test.waits {
+				v := verdict(t, ticket)
+				require.Equal(t, ReasonHeld, v.Reason(), test.name)
+				require.GreaterOrEqual(t, v.RetryAfter(), test.back+shortestReturn, test.name)
+			}
+		}
+	}
+}
+
+// A hold outlasts new weights and a gap in the list, and ends with the life of the
+// endpoint.
+func TestHoldOfALife(t *testing.T) {
+	r := Request{Target: 0, Deadline: time.Second}
+	for _, test := range []struct {
+		name  string
+		next  Candidate
+		taken bool
+	}{
+		{"new weights", Candidate{ID: "e0", Started: 1, Version: 2, HeldUntil: 5 * time.Second}, false},
+		{"next life", Candidate{ID: "e0", Started: 2, Version: 1}, true},
+	} {
+		c := Candidate{ID: "e0", Started: 1, Version: 1, Slots: 4, Home: true, Near: true}
+		p := newPool([]Candidate{c})
+		p.Hold(0, "e0", 5*time.Second)
+		p.SetEndpoints(0, nil)
+		test.next.Slots, test.next.Home, test.next.Near = 4, true, true
+		p.SetEndpoints(0, []Candidate{test.next})
+		require.Equal(t, test.taken, verdict(t, p.Offer(0, r)).Placed(), test.name)
+	}
+}
+
 func TestHomes(t *testing.T) {
 	for _, test := range []struct {
 		name      string
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -137,14 +137,33 @@
 	p.slack += slackWeight * (alone - p.slack)
 }
 
-// possible reports whether any endpoint might take the request later.
-func (p *Pool) possible(r Request) bool {
+// impossible tells why no endpoint might take a request that waits, empty where one
+// might.
+func (p *Pool) impossible(t *Ticket) Reason {
+	reason := ReasonNoEndpoint
 	for _, e := range p.order {
-		if !r.excludes(e.ID) {
-			return true
+		switch {
+		case t.request.excludes(e.ID):
+		case e.hold.until > max(t.expires, t.punctual):
+			reason = ReasonHeld
+		default:
+			return ""
 		}
 	}
-	return false
+	return reason
+}
+
+// refuseHeld refuses those of the waiting that no endpoint will take in time any more.
+func (p *Pool) refuseHeld(now time.Duration) {
+	for _, q := range []*queue{&p.waiting, &p.late} {
+		*q = slices.DeleteFunc(*q, func(t *Ticket) bool {
+			reason := p.impossible(t)
+			if reason != "" {
+				p.refuse(now, t, reason)
+			}
+			return reason != ""
+		})
+	}
 }
 
 func (r Request) excludes(id string) bool { return slices.Contains(r.Exclude, id) }
@@ -153,8 +172,8 @@
 // within the target, else among the late ones while it is expected before the wait
 // must end, and refuses it otherwise.
 func (p *Pool) enqueue(now time.Duration, t *Ticket, reason Reason) {
-	if !p.possible(t.request) {
-		p.refuse(now, t, ReasonNoEndpoint)
+	if impossible := p.impossible(t); impossible != "" {
+		p.refuse(now, t, impossible)
 		return
 	}
 	if t.punctual-now >= minUsefulWait && now+p.turn(p.waiting.ahead(t)) <= t.punctual {
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -19,6 +19,9 @@
 	Full
 	// Misplaced: the endpoint is another one or has other weights.
 	Misplaced
+	// Withheld: nothing was sent, since the endpoint or the placement is no longer
+	// what it was when the request was placed.
+	Withheld
 	// Cancelled: the caller left or its time was over.
 	Cancelled
 )
@@ -33,8 +36,12 @@
 	Slots int
 	// MaxInFlight bounds the own requests there, since each needs a connection.
 	MaxInFlight int
+	// Started is the start of its process in Unix milliseconds, 0 if unknown.
+	Started int64
 	// Version is the version of the weights there, 0 for plain endpoints.
 	Version int64
+	// HeldUntil is the time from which it takes requests again, 0 while it does.
+	HeldUntil time.Duration
 	// Home marks an endpoint that this entry uses first. Each endpoint is the home
 	// of few entries, so that what is on its way there is known where it matters.
 	Home bool
@@ -96,6 +103,7 @@
 // The reasons.
 const (
 	ReasonNoEndpoint Reason = "no endpoint can take it"
+	ReasonHeld       Reason = "endpoints take none before it is of no use"
 	ReasonOverload   Reason = "no room is expected in time"
 	ReasonExpired    Reason = "no room came in time"
 )
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -318,6 +319,56 @@
 	}
 }
 
+// An endpoint that says in its answers alone that it leaves gets no new work of the
+// entry that heard it, although its row says that it is ready.
+func TestEndpointSaysThatItLeaves(t *testing.T) {
+	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
+	leaving := s.Servers["i-plain-1-1"]
+	leaving.SayLeaving()
+	for leaving.Arrivals() == 0 {
+		require.Equal(t, http.StatusOK, s.call("GET", standin.PathRead, standin.Key).status)
+	}
+	heard := leaving.Arrivals()
+	for range 40 {
+		r := s.call("GET", standin.PathRead, standin.Key)
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, "i-plain-2-1", s.runs.of(r.attempt)[0].Server)
+	}
+	require.Equal(t, heard, leaving.Arrivals())
+}
+
+// Endpoints that ask for a pause get nothing before it is over. While all of a service
+// do, callers are refused at once, with the time at which the first takes work again.
+func TestEndpointsAskForAPause(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
+	held := []*standin.Server{s.Servers["i-plain-1-1"], s.Servers["i-plain-2-1"]}
+	for _, server := range held {
+		server.Hold(pause)
+	}
+	begun := time.Now()
+	arrivals := func() int { return held[0].Arrivals() + held[1].Arrivals() }
+	require.Equal(t, http.StatusServiceUnavailable, s.call("GET", standin.PathRead, standin.Key).status)
+	require.Equal(t, http.StatusServiceUnavailable, s.call("GET", standin.PathRead, standin.Key).status)
+	heard := arrivals()
+	for time.Since(begun) < pause-300*time.Millisecond {
+		before := time.Now()
+		r := s.call("GET", standin.PathRead, standin.Key)
+		took := time.Since(before)
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.Less(t, took, 300*time.Millisecond, "refused at once")
+		back, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, back, (pause - time.Since(begun)).Seconds())
+		require.Empty(t, s.runs.of(r.attempt))
+	}
+	require.Equal(t, heard, arrivals())
+	require.LessOrEqual(t, heard, len(held))
+	require.Eventually(t, func() bool {
+		return s.call("GET", standin.PathRead, standin.Key).status == http.StatusOK
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
 // A configuration is in force after the history of the store was dropped.
 func TestCompactedStore(t *testing.T) {
 	s := startSystem(t)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -16,6 +16,8 @@
 var (
 	errUnsealed = eris.New("answer does not prove that it is an endpoint's")
 	errNoEvents = eris.New("stream goes on with something else than events")
+
+	errEventTooLong = eris.New("event of a stream has no end")
 )
 
 // Outcomes of a request, as logs and metrics name them.
--- /dev/null
+++ b/internal/gateway/asked.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/admission"
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/telemetry"
+)
+
+// lifeOf returns the life of an endpoint that a request may be placed on.
+func lifeOf(c placement.Candidate) admission.Life {
+	return admission.Life{ID: c.ID, Started: c.Started}
+}
+
+// hearEndpoint takes in what an endpoint asks for in the head of an answer. It binds
+// all requests that are sent after this, also those that have been placed.
+func (g *Gateway) hearEndpoint(ctx context.Context, q *request, c placement.Candidate, r admission.Request) {
+	now := g.now()
+	standing, changed := g.asked.Hear(now, lifeOf(c), r)
+	if !changed {
+		return
+	}
+	telemetry.EndpointAsks.Log(ctx, g.logger, "request", q.call.ID, "endpoint", c.ID, "started", c.Started,
+		"leaving", r.Leaving, "wait", r.Wait)
+	if standing.Leaving() {
+		g.Refresh()
+		return
+	}
+	q.traffic.placement.Hold(now, c.ID, standing.Until())
+}
+
+// Reasons why a request that has been placed is not sent.
+const (
+	reasonAskedNot  = "endpoint has asked for no requests since"
+	reasonReplaced  = "weights of the endpoint are too old by now"
+	reasonKeyUnsure = "configuration is not confirmed any more"
+)
+
+// withheld tells why a request must not be sent to the endpoint that was chosen for it,
+// empty if it may. The process may have been suspended since the choice, or heard
+// something in the time that a connection took.
+func (g *Gateway) withheld(q *request, c placement.Candidate) string {
+	now := g.now()
+	if !g.asked.Standing(now, lifeOf(c)).Admits(now) {
+		return reasonAskedNot
+	}
+	if g.outdated(q.service, c, now) {
+		return reasonReplaced
+	}
+	if q.account == "" {
+		return ""
+	}
+	if _, known := g.view.Load().configuration.Account(q.call.Key); !known {
+		return reasonKeyUnsure
+	}
+	if _, fresh := g.fresh(); !fresh {
+		return reasonKeyUnsure
+	}
+	return ""
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,16 +63,19 @@
 		return g.unreachable(ctx, err)
 	}
 	defer x.End()
+	if reason := g.withheld(q, c.Candidate); reason != "" {
+		return result{outcome: placement.Withheld, notRun: true, reason: reason}
+	}
 	q.sent = append(q.sent, c.ID)
 	out.endpoint = c.ID
-	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) bool { return g.codec.Echo(h, q.call.ID) })
+	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.call.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
 	}
 	if err != nil {
 		return g.broken(ctx, err, true)
 	}
-	return g.answer(ctx, q, c, response, out)
+	return g.answer(ctx, q, c, x, response, out)
 }
 
 func (g *Gateway) unreachable(ctx context.Context, err error) result {
@@ -106,11 +109,11 @@
 }
 
 // answer takes the head of an endpoint's answer and passes on what follows.
-func (g *Gateway) answer(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *answerWriter) result {
+func (g *Gateway) answer(ctx context.Context, q *request, c *placement.Choice, x *endpoints.Exchange, response *http.Response, out *answerWriter) result {
 	a := g.codec.ReadAnswer(response.StatusCode, response.Header)
+	g.hearEndpoint(ctx, q, c.Candidate, a.Asks)
 	if a.NotExecuted {
-		// The body of a refusal only matters for the connection.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
+		x.Drain()
 		if a.Misplaced {
 			return result{outcome: placement.Misplaced, notRun: true, reason: "endpoint is another one or has other weights"}
 		}
@@ -174,6 +177,9 @@
 	for {
 		n, err := response.Body.Read(buf)
 		batch := events.take(buf[:n], out.lastNumber)
+		if events.tooLong() {
+			return g.broken(ctx, errEventTooLong, true)
+		}
 		if len(batch.bytes) > 0 {
 			now := g.now()
 			out.eventsAt(now)
@@ -250,6 +256,12 @@
 	}
 }
 
+// maxEvent is the largest event in bytes.
+const maxEvent = 64 << 10
+
+// tooLong reports whether an event has begun that is larger than any may be.
+func (r *eventReader) tooLong() bool { return len(r.rest) > maxEvent }
+
 // partial reports whether an event has begun and is not whole.
 func (r *eventReader) partial() bool { return len(bytes.TrimSpace(r.rest)) > 0 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/boottime"
+	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -75,6 +76,8 @@
 	Sealed bool
 	// Version is the version of the weights that made the answer, 0 if unknown.
 	Version int64
+	// Asks is what the endpoint asks of this entry for the requests to come.
+	Asks admission.Request
 }
 
 // Codec is how requests and answers are written where the gateway runs.
@@ -82,8 +85,8 @@
 	ReadCall     func(h http.Header) (Call, error)
 	WriteForward func(h http.Header, f Forward)
 	ReadAnswer   func(status int, h http.Header) Answer
-	// Echo reports whether an answer belongs to the request with an ID.
-	Echo func(h http.Header, id string) bool
+	// Match tells whether an answer belongs to the request with an ID.
+	Match func(h http.Header, id string) endpoints.Match
 }
 
 // Identity says which entry this is.
@@ -122,6 +125,7 @@
 	viewMu   sync.Mutex // held by writers of view
 	weights  *weightsBook
 	notices  *noticeList
+	asked    *admission.Book
 	pool     *endpoints.Pool
 	traffic  traffic
 	peers    *peers
@@ -152,6 +156,7 @@
 		record:    func(NamedVersion) {},
 		weights:   newWeightsBook(),
 		notices:   newNoticeList(),
+		asked:     admission.NewBook(),
 		confirmed: func() time.Duration { return 0 },
 		ratio:     defaultRatio,
 		maxTTL:    defaultTTL,
@@ -202,6 +207,7 @@
 		case <-sweep.C:
 			g.pool.Sweep()
 			g.traffic.forget(g.now())
+			g.asked.Forget(g.now())
 		case <-summary.C:
 			g.sendSummaries(false)
 			g.tellAgents()
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	if !s.allowed(q, r) {
-		s.give(out, q, r.reason, s.backAfter(r))
+		s.give(out, q, r.reason, s.backAfter(q, r))
 		return false
 	}
 	return true
@@ -92,7 +92,7 @@
 	if r.notRun {
 		outcome = retry.NeverRan(0)
 	}
-	if r.outcome == placement.Unreachable {
+	if r.outcome == placement.Unreachable || r.outcome == placement.Withheld {
 		// Nothing reached an endpoint, so no repeat is counted.
 		return q.left(s.gateway.now()) > minAttemptTime && q.attempts < maxAttempts
 	}
@@ -102,11 +102,13 @@
 // maxAttempts bounds the connections that are tried for one request.
 const maxAttempts = 5
 
-func (s *sequence) backAfter(r result) time.Duration {
+// backAfter returns when an endpoint may take the request, after one did not.
+func (s *sequence) backAfter(q *request, r result) time.Duration {
+	opens := q.traffic.placement.Opens(s.gateway.now())
 	if r.outcome == placement.Full {
-		return refusedRetryAfter
+		return opens + refusedRetryAfter
 	}
-	return unknownRetryAfter
+	return opens + unknownRetryAfter
 }
 
 // refusedRetryAfter is when room may have come after an endpoint was full.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -111,16 +111,22 @@
 	}
 }
 
-// candidate describes an endpoint for placement; usable is false where it has no
-// weights that may start work.
+// candidate describes an endpoint for placement; usable is false where it leaves, or
+// has no weights that may start work.
 func (g *Gateway) candidate(s *fleet.Service, e *fleet.Endpoint, now time.Duration) (c placement.Candidate, usable bool) {
 	c = placement.Candidate{
 		ID:      e.ID(),
 		Address: e.Address(),
 		Domain:  e.FailureDomain(),
 		Slots:   max(e.Slots(), 1),
+		Started: e.Started(),
 		Near:    g.region(e.FailureDomain()) == g.self.Region,
 	}
+	standing := g.asked.Standing(now, lifeOf(c))
+	if standing.Leaving() {
+		return c, false
+	}
+	c.HeldUntil = standing.Until()
 	if s.MaxConnections() > 0 {
 		c.MaxInFlight = min(max(s.MaxConnections()*9/10/max(g.peers.count()+1, 1), 2), maxConnections)
 	}
@@ -136,3 +142,17 @@
 	}
 	return c, false
 }
+
+// outdated reports whether the weights that a candidate was chosen with may start no
+// work any more.
+func (g *Gateway) outdated(s *fleet.Service, c placement.Candidate, now time.Duration) bool {
+	if s.Engine() == nil {
+		return false
+	}
+	for _, model := range s.Engine().Models {
+		if c.Version >= g.weights.required(model, now) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -215,6 +215,10 @@
 		722, "endpointNoticed", slog.LevelInfo,
 		"An agent says that its endpoint begins to load a version and takes no new work, or that it has loaded it.",
 	}
+	EndpointAsks = Event{
+		723, "endpointAsks", slog.LevelInfo,
+		"An endpoint asked, in the head of an answer, for no further requests, or for none for some time.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -234,7 +238,7 @@
 		FleetConfigurationInForce, WeightsNamed, EndpointListed, EndpointGone, EndpointRowMalformed, OperatorRowMalformed,
 		StoreLost, StoreRegained, PeerHeard, PeerCopyNotFetched, FleetRequestEnded, FleetAttemptFailed, EntryLeaving,
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
-		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed,
+		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -6,11 +6,14 @@
 // that ended where its framing says, and is dropped when bytes come after it, when
 // the endpoint asks for it, or when it has been idle for longer than allowed.
 //
+// An endpoint may send bytes without end. Everything but the body of the own answer is
+// bounded here; the reader of the body bounds that.
+//
 // # Usage
 //
 //	pool := endpoints.NewPool(endpoints.WithLimit(12))
 //	x, err := pool.Begin(ctx, address, freshness)
-//	response, err := x.Send(ctx, head, body)
+//	response, err := x.Send(ctx, head, body, match)
 //	... read response.Body ...
 //	x.End()
 package endpoints
@@ -73,10 +76,16 @@
 }
 
 type conn struct {
-	net    net.Conn
-	reader *bufio.Reader
-	since  time.Time // of the last end of an exchange
-	keep   time.Duration
+	net     net.Conn
+	bounded *boundedReader
+	reader  *bufio.Reader // from bounded
+	since   time.Time     // of the last end of an exchange
+	keep    time.Duration
+}
+
+func newConn(n net.Conn) *conn {
+	bounded := &boundedReader{from: n, left: unbounded}
+	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBuffer), keep: defaultIdle}
 }
 
 // Option sets a property of a Pool.
@@ -130,8 +139,7 @@
 		p.unreserve(address)
 		return nil, eris.Wrapf(ErrNotSent, "connect: %v", err)
 	}
-	c := &conn{net: n, reader: bufio.NewReaderSize(n, readBuffer), keep: defaultIdle}
-	return &Exchange{pool: p, address: address, conn: c}, nil
+	return &Exchange{pool: p, address: address, conn: newConn(n)}, nil
 }
 
 func (p *Pool) host(address string) *host {
@@ -249,11 +257,27 @@
 	Header http.Header
 }
 
-// Send writes the request and reads the head of its answer. accept decides which
-// answer belongs to the request; others are read to their end and dropped. The
-// error wraps ErrNotSent where nothing was written. The end of ctx closes the
-// connection.
-func (x *Exchange) Send(ctx context.Context, head Head, body []byte, accept func(http.Header) bool) (*http.Response, error) {
+// Match tells to which request the head of an answer belongs.
+type Match int
+
+// The matches.
+const (
+	// Foreign: to another request.
+	Foreign Match = iota
+	// Own: to the request of the exchange.
+	Own
+	// Unnamed: the head does not tell.
+	Unnamed
+)
+
+// errUnnamed is returned for an answer that may be a late one to an earlier request.
+var errUnnamed = eris.New("answer on a used connection names no request")
+
+// Send writes the request and reads the head of its answer. match tells which answer
+// belongs to the request; those of others are read to their end and dropped. One that
+// names no request is taken on a new connection only. The error wraps ErrNotSent where
+// nothing was written. The end of ctx closes the connection.
+func (x *Exchange) Send(ctx context.Context, head Head, body []byte, match func(http.Header) Match) (*http.Response, error) {
 	// The callback may run after End has given the connection up.
 	c := x.conn
 	x.stop = context.AfterFunc(ctx, func() { c.net.Close() })
@@ -264,37 +288,36 @@
 		return nil, err
 	}
 	request := &http.Request{Method: head.Method}
-	for {
-		response, err := x.read(request)
+	left := int64(maxBefore)
+	for left > 0 {
+		response, taken, err := x.nextHead(request, min(left, maxHead))
 		if err != nil {
-			return nil, err
+			return nil, eris.Wrap(err, "no answer")
+		}
+		left -= taken
+		if response.StatusCode < http.StatusOK {
+			continue // an interim answer
 		}
-		if accept(response.Header) {
+		m := match(response.Header)
+		if m == Unnamed && x.reused {
+			return nil, errUnnamed
+		}
+		if m != Foreign {
 			x.answer = response
 			x.body = &trackedBody{from: response.Body}
 			response.Body = x.body
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.CopyN(io.Discard, response.Body, left)
+		left -= n
+		if err != nil && err != io.EOF {
 			return nil, eris.Wrap(err, "answer of another request")
 		}
 		if response.Close {
 			return nil, eris.New("answer of another request closed the connection")
 		}
 	}
-}
-
-// read returns the next head that is not an interim one.
-func (x *Exchange) read(request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil {
-			return nil, eris.Wrap(err, "no answer")
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
+	return nil, eris.Wrap(ErrTooLong, "before the answer")
 }
 
 func (x *Exchange) write(head Head, body []byte) error {
--- a/internal/transport/endpoints/endpoints_test.go
+++ b/internal/transport/endpoints/endpoints_test.go
@@ -50,7 +50,15 @@
 	}
 }
 
-func mine(h http.Header) bool { return h.Get("Id") == "mine" }
+func mine(h http.Header) Match {
+	switch h.Get("Id") {
+	case "mine":
+		return Own
+	case "":
+		return Unnamed
+	}
+	return Foreign
+}
 
 const whole = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
 
