Summaries of a large region: quiet entries tell each other seldom; loads are summed as they change

Cause: of the processor time of 148 entries in five regions (mesh of the roles' own code, virtual clock, one core) 70 in 100 went into adding up the work of all peers again with each datagram, and in a region of 30 every entry told all others every 180 ms, also those that carry nothing.

What changed: the sum follows each summary and forgets silent peers; placement takes it in while there are requests to place, else with the next one. Two entries of a region of which none speaks tell each other every 600 ms or 30 ms x entries; an entry without requests does a round when one is due, and looks for expired waits only while it has requests. Rosters are derived once a round. Peers that do not speak count in the rank for as long as they may be silent.

TestSummariesGrowth holds the new law.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
@@ -130,13 +132,16 @@
 	traffic  traffic
 	peers    *peers
 	kick     chan struct{}
+	busy     chan struct{} // the first request came
 	tellNow  atomic.Bool   // a version was named that agents do not know
 	told     time.Duration // when agents were told last; used by run alone
 	started  time.Duration
 	leaving  atomic.Bool
 	lastAway atomic.Int64 // boottime nanoseconds at which the store was away
 	active   atomic.Int64
-	rate     rateMeter
+	// loadsStale tells that placement does not know the newest work of other entries.
+	loadsStale atomic.Bool
+	rate       rateMeter
 }
 
 // New returns a gateway that knows no configuration and is not ready.
@@ -153,6 +158,7 @@
 		agent:     func(string) string { return "" },
 		region:    func(string) string { return "" },
 		kick:      make(chan struct{}, 1),
+		busy:      make(chan struct{}, 1),
 		record:    func(NamedVersion) {},
 		weights:   newWeightsBook(),
 		notices:   newNoticeList(),
@@ -186,14 +192,46 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		g.run(ctx)
+		var work conc.WaitGroup
+		work.Go(func() { g.run(ctx) })
+		work.Go(func() { g.expire(ctx) })
+		work.Wait()
 	}()
 	return done
 }
 
+// expire ends the waits that are over. An entry without requests sleeps.
+func (g *Gateway) expire(ctx context.Context) {
+	tick := time.NewTimer(expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-g.busy:
+			tick.Reset(expireInterval)
+			continue
+		}
+		g.traffic.expire(g.now())
+		if g.active.Load() > 0 {
+			tick.Reset(expireInterval)
+		}
+	}
+}
+
+// enter counts a request in.
+func (g *Gateway) enter() {
+	if g.active.Add(1) > 1 {
+		return
+	}
+	select {
+	case g.busy <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gateway) run(ctx context.Context) {
-	expire := time.NewTicker(expireInterval)
-	defer expire.Stop()
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	summary := time.NewTimer(0)
@@ -202,8 +240,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-expire.C:
-			g.traffic.expire(g.now())
 		case <-sweep.C:
 			g.pool.Sweep()
 			g.traffic.forget(g.now())
@@ -211,11 +247,11 @@
 		case <-summary.C:
 			g.sendSummaries(false)
 			g.tellAgents()
-			summary.Reset(nearInterval)
+			summary.Reset(g.pace())
 		case <-g.kick:
 			g.sendSummaries(true)
 			g.tellAgents()
-			summary.Reset(nearInterval)
+			summary.Reset(g.pace())
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -348,7 +348,7 @@
 	} {
 		p := newPeers("self", "riga", 1)
 		for i, after := range test.at {
-			require.Equal(t, test.fetches[i], p.begin(table, 2, 1, test.patience, time.Minute+after), "%s, %s", test.name, after)
+			require.Equal(t, test.fetches[i], p.begin(table, test.patience, time.Minute+after), "%s, %s", test.name, after)
 		}
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,8 +22,13 @@
 	farInterval  = 300 * time.Millisecond
 	peerInterval = 12 * time.Millisecond
 	// nearPeerInterval bounds in the same way what entries of the own region are told
-	// of which either side does not speak.
+	// of which one side does not speak.
 	nearPeerInterval = 6 * time.Millisecond
+	// quietInterval is how often two entries of a region tell each other of which none
+	// speaks, or one every quietPeerInterval: they hear from those that speak what
+	// they need, and only count each other.
+	quietInterval     = 600 * time.Millisecond
+	quietPeerInterval = 30 * time.Millisecond
 	// idleFactor lengthens the interval of an entry that carries no requests: there is
 	// little to tell of it.
 	idleFactor = 2
@@ -54,9 +60,10 @@
 // peer is another entry.
 type peer struct {
 	summary *nodev1.EntrySummary // nil before the first
+	near    bool                 // in the own region
 	heard   time.Duration
 	learned time.Duration
-	work    map[uint32]placement.Work
+	work    map[uint32]placement.Work // part of peers.sum
 }
 
 // peers are the other entries. They are safe for concurrent use.
@@ -69,9 +76,11 @@
 	speaks      bool // this entry speaks for its region
 	speaksSince time.Duration
 	known       map[string]*peer
+	sum         map[uint32]placement.Work // of the peers that were alive at their last summary
 	sent        int
 	near        int           // number of known peers in the own region
-	toldNear    time.Duration // when all peers of the own region were told
+	toldNear    time.Duration // when the own region was told, of which one side speaks
+	toldQuiet   time.Duration // when all peers of the own region were told
 	toldFar     time.Duration // when those that speak for other regions were told
 	toldAll     time.Duration // when all peers were told
 	confirmedV  int64         // version of the best confirmation
@@ -83,7 +92,7 @@
 func newPeers(self, region string, incarnation uint64) *peers {
 	return &peers{
 		self: self, region: region, incarnation: incarnation, speaks: true,
-		known: make(map[string]*peer), copies: make(map[nodev1.Table]*copyState),
+		known: make(map[string]*peer), sum: make(map[uint32]placement.Work), copies: make(map[nodev1.Table]*copyState),
 	}
 }
 
@@ -114,30 +123,48 @@
 	return interval
 }
 
-// nearInterval returns how often an entry tells all of its region.
+// nearInterval returns how often an entry that speaks tells all of its region, and is
+// told by them.
 func (p *peers) nearInterval() time.Duration {
 	return max(nearInterval, time.Duration(p.near)*nearPeerInterval)
 }
 
+// quietInterval returns how often entries of a region that do not speak tell each other.
+func (p *peers) quietInterval() time.Duration {
+	return max(quietInterval, time.Duration(p.near)*quietPeerInterval)
+}
+
 // seldomInterval returns how often an entry tells all others.
 func (p *peers) seldomInterval() time.Duration {
 	return max(seldomInterval, time.Duration(len(p.known))*seldomPeerInterval)
 }
 
-// alive reports whether a peer was heard from lately. Those of other regions tell this
-// entry seldom while it does not speak, and for a while after they learn that it does.
+// alive reports whether a peer was heard from lately.
 func (p *peers) alive(q *peer, now time.Duration) bool {
 	if q.summary == nil {
 		return false
 	}
-	interval := p.nearInterval()
-	if q.summary.GetRegion() != p.region {
-		interval = time.Duration(q.summary.GetFarIntervalMs()) * time.Millisecond
-		if !p.speaks || p.speaksSince > 0 && now-p.speaksSince < p.seldomInterval() {
-			interval = max(interval, p.seldomInterval())
+	silent := now - q.heard
+	return silent < silentTime || silent < silentAfter*p.interval(q, now)
+}
+
+// interval returns how often this entry is told by a peer. Those that would tell it more
+// often while it speaks do so only once they have learned that it does.
+func (p *peers) interval(q *peer, now time.Duration) time.Duration {
+	spokenFor := func(d time.Duration) bool {
+		return p.speaks && (p.speaksSince == 0 || now-p.speaksSince >= d)
+	}
+	if !q.near {
+		interval := time.Duration(q.summary.GetFarIntervalMs()) * time.Millisecond
+		if seldom := p.seldomInterval(); !spokenFor(seldom) {
+			interval = max(interval, seldom)
 		}
+		return interval
+	}
+	if quiet := p.quietInterval(); !q.summary.GetSpeaks() && !spokenFor(quiet) {
+		return quiet
 	}
-	return now-q.heard < max(silentAfter*interval, silentTime)
+	return p.nearInterval()
 }
 
 // count returns how many peers have ever been heard from and are not forgotten.
@@ -189,21 +216,43 @@
 	return p.confirmedT
 }
 
-// work returns the work of the live peers by hash of the endpoint.
-func (p *peers) work(now time.Duration) map[uint32]placement.Work {
+// work returns the work of the peers by hash of the endpoint.
+func (p *peers) work() map[uint32]placement.Work {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sum := make(map[uint32]placement.Work)
-	for _, q := range p.known {
-		if !p.alive(q, now) {
-			continue
+	return maps.Clone(p.sum)
+}
+
+// setWork replaces the work of a peer. The caller holds the mutex.
+func (p *peers) setWork(q *peer, work map[uint32]placement.Work) {
+	for h, w := range q.work {
+		s := p.sum[h]
+		s = placement.Work{InFlight: s.InFlight - w.InFlight, Unread: s.Unread - w.Unread}
+		if s == (placement.Work{}) {
+			delete(p.sum, h)
+		} else {
+			p.sum[h] = s
 		}
-		for h, w := range q.work {
-			s := sum[h]
-			sum[h] = placement.Work{InFlight: s.InFlight + w.InFlight, Unread: s.Unread + w.Unread}
+	}
+	q.work = work
+	for h, w := range q.work {
+		s := p.sum[h]
+		p.sum[h] = placement.Work{InFlight: s.InFlight + w.InFlight, Unread: s.Unread + w.Unread}
+	}
+}
+
+// workOf reads the work from a summary.
+func workOf(m *nodev1.EntrySummary) map[uint32]placement.Work {
+	if len(m.GetEndpoints()) == 0 {
+		return nil
+	}
+	work := make(map[uint32]placement.Work, len(m.GetEndpoints()))
+	for i, h := range m.GetEndpoints() {
+		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
+			work[h] = placement.Work{InFlight: int(m.GetInFlight()[i]), Unread: int(m.GetUnread()[i])}
 		}
 	}
-	return sum
+	return work
 }
 
 // rank is the place of this entry by address among those that were heard just now.
@@ -222,8 +271,8 @@
 	var r rank
 	heard := map[string]bool{g.self.Region: true}
 	for address, q := range p.known {
-		near := q.summary.GetRegion() == g.self.Region
-		if !p.alive(q, now) || near && now-q.heard >= nearSilent {
+		late := q.near && q.summary.GetSpeaks() && now-q.heard >= nearSilent
+		if late || !p.alive(q, now) {
 			continue
 		}
 		heard[q.summary.GetRegion()] = true
@@ -231,7 +280,7 @@
 			continue
 		}
 		r.all++
-		if near {
+		if q.near {
 			r.region++
 		}
 	}
@@ -273,7 +322,7 @@
 	}
 	g.peers.learn(m.GetAddress())
 	g.peers.learn(m.GetPeers()...)
-	returned := g.peers.hear(m, now)
+	returned, loaded := g.peers.hear(m, now)
 	if returned {
 		telemetry.PeerHeard.Log(ctx, g.logger, "peer", m.GetAddress(), "domain", m.GetFailureDomain())
 	}
@@ -284,30 +333,31 @@
 	}
 	g.traffic.refusals.told(m.GetRefused(), m.GetRefusedAgeMs(), now)
 	g.hearWeights(m, now)
-	g.shareLoads(now)
+	if loaded {
+		g.loadsChanged(now)
+	}
 	g.catchUp(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), now)
 	g.catchUp(ctx, m, nodev1.Table_TABLE_ENDPOINTS, m.GetEndpointsContent(), now)
 }
 
-// hear records a summary. Returned tells that the sender was not alive before.
-func (p *peers) hear(m *nodev1.EntrySummary, now time.Duration) (returned bool) {
+// hear records a summary. Returned tells that the sender was not alive before, loaded
+// that it has work at endpoints, or had.
+func (p *peers) hear(m *nodev1.EntrySummary, now time.Duration) (returned, loaded bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.known[m.GetAddress()]
 	returned = !p.alive(q, now)
 	if q.summary.GetIncarnation() == m.GetIncarnation() && m.GetStamp() < q.summary.GetStamp() {
-		return false // overtaken by a newer datagram
+		return false, false // overtaken by a newer datagram
 	}
 	q.summary = m
+	q.near = m.GetRegion() == p.region
 	q.heard = now
 	p.confirm(m, now)
-	q.work = make(map[uint32]placement.Work, len(m.GetEndpoints()))
-	for i, h := range m.GetEndpoints() {
-		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
-			q.work[h] = placement.Work{InFlight: int(m.GetInFlight()[i]), Unread: int(m.GetUnread()[i])}
-		}
-	}
-	return returned
+	work := workOf(m)
+	loaded = len(work)+len(q.work) > 0
+	p.setWork(q, work)
+	return returned, loaded
 }
 
 // confirm dates what the sender knew. The sender echoes a stamp of this process,
@@ -348,12 +398,14 @@
 // another region is only asked when the own region has not had them for a while, by one
 // entry after the other.
 func (g *Gateway) catchUp(ctx context.Context, m *nodev1.EntrySummary, table nodev1.Table, content int64, now time.Duration) {
-	near := m.GetRegion() == g.self.Region
+	if content <= g.content(table) {
+		return
+	}
 	patience := time.Duration(0)
-	if !near {
+	if m.GetRegion() != g.self.Region {
 		patience = farPatience + time.Duration(g.rank().region)*listStep
 	}
-	if !g.peers.begin(table, content, g.content(table), patience, now) {
+	if !g.peers.begin(table, patience, now) {
 		return
 	}
 	go func() {
@@ -370,9 +422,9 @@
 	behind   time.Duration // since when a peer has newer rows, 0 if none has
 }
 
-// begin decides whether to fetch newer rows now, which must have been missing for as
-// long as the patience.
-func (p *peers) begin(table nodev1.Table, theirs, own int64, patience, now time.Duration) bool {
+// begin decides whether to fetch the newer rows of a peer now, which must have been
+// missing for as long as the patience.
+func (p *peers) begin(table nodev1.Table, patience, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.copies[table]
@@ -380,9 +432,6 @@
 		c = &copyState{}
 		p.copies[table] = c
 	}
-	if theirs <= own {
-		return false
-	}
 	if c.behind == 0 || now-c.behind > 4*max(patience, farPatience) {
 		c.behind = now
 	}
@@ -407,8 +456,24 @@
 	return h.Sum32()
 }
 
+// loadsChanged takes in that the work of other entries has changed: at once while there
+// are requests to place, else before the next one is.
+func (g *Gateway) loadsChanged(now time.Duration) {
+	g.loadsStale.Store(true)
+	if g.active.Load() > 0 {
+		g.refreshLoads(now)
+	}
+}
+
+// refreshLoads brings placement up to date with the work of other entries.
+func (g *Gateway) refreshLoads(now time.Duration) {
+	if g.loadsStale.Swap(false) {
+		g.shareLoads(now)
+	}
+}
+
 func (g *Gateway) shareLoads(now time.Duration) {
-	sum := g.peers.work(now)
+	sum := g.peers.work()
 	g.traffic.each(func(_ string, s *serviceTraffic) {
 		s.placement.SetOthers(now, func(id string) placement.Work { return sum[endpointHash(id)] })
 	})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -60,8 +60,9 @@
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.rate.count.Add(1)
-	g.active.Add(1)
+	g.enter()
 	defer g.active.Add(-1)
+	g.refreshLoads(g.now())
 	out := &answerWriter{gateway: g, w: w, arrived: g.now()}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -25,7 +25,7 @@
 	g.noteOutage(now)
 	g.rate.advance(now)
 	g.traffic.refill(now, g.reserve, g.peers.count()+1)
-	g.Refresh()
+	g.refreshFor(takers)
 	near := g.summary(now)
 	near.Peers = r.peers
 	near.Speaks, near.FarIntervalMs = speaks, uint32(r.interval.Milliseconds())
@@ -45,7 +45,7 @@
 			g.metrics.SummariesNotSent.Inc()
 		}
 	}
-	g.shareLoads(now)
+	g.loadsChanged(now)
 	sharers := g.sharers(takers)
 	g.traffic.each(func(_ string, s *serviceTraffic) { s.placement.Allot(now, sharers, r.all || r.far && speaks) })
 }
@@ -123,7 +123,8 @@
 
 // round is whom summaries go to at one time.
 type round struct {
-	near     bool          // all of the own region are told
+	near     bool          // the own region is told, where one side speaks
+	quiet    bool          // all of the own region are told
 	far      bool          // those that speak for other regions are
 	all      bool          // everybody is
 	interval time.Duration // until those that speak for other regions are told again
@@ -140,7 +141,7 @@
 	r := p.beginRound(now, speaks, carried, urgent)
 	p.sent++
 	tell := r.all || p.sent%tellPeersEvery == 1
-	p.near = 0
+	near := 0
 	for address, q := range p.known {
 		if q.learned == 0 {
 			q.learned = now
@@ -149,22 +150,26 @@
 			delete(p.known, address)
 			continue
 		}
-		if tell && len(r.peers) < toldPeers && p.alive(q, now) {
+		alive := p.alive(q, now)
+		if !alive && len(q.work) > 0 {
+			p.setWork(q, nil)
+		}
+		if tell && len(r.peers) < toldPeers && alive {
 			r.peers = append(r.peers, address)
 		}
-		near := q.summary.GetRegion() == p.region
-		if near {
-			p.near++
+		if q.near {
+			near++
 		}
-		if p.isTarget(q, near, r) {
+		if p.isTarget(q, r) {
 			r.targets = append(r.targets, target{
 				address:     address,
-				near:        near,
+				near:        q.near,
 				echo:        q.summary.GetStamp(),
 				incarnation: q.summary.GetIncarnation(),
 			})
 		}
 	}
+	p.near = near
 	return r
 }
 
@@ -177,6 +182,7 @@
 	interval := p.farInterval(carried)
 	r := round{
 		near:     urgent || now-p.toldNear >= p.nearInterval(),
+		quiet:    now-p.toldQuiet >= p.quietInterval(),
 		far:      urgent || now-p.toldFar >= interval,
 		all:      changed || now-p.toldAll >= p.seldomInterval(),
 		interval: interval,
@@ -184,7 +190,11 @@
 	if !speaks {
 		r.interval = p.seldomInterval()
 	}
-	r.near, r.far = r.near || r.all, r.far || r.all
+	r.quiet = r.quiet || r.all
+	r.near, r.far = r.near || r.quiet, r.far || r.all
+	if r.quiet {
+		p.toldQuiet = now
+	}
 	if r.near {
 		p.toldNear = now
 	}
@@ -199,13 +209,30 @@
 
 // isTarget decides whether a peer is told in a round. Two that speak tell each other of
 // their load with each round in a region, and with each far round between regions.
-func (p *peers) isTarget(q *peer, near bool, r round) bool {
+func (p *peers) isTarget(q *peer, r round) bool {
 	both := p.speaks && q.summary.GetSpeaks()
 	switch {
 	case r.all:
 		return true
-	case near:
+	case q.near && (p.speaks || q.summary.GetSpeaks()):
 		return r.near || both
+	case q.near:
+		return r.quiet
 	}
 	return r.far && (both || q.summary == nil)
 }
+
+// pace returns the time between two rounds. An entry that carries no requests and does
+// not speak has nothing to tell in between.
+func (g *Gateway) pace() time.Duration {
+	if g.active.Load() > 0 {
+		return nearInterval
+	}
+	p := g.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.speaks {
+		return nearInterval
+	}
+	return p.nearInterval()
+}
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -81,8 +81,8 @@
 		near, far float64 // datagrams a second that an entry sends, at most
 	}{
 		{9, 25, 25},
-		{30, 100, 25},
-		{75, 170, 25},
+		{30, 65, 25},
+		{75, 65, 25},
 	} {
 		m := newMesh(test.entries)
 		m.introduce()
@@ -170,3 +170,70 @@
 		require.Equal(t, 1, n, to)
 	}
 }
+
+// Entries of a region that do not speak tell each other seldom. They are counted all
+// the same, and one that dies is missed.
+func TestQuietEntries(t *testing.T) {
+	m := newMesh(90)
+	m.introduce()
+	m.play(8 * time.Second)
+	quiet, other := m.entries["10.0.0.020:1"], m.entries["10.0.0.025:1"]
+	require.False(t, quiet.peers.speaks)
+	require.False(t, other.peers.speaks)
+	require.Len(t, other.Entries("region-0"), 30)
+	m.entries["10.0.0.020:1"] = newGateway(&m.clock) // it hears and says nothing
+	m.play(5 * time.Second)
+	require.Len(t, other.Entries("region-0"), 29)
+}
+
+// When those that speak for a region die together, others speak within a second.
+func TestSpeakersAreReplaced(t *testing.T) {
+	m := newMesh(90)
+	m.introduce()
+	m.play(8 * time.Second)
+	for address, g := range m.entries {
+		if m.region[address] == "region-0" && g.peers.speaks {
+			m.entries[address] = newGateway(&m.clock)
+		}
+	}
+	m.play(time.Second)
+	speaking := 0
+	for address, g := range m.entries {
+		if m.region[address] == "region-0" && g.peers.speaks {
+			speaking++
+		}
+	}
+	require.GreaterOrEqual(t, speaking, speakers)
+}
+
+// The sum of the other entries' work follows their summaries, and forgets those that are
+// silent.
+func TestSumOfWork(t *testing.T) {
+	c := &clock{at: time.Minute}
+	g := newGateway(c)
+	tell := func(address string, inFlight uint32) {
+		m := &nodev1.EntrySummary{Address: address, Region: "riga", Stamp: uint64(c.at)}
+		if inFlight > 0 {
+			m.Endpoints, m.InFlight, m.Unread = []uint32{7}, []uint32{inFlight}, []uint32{10 * inFlight}
+		}
+		g.Hear(t.Context(), m)
+	}
+	for _, step := range []struct {
+		address  string
+		inFlight uint32
+		sum      int
+	}{
+		{"10.0.0.2:1", 3, 3},
+		{"10.0.0.3:1", 2, 5},
+		{"10.0.0.2:1", 1, 3},
+		{"10.0.0.3:1", 0, 1},
+	} {
+		c.at += time.Millisecond
+		tell(step.address, step.inFlight)
+		require.Equal(t, step.sum, g.peers.work()[7].InFlight)
+		require.Equal(t, 10*step.sum, g.peers.work()[7].Unread)
+	}
+	c.at += 10 * time.Second
+	g.sendSummaries(false)
+	require.Empty(t, g.peers.work())
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -37,7 +37,7 @@
 	}
 	g.nameWeights(versions, old.configuration == nil)
 	g.view.Store(&next)
-	g.place(&next)
+	g.place(&next, g.takersByDomain(g.now()))
 }
 
 // Configuration returns the configuration in force, nil if none is known.
@@ -55,15 +55,18 @@
 	next.listed = true
 	g.logEndpoints(old.endpoints, list)
 	g.view.Store(&next)
-	g.place(&next)
+	g.place(&next, g.takersByDomain(g.now()))
 }
 
 // Refresh brings the placement up to date with the time: versions of weights
 // become required.
-func (g *Gateway) Refresh() {
+func (g *Gateway) Refresh() { g.refreshFor(g.takersByDomain(g.now())) }
+
+// refreshFor is Refresh with the entries that have requests to place.
+func (g *Gateway) refreshFor(takers map[string][]string) {
 	g.viewMu.Lock()
 	defer g.viewMu.Unlock()
-	g.place(g.view.Load())
+	g.place(g.view.Load(), takers)
 }
 
 func (g *Gateway) logEndpoints(old, list []*fleet.Endpoint) {
@@ -84,8 +87,9 @@
 	}
 }
 
-// place hands each service the endpoints that may take its requests.
-func (g *Gateway) place(v *view) {
+// place hands each service the endpoints that may take its requests. The takers are the
+// entries that have requests to place, by failure domain.
+func (g *Gateway) place(v *view, takers map[string][]string) {
 	if v.configuration == nil {
 		return
 	}
@@ -101,10 +105,9 @@
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
 	}
-	entries := g.takersByDomain(now)
 	for name, s := range v.configuration.Services() {
 		list := candidates[name]
-		placement.AssignHomes(list, entries, g.self.FailureDomain, g.self.PeerAddress)
+		placement.AssignHomes(list, takers, g.self.FailureDomain, g.self.PeerAddress)
 		pool := g.trafficOf(name).placement
 		pool.SetModel(modelOf(s.Engine()))
 		pool.SetEndpoints(now, list)
