--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -112,7 +112,7 @@
 			w := notice.Weights.GetWeights()
 			age := time.Duration(w.GetAgeUs()) * time.Microsecond
 			a.replica.Want(replica.Naming{Model: w.GetModel(), Version: w.GetVersion(), Age: age, Exact: w.GetExact()})
-		})
+		}, a.datagramFailed)
 		if ctx.Err() == nil {
 			telemetry.ListenerFailed.Log(ctx, a.logger, "address", a.settings.PeerAddress(), "error", err)
 			a.failed <- err
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -201,7 +201,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		err := e.conn.Receive(ctx, func(m *nodev1.Datagram) { e.hear(ctx, m) })
+		err := e.conn.Receive(ctx, func(m *nodev1.Datagram) { e.hear(ctx, m) }, e.datagramFailed)
 		if ctx.Err() == nil {
 			telemetry.ListenerFailed.Log(ctx, e.logger, "address", e.settings.PeerAddress(), "error", err)
 			e.failed <- err
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -31,7 +31,10 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is longer than any that a configuration grants callers.
-	idleTimeout    = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
+	// writeTimeout ends an answer that nobody reads. A request that may take longer
+	// extends it.
+	writeTimeout   = 30 * time.Second
 	maxHeaderBytes = 64 << 10
 	// memoryShare of what the process may use is the bound that the collector
 	// works towards; the rest is for stacks and for what sockets hold.
@@ -66,15 +69,16 @@
 func (p *process) serve(address string, handler http.Handler) error {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return p.serveProtocols(address, handler, &protocols)
+	return p.serveProtocols(address, handler, &protocols, writeTimeout)
 }
 
 // servePeers listens for the other processes of the system.
 func (p *process) servePeers(handler http.Handler) error {
-	return p.serveProtocols(p.settings.PeerAddress(), handler, nodes.ServerProtocols())
+	return p.serveProtocols(p.settings.PeerAddress(), handler, nodes.ServerProtocols(), 0)
 }
 
-func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols) error {
+// serveProtocols listens at an address; answers may take any time where writeTimeout is 0.
+func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols, writeTimeout time.Duration) error {
 	l, err := net.Listen("tcp", p.settings.Listen(address))
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
@@ -83,6 +87,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
 		ErrorLog:          slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelDebug),
@@ -130,6 +135,11 @@
 	return watch.New(source, append([]watch.Option{watch.WithApply(apply), watch.WithLost(lost, regained)}, options...)...)
 }
 
+// datagramFailed logs a reading of a datagram that failed and is tried again.
+func (p *process) datagramFailed(err error) {
+	telemetry.DatagramNotRead.Log(context.Background(), p.logger, "address", p.settings.PeerAddress(), "error", err)
+}
+
 // operator decodes the operators' table and hands it on.
 func (p *process) operator(rows map[string]watch.Row, apply func(platform.Operator)) {
 	o, err := platform.DecodeOperator(rows)
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -305,6 +306,70 @@
 	require.Equal(t, int64(2), s.runs.of(r.attempt)[0].Version)
 }
 
+// once returns a breakage for the first answer of all servers.
+func (s *system) once(b standin.Breakage) {
+	var broken atomic.Bool
+	for _, server := range s.Servers {
+		server.SetBroken(func() standin.Breakage {
+			if broken.Swap(true) {
+				return standin.BreakNone
+			}
+			return b
+		})
+	}
+}
+
+// A stream that is slow and sound is not cut. One whose endpoint sends bytes without
+// end goes on at another endpoint; one that is stalled and drips ends with the time of
+// the request, and not as a whole one.
+func TestSlowAndEndlessStreams(t *testing.T) {
+	slow := standin.SmallEngine
+	slow.Event = 150 * time.Millisecond
+	for _, test := range []struct {
+		name   string
+		broken standin.Breakage
+		whole  bool
+		runs   int
+	}{
+		{"slow", standin.BreakNone, true, 1},
+		{"event without end", standin.BreakFlood, true, 2},
+		{"drips", standin.BreakDrip, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startSystem(t, standin.WithEngines(slow))
+			s.once(test.broken)
+			path := standin.PathStream + "slow"
+			for standin.Events(path) > 8 {
+				path += "-"
+			}
+			begun := time.Now()
+			r := s.call("POST", path, standin.Key)
+			require.Less(t, time.Since(begun), 4*time.Second)
+			require.Equal(t, test.whole, r.broken == nil && r.body == wholeStream(path))
+			require.Len(t, s.runs.of(r.attempt), test.runs)
+		})
+	}
+}
+
+// A server that is silent for a while loses its row. What runs there goes on, and is
+// not started again elsewhere.
+func TestWorkOutlivesTheRow(t *testing.T) {
+	slow := standin.SmallEngine
+	slow.Event = 150 * time.Millisecond
+	s := startSystem(t, standin.WithEngines(slow))
+	path := standin.PathStream + "row"
+	answered := make(chan reply, 1)
+	go func() { answered <- s.call("POST", path, standin.Key) }()
+	require.Eventually(t, func() bool { return len(s.runs.of("attempt-1")) == 1 }, 2*time.Second, 5*time.Millisecond)
+	for id := range s.Store.Rows("servers") {
+		s.Store.Remove("servers", id)
+	}
+	r := <-answered
+	require.NoError(t, r.broken)
+	require.Equal(t, wholeStream(path), r.body)
+	require.Len(t, s.runs.of(r.attempt), 1)
+}
+
 // An endpoint that says that it leaves gets no new work.
 func TestDrainingEndpoint(t *testing.T) {
 	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,6 +20,9 @@
 	defaultTimeout = 30 * time.Second
 	// bodyTimeout bounds the time to read a body.
 	bodyTimeout = 5 * time.Second
+	// unreadTime is how long a caller may leave an answer unread after the request's
+	// time.
+	unreadTime = 5 * time.Second
 	// maxBody bounds a body where the configuration does not.
 	maxBody = 4 << 20
 	// unknownRetryAfter is when to come back to an entry that knows no
@@ -71,8 +74,12 @@
 	if q == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), q.left(g.now()))
+	left := q.left(g.now())
+	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
+	// A caller that reads nothing must not hold the request up for good. A writer
+	// without deadlines is a test's.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(left + unreadTime))
 	g.dispatch(ctx, q, out)
 	out.end(q)
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -219,6 +219,10 @@
 		723, "endpointAsks", slog.LevelInfo,
 		"An endpoint asked, in the head of an answer, for no further requests, or for none for some time.",
 	}
+	DatagramNotRead = Event{
+		724, "datagramNotRead", slog.LevelWarn,
+		"The socket for datagrams failed once; it is read again.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -238,7 +242,7 @@
 		FleetConfigurationInForce, WeightsNamed, EndpointListed, EndpointGone, EndpointRowMalformed, OperatorRowMalformed,
 		StoreLost, StoreRegained, PeerHeard, PeerCopyNotFetched, FleetRequestEnded, FleetAttemptFailed, EntryLeaving,
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
-		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks,
+		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/transport/entries/entries.go
+++ b/internal/transport/entries/entries.go
@@ -15,8 +15,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -65,20 +67,36 @@
 	return eris.Wrap(err, "entries")
 }
 
-// Receive hands on each datagram until ctx ends. What does not decode is dropped:
-// anyone may send a datagram.
-func (c *Conn) Receive(ctx context.Context, take func(m *nodev1.Datagram)) error {
+// Bounds of failed readings. One may be the network's word on a datagram that was sent;
+// a socket that fails for a second is of no use any more.
+const (
+	receivePause = 50 * time.Millisecond
+	maxFailures  = 20 // in a row
+)
+
+// Receive hands on each datagram until ctx ends or the socket is of no use. What does
+// not decode is dropped: anyone may send a datagram. A reading that fails is reported
+// and tried again.
+func (c *Conn) Receive(ctx context.Context, take func(m *nodev1.Datagram), failed func(err error)) error {
 	stop := context.AfterFunc(ctx, func() { c.udp.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagram)
+	failures := 0
 	for {
 		n, _, err := c.udp.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		if err != nil {
-			return eris.Wrap(err, "entries")
+			failures++
+			if failures > maxFailures || errors.Is(err, net.ErrClosed) {
+				return eris.Wrap(err, "entries")
+			}
+			failed(err)
+			time.Sleep(receivePause)
+			continue
 		}
+		failures = 0
 		m := &nodev1.Datagram{}
 		if proto.Unmarshal(buf[:n], m) == nil {
 			take(m)
--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	got := make(chan *nodev1.Datagram, 1)
 	ended := make(chan error, 1)
-	go func() { ended <- b.Receive(ctx, func(m *nodev1.Datagram) { got <- m }) }()
+	go func() { ended <- b.Receive(ctx, func(m *nodev1.Datagram) { got <- m }, func(error) {}) }()
 	to := b.udp.LocalAddr().String()
 	_, err = a.udp.WriteTo([]byte{0xff, 0xff, 0xff}, b.udp.LocalAddr())
 	require.NoError(t, err, "what does not decode is dropped")
@@ -36,6 +36,30 @@
 	require.ErrorIs(t, <-ended, context.Canceled)
 }
 
+// A reading that fails does not end the process that waits for datagrams; a socket that
+// keeps failing does.
+func TestFailedReadings(t *testing.T) {
+	a, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	b, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	failures := make(chan error, 2*maxFailures)
+	got := make(chan *nodev1.Datagram, 1)
+	ended := make(chan error, 1)
+	fail := func() { require.NoError(t, b.udp.SetReadDeadline(time.Unix(1, 0))) }
+	fail()
+	go func() {
+		ended <- b.Receive(t.Context(), func(m *nodev1.Datagram) { got <- m }, func(err error) { failures <- err })
+	}()
+	require.Error(t, <-failures)
+	require.NoError(t, b.udp.SetReadDeadline(time.Time{}))
+	m := &nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: &nodev1.EntrySummary{Address: "x"}}}
+	require.NoError(t, a.Send(b.udp.LocalAddr().String(), m))
+	require.Equal(t, "x", (<-got).GetSummary().GetAddress())
+	fail()
+	require.Error(t, <-ended)
+}
+
 func tableOf(t *testing.T, rows ...watch.Row) *watch.Table {
 	t.Helper()
 	w := watch.New(watch.Source{}, watch.WithClock(func() time.Duration { return time.Minute }))
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -12,6 +12,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // errNoCopy is returned for a table that the entry has no copy of yet.
@@ -82,9 +83,10 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c := &Client{learn: func([]string) {}}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		IdleConnTimeout:    idleConnTimeout,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
 	}}
 	for _, o := range options {
 		o(c)
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -26,6 +26,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
+
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // Defaults of the transport.
@@ -101,12 +103,13 @@
 
 func newTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      bufferSize,
-		WriteBufferSize:     bufferSize,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
 	}
 }
 
@@ -116,11 +119,12 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:        dialer.DialContext,
-		IdleConnTimeout:    c.idle,
-		DisableCompression: true,
-		Protocols:          &protocols,
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: c.pingAfter, PingTimeout: c.pingTimeout},
+		DialContext:            dialer.DialContext,
+		IdleConnTimeout:        c.idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
+		Protocols:              &protocols,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: c.pingAfter, PingTimeout: c.pingTimeout},
 	}
 }
 
--- a/internal/transport/objects/objects.go
+++ b/internal/transport/objects/objects.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // Errors of the store.
@@ -94,11 +96,12 @@
 func New(baseURL string, options ...Option) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		MaxIdleConnsPerHost:   idleConnsAHost,
-		IdleConnTimeout:       idleConnTimeout,
-		ResponseHeaderTimeout: headerTimeout,
-		DisableCompression:    true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnsAHost,
+		IdleConnTimeout:        idleConnTimeout,
+		ResponseHeaderTimeout:  headerTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
 	}
 	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), http: &http.Client{Transport: transport}}
 	for _, o := range options {
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // ErrNotSent is returned when no connection was had, so that the peer has
@@ -53,10 +55,11 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnsAHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    idleConnsAHost,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
 	}
 }
 
--- a/internal/transport/tcp/tcp.go
+++ b/internal/transport/tcp/tcp.go
@@ -1,4 +1,5 @@
-// Package tcp sets options of connections that package net has none for.
+// Package tcp sets options of connections that package net has none for, and bounds that
+// all clients have in common.
 //
 // # Usage
 //
@@ -12,6 +13,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// MaxHead bounds the head of an answer, in bytes, for every client of the system: a peer
+// may send one without end.
+const MaxHead = 64 << 10
+
 // UserTimeout returns a dialer's control function that ends a connection whose bytes
 // are not acknowledged in time: a machine without power and one behind a partition
 // send no reset.
