--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -38,6 +38,7 @@
 	copies    *copies
 	fleet     atomic.Pointer[fleet.Configuration]
 	endpoints atomic.Pointer[[]*fleet.Endpoint]
+	decoder   platform.EndpointDecoder // used by the watcher of endpoints alone
 	origin    atomic.Pointer[originClient]
 }
 
@@ -252,7 +253,7 @@
 	if c == nil {
 		return
 	}
-	list, _ := platform.DecodeEndpoints(rows, c) // the entries report rows that can't be read
+	list, _ := a.decoder.Decode(rows, c) // the entries report rows that can't be read
 	a.endpoints.Store(&list)
 }
 
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -59,9 +59,10 @@
 	client    *entries.Client
 
 	// rows are kept to be decoded again when a configuration names new services.
-	rowsMu sync.Mutex
-	rows   map[string]watch.Row
-	faults map[string]int64 // version of each malformed row that was reported
+	rowsMu  sync.Mutex
+	rows    map[string]watch.Row
+	decoder platform.EndpointDecoder
+	faults  map[string]int64 // version of each malformed row that was reported
 }
 
 // RunEntry runs an entry until ctx ends, and then until its requests are
@@ -166,7 +167,7 @@
 	if c == nil || e.rows == nil {
 		return
 	}
-	list, failures := platform.DecodeEndpoints(e.rows, c)
+	list, failures := e.decoder.Decode(e.rows, c)
 	for _, f := range failures {
 		if e.faults[f.Key] == f.Version {
 			continue
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+// Anyone may send a datagram: none ends the process, or makes what it keeps grow.
+func FuzzDatagram(f *testing.F) {
+	seed := func(m *nodev1.Datagram) {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	seed(&nodev1.Datagram{})
+	seed(&nodev1.Datagram{Content: &nodev1.Datagram_Summary{Summary: &nodev1.EntrySummary{
+		Address: "10.0.0.2:1", Region: "riga", Echo: uint64(59 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second),
+		Endpoints: []uint32{1, 2}, InFlight: []uint32{1}, Unread: []uint32{1 << 31}, Suspects: []uint64{1, 2}, Crashes: []uint32{3},
+		Refused: []uint64{1, 2}, RefusedAgeMs: []uint32{1}, Weights: []*nodev1.NamedWeights{{Model: "m", Version: 9, AgeUs: 1 << 63, Exact: true}},
+	}}})
+	seed(&nodev1.Datagram{Content: &nodev1.Datagram_Notice{Notice: &nodev1.EndpointNotice{Address: "10.0.0.9:1", Model: "m", Version: -1}}})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m nodev1.Datagram
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		g := newGateway(&clock{at: time.Minute}, WithVersionBound(8*time.Second, func(NamedVersion) {}))
+		g.ApplyOperator(fleet.NewConfiguration(1), nil)
+		g.ApplyEndpoints([]*fleet.Endpoint{fleet.NewEndpoint("e", "s", "10.0.0.9:1")})
+		for range 2 {
+			if s := m.GetSummary(); s != nil {
+				g.Hear(t.Context(), s)
+			}
+			if n := m.GetNotice(); n != nil {
+				g.Notice(t.Context(), n)
+			}
+			g.sendSummaries(true)
+			g.tellAgents()
+		}
+	})
+}
