Entries that start read the operators' rows in turn, and press less on a store that is away

Cause: each of 148 entries read the operators' rows at its start, and wrote and read its own rows every 300 ms while the store was away. Now one entry of a region reads, the others take the rows over 100 ms later, as they do with the list of endpoints; failed rows are tried again after 0.3 to 2.4 s.

Tried and reverted: agents that ask entries alone for their first second.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -34,8 +34,11 @@
 	// discoverInterval is how often one entry of a region reads the rows of entries,
 	// for entries that no seed and no peer knows.
 	discoverInterval = 12 * time.Second
-	discoverRetry    = 300 * time.Millisecond
-	fetchTimeout     = 1500 * time.Millisecond
+	// discoverRetry doubles with each failure up to longestRetry, so that the entries of
+	// a fleet do not press on a store that is away.
+	discoverRetry = 300 * time.Millisecond
+	longestRetry  = 2400 * time.Millisecond
+	fetchTimeout  = 1500 * time.Millisecond
 	// lingerTime is how long an entry that leaves still takes requests, for callers
 	// that keep an older address answer. A request that came later could not be
 	// answered before the process is killed.
@@ -226,6 +229,7 @@
 	go func() {
 		defer close(done)
 		written, weights, read := false, false, false
+		retry := discoverRetry
 		for {
 			weights = weights || e.readWeights(ctx)
 			written = written || e.announce(ctx)
@@ -234,7 +238,10 @@
 			}
 			wait := discoverInterval
 			if !weights || !written || !read {
-				wait = discoverRetry
+				wait = retry
+				retry = min(2*retry, longestRetry)
+			} else {
+				retry = discoverRetry
 			}
 			if !sleep(ctx, wait/2+rand.N(wait)) {
 				return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -312,6 +312,9 @@
 // region does, and two where there is one region; the others take rows and
 // confirmations over from them, and follow the store too when those become old.
 func (g *Gateway) Watching() bool {
+	if g.view.Load().configuration == nil {
+		return g.inTurn()
+	}
 	age, known := g.age()
 	r := g.rank()
 	watchers := 1
@@ -324,14 +327,19 @@
 	return age > staleAge+min(time.Duration(r.region)*staleStep, staleSteps)
 }
 
-// WatchingEndpoints reports whether this entry follows the store's list of endpoints. A
-// process that has none takes it over from another one of its region, or asks the store
-// when its turn comes: the list of a large fleet, read by all that start together, would
-// fill the link to the store's region for many times as long as one reading takes.
+// WatchingEndpoints reports whether this entry follows the store's list of endpoints.
 func (g *Gateway) WatchingEndpoints() bool {
 	if g.view.Load().listed {
 		return g.Watching()
 	}
+	return g.inTurn()
+}
+
+// inTurn reports whether an entry that has no copy of a table yet may ask the store for
+// it. It takes the copy over from another one of its region, or asks when its turn
+// comes: the tables of a large fleet, read by all that start together, would fill the
+// link to the store's region for many times as long as one reading takes.
+func (g *Gateway) inTurn() bool {
 	return g.now()-g.started >= hearTime+time.Duration(g.rank().region)*listStep
 }
 
