Placement allows for the lag of first events under overload

Cause: under overload an engine reads prompts that come after a request before it writes the request's first event.

What changed: the pool follows the time within which 80 in 100 answers begin after their prediction, and allows for it, up to 0.4 of the target, in what may wait and what is placed.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -49,6 +49,7 @@
 	waiting   queue   // for an answer in time
 	late      queue   // their targets have passed
 	sinceLate int     // placements since the last late one
+	lag       lag     // of the first events
 	slack     float64 // share of placements for which nobody else waited
 	held      time.Duration
 	usualGap  time.Duration // median over the endpoints
@@ -212,7 +213,7 @@
 // admits reports whether a request that has just come may take the place at which
 // its answer would begin after first.
 func (p *Pool) admits(now time.Duration, t *Ticket, first time.Duration) bool {
-	if t.meets(now, first) {
+	if p.meets(now, t, first) {
 		return true
 	}
 	return p.late.ahead(t) == 0 && p.lateFits(t.request, first)
@@ -324,6 +325,9 @@
 		e.own.Unread -= c.unreadLeft()
 		e.hold.answered(c.placed)
 	}
+	if p.model.Pass > 0 && !c.began {
+		p.lag.learn(now - c.placed - c.first)
+	}
 	c.began = true
 	p.pump(now)
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -191,8 +192,31 @@
 
 // Half as many requests again as the endpoints carry, for ten seconds; who is refused
 // comes back once when told to. What the endpoints carry is answered in time but for
-// the share of those who come back, and few of them are turned away again.
+// the share of those who come back, and few of them are turned away again. Engines that
+// read other prompts first begin their answers later than predicted: then requests are
+// placed earlier or not at all, so that no fewer are in time.
 func TestLastingOverload(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		lag    time.Duration // mean time by which answers begin late
+		inTime float64       // share of what the endpoints carry
+	}{
+		{"as predicted", 0, 0.7},
+		{"later than predicted", 90 * ms, 0.75},
+	} {
+		o := playOverload(t, test.lag)
+		t.Logf("%s: %d carried: %d in time, %d late; %d came back, %d of them in vain", test.name, o.carried, o.inTime, o.late, o.returned, o.lost)
+		require.GreaterOrEqual(t, float64(o.inTime), test.inTime*float64(o.carried), test.name)
+		require.GreaterOrEqual(t, float64(o.inTime+o.late), 0.97*float64(o.carried), test.name)
+	}
+}
+
+// overload is what became of the requests of a played overload.
+type overload struct {
+	carried, inTime, late, returned, lost int
+}
+
+func playOverload(t *testing.T, lag time.Duration) overload {
 	const (
 		endpoints = 4
 		slots     = 12
@@ -219,7 +243,7 @@
 	}
 	var waiting, running []*caller
 	returns := map[time.Duration][]*caller{}
-	inTime, late, lost, returned := 0, 0, 0, 0
+	o := overload{carried: seconds * endpoints * slots * int(time.Second) / int(held)}
 	for now := time.Duration(0); now < (seconds+8)*time.Second; now += step {
 		still := running[:0]
 		for _, c := range running {
@@ -249,19 +273,19 @@
 			case v := <-c.ticket.Verdict():
 				switch {
 				case v.Placed():
-					first := now + v.Choice().First()
+					first := now + v.Choice().First() + time.Duration(-math.Log(1-random())*float64(lag))
 					if first <= c.request.Arrived+c.request.Target {
-						inTime++
+						o.inTime++
 					} else {
-						late++
+						o.late++
 					}
 					c.choice, c.began, c.ends = v.Choice(), first, now+held
 					running = append(running, c)
 				case c.returned:
-					lost++
+					o.lost++
 				default:
 					c.returned = true
-					returned++
+					o.returned++
 					at := now + v.RetryAfter()/step*step + step
 					returns[at] = append(returns[at], c)
 				}
@@ -272,10 +296,7 @@
 		waiting = unsettled
 	}
 	require.Empty(t, running)
-	carried := seconds * endpoints * slots * int(time.Second) / int(held)
-	t.Logf("%d carried in %d s: %d in time, %d late; %d came back, %d of them in vain", carried, seconds, inTime, late, returned, lost)
-	require.GreaterOrEqual(t, float64(inTime), 0.7*float64(carried))
-	require.GreaterOrEqual(t, float64(inTime+late), 0.97*float64(carried))
+	return o
 }
 
 // The list may show for seconds what an endpoint no longer has.
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -9,9 +9,6 @@
 const (
 	// minUsefulWait is the least wait worth queueing for.
 	minUsefulWait = 20 * time.Millisecond
-	// punctualMargin covers the way of the first event to the caller and half of the
-	// usual error of its prediction.
-	punctualMargin = 40 * time.Millisecond
 	// maxLateWait bounds the wait of a request whose target has passed: callers give a
 	// stream up that shows no event for two seconds.
 	maxLateWait = 1200 * time.Millisecond
@@ -96,13 +93,13 @@
 		t.expires = r.Deadline
 		return
 	}
-	t.punctual = min(r.Arrived+r.Target-p.idleFirst(r)-punctualMargin, r.Deadline)
+	t.punctual = min(r.Arrived+r.Target-p.idleFirst(r)-p.lag.margin(r.Target), r.Deadline)
 }
 
-// meets reports whether an answer that begins after first is in time.
-func (t *Ticket) meets(now, first time.Duration) bool {
+// meets reports whether an answer that is predicted to begin after first is in time.
+func (p *Pool) meets(now time.Duration, t *Ticket, first time.Duration) bool {
 	r := t.request
-	return r.Target == 0 || r.Again || now+first+punctualMargin <= r.Arrived+r.Target
+	return r.Target == 0 || r.Again || now+first+p.lag.margin(r.Target) <= r.Arrived+r.Target
 }
 
 // lateFits reports whether the prompts that wait at an endpoint leave room for a
@@ -237,7 +234,7 @@
 		if e == nil && len(t.request.Exclude) == 0 {
 			return false
 		}
-		if e != nil && t.meets(now, first) {
+		if e != nil && p.meets(now, t, first) {
 			p.waiting.remove(t)
 			p.place(now, t, e, first)
 			return true
