Agents that start ask entries first; endpoints that came before the configuration are read again

Cause: an agent that had the list of endpoints before the configuration dropped it and never read it again: it found no peers, and staged nothing for as long as no endpoint changed. With both, a start of the fleet reads the operators' rows once for a region instead of once for each agent.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -49,7 +49,8 @@
 	waiting   queue   // for an answer in time
 	late      queue   // their targets have passed
 	sinceLate int     // placements since the last late one
-	lag       lag     // of the first events
+	homeLag   lag     // of the first events
+	awayLag   lag     // what others have just sent there is not known
 	slack     float64 // share of placements for which nobody else waited
 	held      time.Duration
 	usualGap  time.Duration // median over the endpoints
@@ -201,7 +202,7 @@
 	p.schedule(now, t)
 	if t.queued = p.waiting.ahead(t); t.queued == 0 {
 		e, first := p.best(now, r)
-		if e != nil && p.admits(now, t, first) {
+		if e != nil && p.admits(now, t, e, first) {
 			p.place(now, t, e, first)
 			return t
 		}
@@ -210,10 +211,18 @@
 	return t
 }
 
+// lagOf returns the lag of the own homes, or of other entries' homes.
+func (p *Pool) lagOf(home bool) *lag {
+	if home {
+		return &p.homeLag
+	}
+	return &p.awayLag
+}
+
 // admits reports whether a request that has just come may take the place at which
 // its answer would begin after first.
-func (p *Pool) admits(now time.Duration, t *Ticket, first time.Duration) bool {
-	if p.meets(now, t, first) {
+func (p *Pool) admits(now time.Duration, t *Ticket, e *endpoint, first time.Duration) bool {
+	if p.meets(now, t, e, first) {
 		return true
 	}
 	return p.late.ahead(t) == 0 && p.lateFits(t.request, first)
@@ -326,7 +335,7 @@
 		e.hold.answered(c.placed)
 	}
 	if p.model.Pass > 0 && !c.began {
-		p.lag.learn(now - c.placed - c.first)
+		p.lagOf(c.Home).learn(now - c.placed - c.first)
 	}
 	c.began = true
 	p.pump(now)
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -480,6 +480,31 @@
 	}
 }
 
+// The margin follows the answers that begin late, for the own homes and for those of
+// others apart, and goes back when they begin as predicted.
+func TestLag(t *testing.T) {
+	for _, home := range []bool{true, false} {
+		p := newPool(candidates(1, 8, home))
+		p.endpoints["e0"].allowance = 1000
+		begin := func(late time.Duration, answers int) {
+			for range answers {
+				c := verdict(t, p.Offer(0, Request{Deadline: time.Hour, Prompt: 100})).Choice()
+				p.Began(c.First()+late, &c)
+				p.Release(c.First()+late, c, Cancelled)
+			}
+		}
+		margin := func(home bool) time.Duration { return p.lagOf(home).margin(500 * ms) }
+		require.Equal(t, leastLag, margin(home))
+		begin(150*ms, 100)
+		require.InDelta(t, float64(150*ms), float64(margin(home)), float64(2*lagStep))
+		require.Equal(t, leastLag, margin(!home))
+		begin(time.Second, 100)
+		require.Equal(t, 200*ms, margin(home), "a share of the target at most")
+		begin(0, 800)
+		require.Equal(t, leastLag, margin(home))
+	}
+}
+
 func TestHomes(t *testing.T) {
 	for _, test := range []struct {
 		name      string
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -93,13 +93,13 @@
 		t.expires = r.Deadline
 		return
 	}
-	t.punctual = min(r.Arrived+r.Target-p.idleFirst(r)-p.lag.margin(r.Target), r.Deadline)
+	t.punctual = min(r.Arrived+r.Target-p.idleFirst(r)-p.homeLag.margin(r.Target), r.Deadline)
 }
 
 // meets reports whether an answer that is predicted to begin after first is in time.
-func (p *Pool) meets(now time.Duration, t *Ticket, first time.Duration) bool {
+func (p *Pool) meets(now time.Duration, t *Ticket, e *endpoint, first time.Duration) bool {
 	r := t.request
-	return r.Target == 0 || r.Again || now+first+p.lag.margin(r.Target) <= r.Arrived+r.Target
+	return r.Target == 0 || r.Again || now+first+p.lagOf(e.Home).margin(r.Target) <= r.Arrived+r.Target
 }
 
 // lateFits reports whether the prompts that wait at an endpoint leave room for a
@@ -234,7 +234,7 @@
 		if e == nil && len(t.request.Exclude) == 0 {
 			return false
 		}
-		if e != nil && p.meets(now, t, first) {
+		if e != nil && p.meets(now, t, e, first) {
 			p.waiting.remove(t)
 			p.place(now, t, e, first)
 			return true
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -135,6 +135,8 @@
 		}
 		a.fleet.Store(o.Configuration)
 		a.setOrigin(o.Configuration)
+		// Rows of endpoints that came before could not be read.
+		a.copies.listed.Table().Reapply()
 		s := o.Configuration.Services()[a.settings.Service()]
 		if s == nil || s.Engine() == nil {
 			return
--- a/internal/fleetprocess/copies.go
+++ b/internal/fleetprocess/copies.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -22,6 +24,9 @@
 	refreshRetry    = 500 * time.Millisecond
 	// entriesAsked of all entries are tried before the store is.
 	entriesAsked = 2
+	// entriesPatience is how long after its start an agent asks entries alone: they may
+	// be starting too, and the agents of a fleet would fill the store's link.
+	entriesPatience = time.Second
 )
 
 // copies are an agent's copies of the store's tables. They are brought up to date
@@ -32,6 +37,7 @@
 	client    *entries.Client
 	operators *watch.Watcher
 	listed    *watch.Watcher
+	started   time.Duration
 
 	mu    sync.Mutex
 	known []string // peer addresses of entries that place requests, and of the own region
@@ -44,6 +50,7 @@
 		operators: a.watch(platform.TableOperator, a.applyOperator, watch.WithWait(0)),
 		listed:    a.watch(platform.TableEndpoints, a.applyEndpoints, watch.WithWait(0)),
 		known:     a.settings.Seeds(),
+		started:   boottime.Now(),
 	}
 	c.client = entries.NewClient(entries.WithRegion(a.settings.Region(), c.learnNear))
 	return c
@@ -128,9 +135,15 @@
 		}
 		telemetry.PeerCopyNotFetched.Log(ctx, c.agent.logger, "peer", address, "table", name.String(), "error", err)
 	}
+	if boottime.Now()-c.started < entriesPatience {
+		return errNoEntry
+	}
 	return w.Step(ctx)
 }
 
+// errNoEntry is returned while no entry has answered and the store is not asked yet.
+var errNoEntry = eris.New("no entry has answered")
+
 func (c *copies) fetch(ctx context.Context, address string, name nodev1.Table, w *watch.Watcher) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
