Fewer calls to the store while it is away, and while endpoints change

While the store is away for 8 s every entry asks for two tables, first after 50 ms, then every 0.8 s at the latest; followers ask for endpoints up to four times a second as servers join. Now an entry of rank r in its region waits r x 100 ms after a failed call, 2 s at most, the first two as before; changes of endpoints of 0.4 s gather in a call (0.25 s before; the strictest bound on an endpoint that leaves is 2 s).

Ruled out: one follower for all regions; what another region confirms is up to 1.5 s old, too near the age at which entries ask themselves.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -70,15 +70,16 @@
 
 // Watcher keeps the copy of one table. Run is called once.
 type Watcher struct {
-	source Source
-	table  *Table
-	lost   func(err error)
-	regain func(down time.Duration)
-	now    func() time.Duration
-	random func() float64
-	active func() bool
-	wait   time.Duration
-	pause  time.Duration
+	source   Source
+	table    *Table
+	lost     func(err error)
+	regain   func(down time.Duration)
+	now      func() time.Duration
+	random   func() float64
+	active   func() bool
+	patience func() time.Duration
+	wait     time.Duration
+	pause    time.Duration
 
 	relist   bool // the history after the copy is gone
 	failures int
@@ -115,6 +116,12 @@
 // gather that would cost a call each.
 func WithPause(d time.Duration) Option { return func(w *Watcher) { w.pause = d } }
 
+// WithPatience sets what tells the least wait after a failed call; the default is none.
+// Of many processes that ask a store which is away, most need not ask often.
+func WithPatience(patience func() time.Duration) Option {
+	return func(w *Watcher) { w.patience = patience }
+}
+
 // WithHold sets how long after the store's return removed rows are held.
 func WithHold(d time.Duration) Option { return func(w *Watcher) { w.table.hold = d } }
 
@@ -136,14 +143,15 @@
 // New returns a Watcher of a table.
 func New(source Source, options ...Option) *Watcher {
 	w := &Watcher{
-		source: source,
-		table:  newTable(func(map[string]Row) {}, boottime.Now, 0),
-		lost:   func(error) {},
-		regain: func(time.Duration) {},
-		now:    boottime.Now,
-		random: rand.Float64,
-		active: func() bool { return true },
-		wait:   defaultWait,
+		source:   source,
+		table:    newTable(func(map[string]Row) {}, boottime.Now, 0),
+		lost:     func(error) {},
+		regain:   func(time.Duration) {},
+		now:      boottime.Now,
+		random:   rand.Float64,
+		active:   func() bool { return true },
+		patience: func() time.Duration { return 0 },
+		wait:     defaultWait,
 	}
 	w.table.returned = func() time.Duration { return w.back }
 	for _, o := range options {
@@ -255,5 +263,6 @@
 	if w.failures < 5 {
 		bound = min(firstBackoff<<w.failures, maxBackoff)
 	}
+	bound = max(bound, w.patience())
 	return time.Duration((0.5 + w.random()/2) * float64(bound))
 }
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -186,3 +186,27 @@
 	<-ended
 	require.Empty(t, f.script.calls)
 }
+
+// Failed calls are at least so far apart as the patience says, less what spreads them.
+func TestPatience(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		patience time.Duration
+		failures int
+		least    time.Duration
+		most     time.Duration
+	}{
+		{"none", 0, 1, firstBackoff, 2 * firstBackoff},
+		{"longer than the backoff", 2 * time.Second, 1, time.Second, 2 * time.Second},
+		{"shorter than the backoff", 100 * time.Millisecond, 9, maxBackoff / 2, maxBackoff},
+	} {
+		f := newFixture()
+		WithPatience(func() time.Duration { return test.patience })(f.Watcher)
+		f.failures = test.failures
+		for range 50 {
+			wait := f.backoff()
+			require.GreaterOrEqual(t, wait, test.least, test.name)
+			require.LessOrEqual(t, wait, test.most, test.name)
+		}
+	}
+}
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -30,7 +30,7 @@
 	endpointsWait = 3 * time.Second
 	// endpointsPause gathers the changes of a second in a few calls. An endpoint that
 	// leaves is known long before the two seconds that it goes on serving.
-	endpointsPause = 250 * time.Millisecond
+	endpointsPause = 400 * time.Millisecond
 	// discoverInterval is how often one entry of a region reads the rows of entries,
 	// for entries that no seed and no peer knows.
 	discoverInterval = 12 * time.Second
@@ -77,8 +77,9 @@
 	}
 	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), faults: make(map[string]int64)}
 	watching := watch.WithActive(func() bool { return e.gateway.Watching() })
-	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching)
-	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, watch.WithWait(endpointsWait), watch.WithPause(endpointsPause), watch.WithHold(lapseHold),
+	patience := watch.WithPatience(func() time.Duration { return e.gateway.StorePatience() })
+	e.operators = e.watch(platform.TableOperator, e.applyOperator, watch.WithWait(operatorWait), watching, patience)
+	e.listed = e.watch(platform.TableEndpoints, e.applyEndpoints, patience, watch.WithWait(endpointsWait), watch.WithPause(endpointsPause), watch.WithHold(lapseHold),
 		watch.WithActive(func() bool { return e.gateway.WatchingEndpoints() }),
 		watch.WithReturned(func() time.Duration { return e.gateway.StoreReturned() }))
 	e.gateway = e.newGateway()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -335,6 +335,17 @@
 	return g.inTurn()
 }
 
+// StorePatience returns the least wait after a call to the store that failed. While the
+// store is away its return is found by the first entries of a region, who tell the
+// others at once.
+func (g *Gateway) StorePatience() time.Duration {
+	r := g.rank()
+	if r.region < fewestWatchers {
+		return 0
+	}
+	return min(time.Duration(r.region)*patienceStep, longestPatience)
+}
+
 // inTurn reports whether an entry that has no copy of a table yet may ask the store for
 // it. It takes the copy over from another one of its region, or asks when its turn
 // comes: the tables of a large fleet, read by all that start together, would fill the
@@ -380,6 +391,11 @@
 	// that one reading takes between regions.
 	hearTime = 150 * time.Millisecond
 	listStep = 250 * time.Millisecond
+	// patienceStep times its rank is how long an entry waits after a failed call, up to
+	// longestPatience: where the store serves single machines only, a few of those that
+	// ask must be among them before keys may not be used any more.
+	patienceStep    = 100 * time.Millisecond
+	longestPatience = 2 * time.Second
 	// outageAge is the age of the confirmation from which the store counts as away:
 	// every entry has asked it by then.
 	outageAge    = 2 * time.Second
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -315,6 +315,28 @@
 	require.True(t, g.Watching(), "the confirmation is old")
 }
 
+// While the store is away the first two of a region go on asking as before, the others
+// less often.
+func TestStorePatience(t *testing.T) {
+	for _, test := range []struct {
+		before   int // entries of the region that come first
+		patience time.Duration
+	}{
+		{0, 0},
+		{1, 0},
+		{2, 2 * patienceStep},
+		{10, 10 * patienceStep},
+		{60, longestPatience},
+	} {
+		c := &clock{at: 10 * time.Second}
+		g := newGateway(c)
+		for i := range test.before {
+			g.Hear(t.Context(), &nodev1.EntrySummary{Address: fmt.Sprintf("10.0.0.0:%02d", i), Region: "riga"})
+		}
+		require.Equal(t, test.patience, g.StorePatience(), test.before)
+	}
+}
+
 // Entries that start together read the operators' rows one after the other, too.
 func TestOperatorRowsInTurn(t *testing.T) {
 	c := &clock{at: 10 * time.Second}
