--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -146,14 +146,14 @@
 		if q.learned == 0 {
 			q.learned = now
 		}
-		if now-max(q.heard, q.learned) > forgottenAfter {
-			delete(p.known, address)
-			continue
-		}
 		alive := p.alive(q, now)
 		if !alive && len(q.work) > 0 {
 			p.setWork(q, nil)
 		}
+		if now-max(q.heard, q.learned) > forgottenAfter {
+			delete(p.known, address)
+			continue
+		}
 		if tell && len(r.peers) < toldPeers && alive {
 			r.peers = append(r.peers, address)
 		}
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -236,4 +236,8 @@
 	c.at += 10 * time.Second
 	g.sendSummaries(false)
 	require.Empty(t, g.peers.work())
+	tell("10.0.0.2:1", 4)
+	c.at += 2 * forgottenAfter // a suspension, in which no round was made
+	g.sendSummaries(false)
+	require.Empty(t, g.peers.work(), "forgotten without having been silent before")
 }
