--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -351,6 +351,27 @@
 	}
 }
 
+// A caller that reads nothing of an answer does not hold its request for good.
+func TestUnreadAnswerEnds(t *testing.T) {
+	s := startSystem(t)
+	s.once(standin.BreakPour)
+	front := s.Front(s.Entries[0])
+	request, err := standin.NewRequest("POST", front, standin.PathStream+"unread", "unread-1", standin.Key, 500*time.Millisecond)
+	require.NoError(t, err)
+	c, err := net.Dial("tcp", front)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, request.Write(c))
+	require.Eventually(t, func() bool {
+		for line := range strings.Lines(s.logs.String()) {
+			if strings.Contains(line, `"msg":"fleetRequestEnded"`) && strings.Contains(line, `"request":"unread-1"`) {
+				return true
+			}
+		}
+		return false
+	}, 15*time.Second, 100*time.Millisecond)
+}
+
 // A server that is silent for a while loses its row. What runs there goes on, and is
 // not started again elsewhere.
 func TestWorkOutlivesTheRow(t *testing.T) {
