A start of the fleet: turns of one's own, agents take rows from their region alone

Entries that have just started know nobody, so that each takes itself for the first; agents ask seeds, which stand in other regions, for the whole of the operators' rows. Both fill links of 25 Mbit/s.

What changed: before an entry knows others it waits for a turn that follows from its address, spread over a second, for the operators' rows, the endpoints and the rows of entries; agents ask the seeds which entries stand in their region, a small question, and take rows from those, for their first two seconds.

Shown: TestStartTurns, TestSync (entries are named without a copy), the tests of turns.

--- a/internal/fleetprocess/copies.go
+++ b/internal/fleetprocess/copies.go
@@ -21,12 +21,14 @@
 	// refreshInterval is how often the operators' rows are asked for. Entries tell
 	// agents of new versions; this finds what they could not tell.
 	refreshInterval = 6 * time.Second
-	refreshRetry    = 500 * time.Millisecond
+	refreshRetry    = 300 * time.Millisecond
 	// entriesAsked of all entries are tried before the store is.
 	entriesAsked = 2
 	// entriesPatience is how long after its start an agent asks entries alone: they may
 	// be starting too, and the agents of a fleet would fill the store's link.
-	entriesPatience = time.Second
+	entriesPatience = 2 * time.Second
+	// entriesTimeout bounds the question which entries there are.
+	entriesTimeout = 500 * time.Millisecond
 )
 
 // copies are an agent's copies of the store's tables. They are brought up to date
@@ -77,14 +79,17 @@
 }
 
 // toAsk returns the entries to ask for rows, in order: one of the own region, then two
-// of all.
-func (c *copies) toAsk() []string {
+// of all, unless the fleet is starting.
+func (c *copies) toAsk(starting bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []string
 	if len(c.near) > 0 {
 		list = append(list, c.near[rand.IntN(len(c.near))])
 	}
+	if starting {
+		return list
+	}
 	for i, n := range rand.Perm(len(c.known)) {
 		if i < entriesAsked {
 			list = append(list, c.known[n])
@@ -128,19 +133,45 @@
 // sync brings a copy up to date.
 func (c *copies) sync(ctx context.Context, name nodev1.Table) error {
 	w := c.watcher(name)
-	for _, address := range c.toAsk() {
+	starting := boottime.Now()-c.started < entriesPatience
+	if starting && !c.knowsNear(ctx) {
+		return errNoEntry
+	}
+	for _, address := range c.toAsk(starting) {
 		err := c.fetch(ctx, address, name, w)
 		if err == nil {
 			return nil
 		}
 		telemetry.PeerCopyNotFetched.Log(ctx, c.agent.logger, "peer", address, "table", name.String(), "error", err)
 	}
-	if boottime.Now()-c.started < entriesPatience {
+	if starting {
 		return errNoEntry
 	}
 	return w.Step(ctx)
 }
 
+// knowsNear reports whether an entry of the own region is known, and asks the seeds for
+// some where none is: rows come from the own region, since those of many agents that
+// start together would fill the links between regions.
+func (c *copies) knowsNear(ctx context.Context) bool {
+	c.mu.Lock()
+	known, seeds := len(c.near) > 0, c.known
+	c.mu.Unlock()
+	for _, address := range seeds {
+		if known {
+			return true
+		}
+		ctx, cancel := context.WithTimeout(ctx, entriesTimeout)
+		list, err := c.client.Entries(ctx, address)
+		cancel()
+		if err != nil {
+			telemetry.PeerCopyNotFetched.Log(ctx, c.agent.logger, "peer", address, "table", "entries", "error", err)
+		}
+		known = len(list) > 0
+	}
+	return known
+}
+
 // errNoEntry is returned while no entry has answered and the store is not asked yet.
 var errNoEntry = eris.New("no entry has answered")
 
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -231,6 +231,10 @@
 		defer close(done)
 		written, weights, read := false, false, false
 		retry := discoverRetry
+		written = e.announce(ctx)
+		if !sleep(ctx, e.gateway.StartTurn()) {
+			return
+		}
 		for {
 			weights = weights || e.readWeights(ctx)
 			written = written || e.announce(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -349,9 +349,18 @@
 // inTurn reports whether an entry that has no copy of a table yet may ask the store for
 // it. It takes the copy over from another one of its region, or asks when its turn
 // comes: the tables of a large fleet, read by all that start together, would fill the
-// link to the store's region for many times as long as one reading takes.
+// link to the store's region for many times as long as one reading takes. While the
+// entries do not know each other a turn of their own keeps them apart.
 func (g *Gateway) inTurn() bool {
-	return g.now()-g.started >= hearTime+time.Duration(g.rank().region)*listStep
+	turn := max(time.Duration(g.rank().region)*listStep, g.StartTurn())
+	return g.now()-g.started >= hearTime+turn
+}
+
+// StartTurn returns how long after its start this entry asks for what all entries that
+// start together want. It follows from the own address.
+func (g *Gateway) StartTurn() time.Duration {
+	share := float64(endpointHash(g.self.PeerAddress)) / (1 << 32)
+	return time.Duration(share * float64(startSpread))
 }
 
 // Changed tells the other entries at once that a copy has changed, if this entry
@@ -391,6 +400,10 @@
 	// that one reading takes between regions.
 	hearTime = 150 * time.Millisecond
 	listStep = 250 * time.Millisecond
+	// startSpread is the time over which entries that start together and do not know
+	// each other spread their first readings: that of one and of its telling the others
+	// takes a few tenths of it.
+	startSpread = time.Second
 	// patienceStep times its rank is how long an entry waits after a failed call, up to
 	// longestPatience: where the store serves single machines only, a few of those that
 	// ask must be among them before keys may not be used any more.
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -35,6 +35,9 @@
 
 // FetchRows returns what the caller's copy lacks.
 func (h handler) FetchRows(_ context.Context, q *connect.Request[nodev1.FetchRowsRequest]) (*connect.Response[nodev1.FetchRowsResponse], error) {
+	if q.Msg.GetTable() == nodev1.Table_TABLE_UNSPECIFIED {
+		return connect.NewResponse(&nodev1.FetchRowsResponse{Entries: h.entries(q.Msg.GetRegion())}), nil
+	}
 	t := h.table(q.Msg.GetTable())
 	if t == nil || t.Confirmed() == 0 {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoCopy)
@@ -46,16 +49,22 @@
 		StoreTimeUs: p.StoreTime.Microseconds(),
 		AgeUs:       p.Age.Microseconds() + 1, // rounded up: an answer must not look younger
 	}
-	if region := q.Msg.GetRegion(); region != "" {
-		list := h.near(region)
-		answer.Entries = list[:min(len(list), maxEntries)]
-	}
+	answer.Entries = h.entries(q.Msg.GetRegion())
 	for _, r := range p.Rows {
 		answer.Rows = append(answer.Rows, &nodev1.TableRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 	}
 	return connect.NewResponse(answer), nil
 }
 
+// entries returns some entries of a region, none where no region is named.
+func (h handler) entries(region string) []string {
+	if region == "" {
+		return nil
+	}
+	list := h.near(region)
+	return list[:min(len(list), maxEntries)]
+}
+
 // Bounds of the connections between processes.
 const (
 	dialTimeout     = 400 * time.Millisecond
@@ -96,9 +105,7 @@
 
 // FetchRows asks the entry at an address what a copy with the given content lacks.
 func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, content int64) (watch.Page, error) {
-	// The rows stay uncompressed: entries of one region are near each other, and
-	// compressing costs each more processor time than the bytes cost the link.
-	service := nodev1connect.NewEntryServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	service := c.service(address)
 	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Content: content, Region: c.region}))
 	if err != nil {
 		return watch.Page{}, err
@@ -117,6 +124,23 @@
 	return p, nil
 }
 
+func (c *Client) service(address string) nodev1connect.EntryServiceClient {
+	// The rows stay uncompressed: entries of one region are near each other, and
+	// compressing costs each more processor time than the bytes cost the link.
+	return nodev1connect.NewEntryServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+}
+
+// Entries asks an entry for entries of the own region.
+func (c *Client) Entries(ctx context.Context, address string) ([]string, error) {
+	service := c.service(address)
+	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Region: c.region}))
+	if err != nil {
+		return nil, err
+	}
+	c.learn(answer.Msg.GetEntries())
+	return answer.Msg.GetEntries(), nil
+}
+
 // Sync brings a copy up to date with that of the entry at an address. Now is read
 // before the call.
 func (c *Client) Sync(ctx context.Context, address string, name nodev1.Table, t *watch.Table, now func() time.Duration) error {
