--- a/internal/coordination/placement/lag.go
+++ b/internal/coordination/placement/lag.go
@@ -18,7 +18,7 @@
 
 // lag follows the time by which answers begin later than predicted.
 type lag struct {
-	beyond time.Duration // leastLag
+	beyond time.Duration // above leastLag
 }
 
 // learn takes in by how much an answer began later than predicted.
