An entry could end when an answer came before its long body was written

Seen: TestEarlyAnswer failed once under the race detector beside load (write of Exchange.conn in End, read in the goroutine that writes a long body).

Cause: that goroutine took the connection out of the exchange when it began to run, and End sets it to nil. An endpoint that answers (or refuses) a request with a body of the concurrent size before the goroutine has run leaves it a nil connection: the process ends with a nil dereference, and all its requests with it. Not only a race on paper: on one processor it is the usual order.

Test: TestEndBeforeTheBodyIsWritten, on one processor: panic before, passes after. Mend: the goroutine is given the connection.

Ruled out: other uses of Exchange.conn after End (the callback of ctx holds its own copy since it was written).

--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -343,15 +343,22 @@
 		return eris.Wrap(err, "write the request")
 	}
 	if body != nil {
-		x.written = make(chan error, 1)
-		go func() {
-			_, err := x.conn.net.Write(body)
-			x.written <- err
-		}()
+		x.writeBody(x.conn.net, body)
 	}
 	return nil
 }
 
+// writeBody writes a long body while the answer is read. The exchange may end, and give
+// the connection up, before the writing has begun.
+func (x *Exchange) writeBody(c net.Conn, body []byte) {
+	written := make(chan error, 1)
+	x.written = written
+	go func() {
+		_, err := c.Write(body)
+		written <- err
+	}()
+}
+
 // trackedBody remembers whether the body was read to its end.
 type trackedBody struct {
 	from io.ReadCloser
--- a/internal/transport/endpoints/endpoints_test.go
+++ b/internal/transport/endpoints/endpoints_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -195,3 +196,15 @@
 	require.NoError(t, err)
 	require.False(t, reused)
 }
+
+// An exchange may end before the write of its body has begun.
+func TestEndBeforeTheBodyIsWritten(t *testing.T) {
+	// On one processor the goroutine that writes runs after End.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	address := serve(t, answers(whole))
+	x, err := NewPool().Begin(t.Context(), address, time.Second)
+	require.NoError(t, err)
+	require.NoError(t, x.write(Head{Method: "POST", Target: "/a", Host: "h", Header: http.Header{}}, make([]byte, concurrentBody)))
+	x.End()
+	require.Error(t, <-x.written)
+}
