--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -118,6 +118,8 @@
 		end = r.cut(number, entry, silenced, f.Length)
 		r.rotateKey()
 		return end
+	case AskForNothing:
+		return r.askForNothing(f)
 	}
 	return func() {}
 }
@@ -208,15 +210,22 @@
 
 func whole() standin.Breakage { return standin.BreakNone }
 
+// someServers returns a server, or now and then all of its service.
+func (r *run) someServers(f Fault) []string {
+	id := r.servers[f.pick(0, len(r.servers))]
+	if f.pick(2, 4) != 0 {
+		return []string{id}
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(id, "i-"), "-")
+	return slices.DeleteFunc(slices.Clone(r.servers), func(id string) bool { return !strings.HasPrefix(id, "i-"+service) })
+}
+
 // spoilServers lets a server spoil part of its answers, or all servers of its service:
 // more are then to be repeated than may be.
 func (r *run) spoilServers(f Fault) func() {
-	ids := []string{r.servers[f.pick(0, len(r.servers))]}
-	kind := standin.Breakage(1 + f.pick(1, 4))
-	if f.pick(2, 4) == 0 {
-		service, _, _ := strings.Cut(strings.TrimPrefix(ids[0], "i-"), "-")
-		ids = slices.DeleteFunc(slices.Clone(r.servers), func(id string) bool { return !strings.HasPrefix(id, "i-"+service) })
-	}
+	ids := r.someServers(f)
+	// Whole events that a server makes up can't be told from its answer.
+	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakPour)-1))
 	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
 	for _, id := range ids {
 		r.deployment.Servers[id].SetBroken(everyThird(kind))
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,7 +35,9 @@
 	removed    map[string]time.Time // keys that were taken away, and when
 	keys       []string             // keys that callers may use
 	leaving    map[string]time.Time // servers that leave, and since when
-	version    int64                // that was named without any fault
+	arrivals   []standin.Arrival
+	disturbed  func(front, server string, from, until time.Time) bool
+	version    int64 // that was named without any fault
 	versionAt  time.Time
 	violations []string
 }
@@ -47,6 +49,8 @@
 		removed: make(map[string]time.Time),
 		keys:    []string{standin.Key},
 		leaving: make(map[string]time.Time),
+
+		disturbed: func(string, string, time.Time, time.Time) bool { return false },
 	}
 }
 
@@ -156,6 +160,7 @@
 	}
 	l.checkReverts()
 	l.checkRepeats()
+	l.checkWishes()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -37,11 +37,13 @@
 	store, peers, front *link
 	storeAt             string
 	lifetime            atomic.Int64
+	excess              int64 // lifetime that took too much memory
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	stopped bool // the soak is over
 	halted  int  // faults that pause the process
+	halts   spans
 	ended   chan struct{}
 }
 
@@ -104,7 +106,9 @@
 		return eris.Wrap(err, "soak")
 	}
 	m.command = c
-	m.halted = 0
+	for ; m.halted > 0; m.halted-- {
+		m.halts.finish(m.halted)
+	}
 	m.lifetime.Add(1)
 	m.ended = make(chan struct{})
 	go m.watch(c, m.ended)
@@ -142,6 +146,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.halted++
+	m.halts.begin(m.halted)
 	_ = m.command.Process.Signal(syscall.SIGSTOP)
 }
 
@@ -151,6 +156,7 @@
 	if m.halted == 0 {
 		return // the process was ended and started meanwhile
 	}
+	m.halts.finish(m.halted)
 	if m.halted--; m.halted == 0 {
 		_ = m.command.Process.Signal(syscall.SIGCONT)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,18 +37,20 @@
 	// RevokeDuringCut takes a key away while an entry is cut off in this way, for longer
 	// than a revoked key may work.
 	RevokeDuringCut
+	// AskForNothing lets servers ask for no requests, because they leave or for some time.
+	AskForNothing
 )
 
 var kindNames = []string{
 	"kill", "terminate", "pause", "hang up", "stop in series", "store fails", "store is slow", "store forgets its history",
 	"server spoils answers", "origin spoils chunks", "staged chunk turns bad", "route is added", "key is rotated",
-	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut",
+	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers ask for nothing",
 }
 
 func (k Kind) String() string { return kindNames[k] }
 
 // weights of the kinds in a plan.
-var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2, 2}
+var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2, 2, 4}
 
 // Fault is one fault of a plan. Draws decide the rest, whatever the size of the
 // deployment is.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,6 +48,7 @@
 
 	mu        sync.Mutex
 	active    map[int]disturbance // by the number of the fault
+	disturbed spans               // its faults
 	pairs     map[*pair]bool
 	listeners []io.Closer
 }
@@ -249,6 +250,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.active[fault] = d
+	l.disturbed.begin(fault)
 }
 
 // heal ends the disturbance of a fault; connections that lost bytes are then reset.
@@ -256,6 +258,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.active, fault)
+	l.disturbed.finish(fault)
 	for c := range l.pairs {
 		if c.lost {
 			reset(c.caller)
@@ -274,12 +277,14 @@
 
 // muteAll silences every open connection for good; new ones work.
 func (l *link) muteAll() {
+	l.disturbed.begin(lasting)
 	l.each(func(c *pair) { c.mute = true })
 }
 
 // halveAll ends the server's side of every connection, of which the caller's side is
 // not told.
 func (l *link) halveAll() {
+	l.disturbed.begin(lasting)
 	l.each(func(c *pair) {
 		c.mute = true
 		reset(c.server)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -150,10 +150,15 @@
 	r.started = time.Now()
 	r.rotateKey() // so that there is one to take away
 	callers := r.startCallers(ctx)
+	watched, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	memory := r.watchMemory(watched)
 	r.injectFaults(ctx)
 	r.heal(ctx)
 	r.calmPhase(ctx)
 	callers()
+	unwatch()
+	<-memory
 	r.checkWeights()
 	r.ledger.conclude()
 	report := r.ledger.report()
@@ -166,12 +171,14 @@
 		standin.WithSize(r.domains, r.entries, r.agents, 1),
 		standin.WithNetwork(r.network),
 		standin.WithListen(r.listen),
-		standin.WithRunsOf(r.ledger.ran))
+		standin.WithRunsOf(r.ledger.ran),
+		standin.WithArrivalsOf(r.ledger.arrived))
 	if err != nil {
 		return eris.Wrap(err, "soak")
 	}
 	r.deployment = d
 	d.Store.SetFault(r.decideStore)
+	r.ledger.disturbed = r.disturbedBetween
 	for id := range d.Servers {
 		r.servers = append(r.servers, id)
 		if strings.HasPrefix(id, "i-engine") {
@@ -205,7 +212,7 @@
 	if strings.HasSuffix(address, ".0.1:8007") {
 		return net.Listen("tcp", address)
 	}
-	l := newLink("server at " + address)
+	l := newLink(serverLink(address))
 	listener, err := l.hide(address)
 	if err == nil {
 		r.hidden = append(r.hidden, l)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -119,6 +120,77 @@
 	}
 }
 
+// What processes send to a server that asked them for nothing.
+func TestCheckersOfWishes(t *testing.T) {
+	now := time.Now()
+	const pause = 4 * time.Second
+	type sent struct {
+		after   time.Duration // of the arrival; the call was sent then and ends soon
+		entry   string
+		life    int64
+		leaving bool
+		held    time.Duration // that is asked for
+	}
+	series := func(n int, s sent) []sent {
+		list := []sent{{entry: "e", life: 1, held: pause}}
+		for range n {
+			list = append(list, s)
+		}
+		return list
+	}
+	early := sent{after: heardSlack / 2, entry: "e", life: 1}
+	late := sent{after: 2 * heardSlack, entry: "e", life: 1, held: pause - 2*heardSlack}
+	for _, test := range []struct {
+		name      string
+		sent      []sent
+		disturbed bool
+		find      string
+	}{
+		{"sent long after the server said that it leaves", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 1, true, 0}}, false, "left alone"},
+		{"the same, over a disturbed way", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 1, true, 0}}, true, "left alone"},
+		{"sent just after", []sent{{0, "e", 1, true, 0}, {drainBound / 2, "e", 1, true, 0}}, false, ""},
+		{"another entry", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "f", 1, true, 0}}, false, ""},
+		{"another life", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 2, false, 0}}, false, ""},
+		{"probes", series(probesAtMost, late), false, ""},
+		{"more than probes", series(probesAtMost+1, late), false, "pause"},
+		{"more, over a disturbed way", series(probesAtMost+1, late), true, ""},
+		{"more before it was heard", series(probesAtMost+1, early), false, ""},
+		{"more after the pause", series(probesAtMost+1, sent{after: pause, entry: "e", life: 1}), false, ""},
+		{"more from another entry", series(probesAtMost+1, sent{after: 2 * heardSlack, entry: "f", life: 1}), false, ""},
+		{"more to another life", series(probesAtMost+1, sent{after: 2 * heardSlack, entry: "e", life: 2}), false, ""},
+	} {
+		l := newLedger()
+		l.disturbed = func(string, string, time.Time, time.Time) bool { return test.disturbed }
+		for i, s := range test.sent {
+			attempt, at := fmt.Sprint("a", i), now.Add(s.after)
+			a := standin.Arrival{Attempt: attempt, Server: "i", Life: s.life, At: at, Leaving: s.leaving}
+			if s.held > 0 {
+				a.Held = at.Add(s.held)
+			}
+			l.arrived(a)
+			l.answered(call{attempt: attempt, entry: s.entry, lifetime: 1, status: 200, whole: true, sent: at, ended: at.Add(time.Millisecond)})
+		}
+		l.conclude()
+		found := strings.Join(l.report().Violations, "\n")
+		if test.find == "" {
+			require.Empty(t, found, test.name)
+			continue
+		}
+		require.Contains(t, found, test.find+":", test.name)
+	}
+}
+
+// The peak of a process's memory, in bytes.
+func TestParsePeak(t *testing.T) {
+	peak, err := parsePeak([]byte("Name:\tx\nVmPeak:\t 900 kB\nVmHWM:\t   12 kB\n"))
+	require.NoError(t, err)
+	require.EqualValues(t, 12<<10, peak)
+	for _, text := range []string{"", "VmHWM:\t kB\n", "VmHWM\n"} {
+		_, err := parsePeak([]byte(text))
+		require.Error(t, err, text)
+	}
+}
+
 // The plan follows from the seed, and has every kind of fault.
 func TestPlan(t *testing.T) {
 	const duration = 10 * time.Second
--- /dev/null
+++ b/internal/soak/spans.go
@@ -0,0 +1,53 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// lasting is the number of a fault that does not end: connections which it silenced may
+// be used at any time.
+const lasting = -1
+
+// span is the time of one fault; it has no end while the fault is there.
+type span struct {
+	fault      int
+	begun, end time.Time
+}
+
+// spans are the times at which something was disturbed. They are safe for concurrent
+// use.
+type spans struct {
+	mu   sync.Mutex
+	list []span
+}
+
+// begin records the begin of a fault.
+func (s *spans) begin(fault int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, span{fault: fault, begun: time.Now()})
+}
+
+// finish records the end of a fault.
+func (s *spans) finish(fault int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.list {
+		if s.list[i].fault == fault && s.list[i].end.IsZero() {
+			s.list[i].end = time.Now()
+		}
+	}
+}
+
+// overlap reports whether a fault was there between two times.
+func (s *spans) overlap(from, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.list {
+		if p.begun.Before(until) && (p.end.IsZero() || p.end.After(from)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/wishes.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"strings"
+	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// Bounds of what servers ask for.
+const (
+	// heardSlack is the time in which a machine takes in that it was turned away.
+	heardSlack = 500 * time.Millisecond
+	// probesAtMost reach a server that asks for nothing, once that was heard.
+	probesAtMost = 2
+)
+
+// absurdWaits are texts that no machine may fall over.
+var absurdWaits = []string{"1e300", "-5", "NaN", "soon", "99999999999999999999", "", "0x10"}
+
+// askForNothing lets a server, or all of a service, ask for no requests; they begin
+// another life when the fault ends.
+func (r *run) askForNothing(f Fault) (end func()) {
+	ids := r.someServers(f)
+	var ask func(s *standin.Server)
+	what := ""
+	switch f.pick(1, 3) {
+	case 0:
+		what = "say that they leave"
+		ask = func(s *standin.Server) { s.SayLeaving() }
+	case 1:
+		what = "ask for a pause"
+		ask = func(s *standin.Server) { s.Hold(f.Length) }
+	default:
+		text := absurdWaits[f.pick(3, len(absurdWaits))]
+		what = "ask for an absurd pause (" + text + ")"
+		ask = func(s *standin.Server) { s.HoldSaying(text, f.Length) }
+	}
+	r.note("%s %s for %s", strings.Join(ids, " "), what, f.Length)
+	for _, id := range ids {
+		ask(r.deployment.Servers[id])
+	}
+	return func() {
+		for _, id := range ids {
+			r.deployment.Servers[id].Rebirth()
+		}
+	}
+}
+
+// disturbedBetween reports whether the process at an address or its way to a server was
+// disturbed between two times, so that it may not have heard what the server said.
+func (r *run) disturbedBetween(front, server string, from, until time.Time) bool {
+	name := serverLink(r.deployment.ServerAddress(server))
+	for _, l := range r.hidden {
+		if l.name == name && l.disturbed.overlap(from, until) {
+			return true
+		}
+	}
+	for _, m := range r.machines {
+		if r.deployment.Front(m.Machine) == front && m.halts.overlap(from, until) {
+			return true
+		}
+	}
+	return false
+}
+
+// serverLink returns the name of the link before a server.
+func serverLink(address string) string { return "server at " + address }
+
+// arrived records that a request reached a server.
+func (l *ledger) arrived(a standin.Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
+// pairing is one process and one life of a server that it sends requests to.
+type pairing struct {
+	process
+	server string
+	life   int64
+}
+
+// sending is a request that reached a server from a process which it is known of.
+type sending struct {
+	call    call
+	arrival standin.Arrival
+}
+
+// pairings returns what reached each life of each server from each process, in order of
+// arrival. Requests of a process that ended meanwhile are not among them.
+func (l *ledger) pairings() map[pairing][]sending {
+	list := make(map[pairing][]sending)
+	for _, a := range l.arrivals {
+		c, known := l.calls[a.Attempt]
+		if !known || c.lifetime == 0 {
+			continue
+		}
+		p := pairing{process{c.entry, c.lifetime}, a.Server, a.Life}
+		list[p] = append(list[p], sending{c, a})
+	}
+	return list
+}
+
+// checkWishes finds processes that sent requests to a server which had asked them for
+// none.
+func (l *ledger) checkWishes() {
+	for p, list := range l.pairings() {
+		l.checkLeft(p, list)
+		l.checkHolds(p, list)
+	}
+}
+
+// checkLeft finds requests that a caller sent long after the process had passed on an
+// answer which said that the server leaves.
+func (l *ledger) checkLeft(p pairing, list []sending) {
+	var heard time.Time // when the first such answer was passed on
+	for _, s := range list {
+		if s.arrival.Leaving && s.call.status == 200 && s.call.whole && (heard.IsZero() || s.call.ended.Before(heard)) {
+			heard = s.call.ended
+		}
+	}
+	for _, s := range list {
+		if !heard.IsZero() && s.call.sent.Sub(heard) > drainBound {
+			l.violateLocked("left alone: %s reached %s from %s, sent %s after it had passed on that the server leaves",
+				s.arrival.Attempt, p.server, p.entry, s.call.sent.Sub(heard))
+		}
+	}
+}
+
+// checkHolds finds servers that more than a few requests of one process reached while
+// they asked it for none, unless it may not have heard them.
+func (l *ledger) checkHolds(p pairing, list []sending) {
+	for i, refused := range list {
+		from, until := refused.arrival.At.Add(heardSlack), refused.arrival.Held
+		if until.IsZero() || l.disturbed(p.entry, p.server, refused.arrival.At.Add(-longestFault), until) {
+			continue
+		}
+		probes := 0
+		for _, s := range list[i+1:] {
+			if s.arrival.At.After(from) && s.arrival.At.Before(until) {
+				probes++
+			}
+		}
+		if probes > probesAtMost {
+			l.violateLocked("pause: %d requests reached %s from %s while it asked for none, since %s",
+				probes, p.server, p.entry, refused.arrival.Attempt)
+			return
+		}
+	}
+}
