--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/membership"
 	"github.com/primrosetally/primrosetally/internal/coordination/spread"
@@ -32,6 +31,7 @@
 	"github.com/primrosetally/primrosetally/internal/transport/nodes"
 	"github.com/primrosetally/primrosetally/internal/transport/objects"
 	"github.com/primrosetally/primrosetally/internal/transport/tables"
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // Intervals of the background work.
@@ -88,7 +88,7 @@
 	applied   chan struct{}
 	slots     chan struct{}
 	context   context.Context // of the calls; ends with Start's
-	calls     conc.WaitGroup
+	calls     sync.WaitGroup
 
 	announced func(*nodev1.EndpointReport)
 
@@ -201,7 +201,7 @@
 
 // Register adds the NodeService handler to mux.
 func (n *Node) Register(mux *http.ServeMux) {
-	path, service := nodev1connect.NewNodeServiceHandler(handler{node: n})
+	path, service := nodev1connect.NewNodeServiceHandler(handler{node: n}, connect.WithReadMaxBytes(tcp.MaxMessage))
 	mux.Handle(path, service)
 }
 
@@ -210,7 +210,7 @@
 func (n *Node) Start(ctx context.Context) <-chan struct{} {
 	n.context = ctx
 	done := make(chan struct{})
-	var wg conc.WaitGroup
+	var wg sync.WaitGroup
 	wg.Go(func() { n.membersLoop(ctx) })
 	wg.Go(func() { every(ctx, expireInterval, func(context.Context) { n.tracker.Expire() }) })
 	wg.Go(func() { every(ctx, spread.TickInterval, func(context.Context) { n.do(n.spread.Tick(time.Now())) }) })
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/member"
 	"github.com/primrosetally/primrosetally/internal/state/model"
 	"github.com/primrosetally/primrosetally/internal/transport/chunks"
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
 // Bounds of the exchange, for weights that fill a link for seconds.
@@ -114,8 +115,9 @@
 // Register adds the handlers at which peers ask for chunks and manifests.
 func (r *Replica) Register(mux *http.ServeMux) {
 	h := handler{replica: r}
-	mux.Handle(nodev1connect.NewAgentServiceHandler(h))
-	mux.Handle(nodev1connect.NewReplicaServiceHandler(h))
+	maxMessage := connect.WithReadMaxBytes(tcp.MaxMessage)
+	mux.Handle(nodev1connect.NewAgentServiceHandler(h, maxMessage))
+	mux.Handle(nodev1connect.NewReplicaServiceHandler(h, maxMessage))
 }
 
 type handler struct {
--- a/internal/transport/chunks/chunks.go
+++ b/internal/transport/chunks/chunks.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
+
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
@@ -61,7 +63,7 @@
 
 // Manifest asks an agent for a manifest; nil where it has none.
 func Manifest(ctx context.Context, client connect.HTTPClient, address, name string, version int64) (*model.Manifest, error) {
-	service := nodev1connect.NewReplicaServiceClient(client, "http://"+address)
+	service := nodev1connect.NewReplicaServiceClient(tcp.NewBounded(client.Do), "http://"+address, connect.WithReadMaxBytes(tcp.MaxMessage))
 	answer, err := service.FetchManifest(ctx, connect.NewRequest(&nodev1.FetchManifestRequest{Model: name, Version: version}))
 	if err != nil || len(answer.Msg.GetManifest()) == 0 {
 		return nil, err
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -21,11 +21,14 @@
 // maxEntries bounds the addresses of entries in an answer.
 const maxEntries = 16
 
+// maxQuestion bounds a question for rows, in bytes: it names a table and a region.
+const maxQuestion = 4 << 10
+
 // NewHandler returns the path and the handler at which an entry hands out its
 // copies; table returns nil for a table without one. Near returns the peer addresses of
 // the entries in a region.
 func NewHandler(table func(name nodev1.Table) *watch.Table, near func(region string) []string) (string, http.Handler) {
-	return nodev1connect.NewEntryServiceHandler(handler{table: table, near: near})
+	return nodev1connect.NewEntryServiceHandler(handler{table: table, near: near}, connect.WithReadMaxBytes(maxQuestion))
 }
 
 type handler struct {
@@ -127,7 +130,8 @@
 func (c *Client) service(address string) nodev1connect.EntryServiceClient {
 	// The rows stay uncompressed: entries of one region are near each other, and
 	// compressing costs each more processor time than the bytes cost the link.
-	return nodev1connect.NewEntryServiceClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
+	return nodev1connect.NewEntryServiceClient(tcp.NewBounded(c.http.Do), "http://"+address,
+		connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tcp.MaxMessage))
 }
 
 // Entries asks an entry for entries of the own region.
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -26,7 +26,6 @@
 	"connectrpc.com/connect"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
-
 	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
@@ -97,7 +96,7 @@
 	return &Pool{
 		data:    &http.Client{Transport: newTransport(dialer)},
 		control: &http.Client{Transport: newControlTransport(dialer, c)},
-		options: c.options,
+		options: append([]connect.ClientOption{connect.WithReadMaxBytes(tcp.MaxMessage)}, c.options...),
 	}
 }
 
--- a/internal/transport/tcp/tcp.go
+++ b/internal/transport/tcp/tcp.go
@@ -17,6 +17,10 @@
 // may send one without end.
 const MaxHead = 64 << 10
 
+// MaxMessage bounds one message between processes of the system, in bytes. It is above
+// the largest chunk of weights.
+const MaxMessage = 32 << 20
+
 // UserTimeout returns a dialer's control function that ends a connection whose bytes
 // are not acknowledged in time: a machine without power and one behind a partition
 // send no reset.
