A loop that panics ends the process instead of leaving it half alive

Cause: conc.WaitGroup catches a panic and raises it again in Wait, which returns when all goroutines of the group have ended. The loops of a gateway, a node, an agent and an entry last as long as the process, so a panic in one was never seen, without a line in any log, and the process went on without that loop (no summaries, no polls, no refusal of waits that are over). One candidate for the known red test, where a thawed entry writes no line; not shown to be its cause.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,11 +15,11 @@
 	"context"
 	"math"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/limits"
@@ -30,6 +30,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 	"github.com/primrosetally/primrosetally/pkg/configtext"
 )
 
@@ -114,7 +115,7 @@
 func (a *Agent) Register(mux *http.ServeMux) {
 	names := map[string]string{nodev1connect.AgentServiceAttemptProcedure: telemetry.SpanAgent}
 	spans := connect.WithInterceptors(a.node.Telemetry().Tracing().NewInterceptor(names))
-	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a}, spans)
+	path, service := nodev1connect.NewAgentServiceHandler(handler{agent: a}, spans, connect.WithReadMaxBytes(tcp.MaxMessage))
 	mux.Handle(path, service)
 }
 
@@ -122,7 +123,7 @@
 // when all of it has ended.
 func (a *Agent) Start(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	var wg conc.WaitGroup
+	var wg sync.WaitGroup
 	wg.Go(func() { a.probeLoop(ctx) })
 	wg.Go(func() { a.weightsLoop(ctx) })
 	wg.Go(func() { a.orderLoop(ctx) })
--- a/internal/coordination/swarm/exchange.go
+++ b/internal/coordination/swarm/exchange.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
 	"github.com/primrosetally/primrosetally/internal/state/digest"
@@ -53,7 +53,7 @@
 	fullRate  float64
 	events    chan func(now time.Time)
 	failure   error
-	tasks     conc.WaitGroup
+	tasks     sync.WaitGroup
 
 	listing     bool
 	nextMembers time.Time
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/node"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -71,7 +70,7 @@
 // when all of it has ended.
 func (e *Entry) Start(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	var wg conc.WaitGroup
+	var wg sync.WaitGroup
 	wg.Go(func() { e.reportLoop(ctx) })
 	wg.Go(func() { e.reapLoop(ctx) })
 	wg.Go(func() { e.settleLoop(ctx) })
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -11,7 +11,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/routing"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -51,7 +50,7 @@
 
 	mu       sync.Mutex
 	watches  map[string]*watch
-	watchers conc.WaitGroup
+	watchers sync.WaitGroup
 }
 
 // watch is the observation of one start of one agent.
--- a/internal/entry/rollout.go
+++ b/internal/entry/rollout.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sourcegraph/conc"
 
 	"github.com/primrosetally/primrosetally/internal/agent"
 	"github.com/primrosetally/primrosetally/internal/coordination/lease"
@@ -43,7 +43,7 @@
 // rolloutLoop keeps a leader for each service of which an endpoint waited for an
 // order here.
 func (e *Entry) rolloutLoop(ctx context.Context) {
-	var leaders conc.WaitGroup
+	var leaders sync.WaitGroup
 	defer leaders.Wait()
 	started := make(map[string]bool)
 	ticker := time.NewTicker(rolloutInterval)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
@@ -192,7 +190,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		var work conc.WaitGroup
+		var work sync.WaitGroup
 		work.Go(func() { g.run(ctx) })
 		work.Go(func() { g.expire(ctx) })
 		work.Wait()
