An entry logs the date of a version that it learns from others

Found by the story of a refused request ("no endpoint can take it"): the entry that refused knew that version 2 binds, and had no line that says since when. Versions that a peer's summary or a record names first were taken in without a line, and the row that came later was no news.

Test: TestLateSightDoesNotMoveTheDate now asks for the line, once (fails before). A line only; no decision changes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -165,15 +167,20 @@
 func TestLateSightDoesNotMoveTheDate(t *testing.T) {
 	c := &clock{at: 100 * time.Second}
 	confirmed := c.at - 2*time.Second
-	g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(NamedVersion) {}))
+	var lines bytes.Buffer
+	g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 0), WithVersionBound(8*time.Second, func(NamedVersion) {}),
+		WithLogger(slog.New(slog.NewJSONHandler(&lines, nil))))
 	g.ApplyOperator(fleet.NewConfiguration(1), nil)
 	seen := &nodev1.NamedWeights{Model: "m", Version: 2, AgeUs: uint64(1500 * time.Millisecond / time.Microsecond), Exact: true}
 	g.Hear(t.Context(), &nodev1.EntrySummary{
 		Address: "10.0.0.2:1", Echo: uint64(c.at), EchoIncarnation: 7,
 		ConfirmedAgeUs: age(100 * time.Millisecond), Weights: []*nodev1.NamedWeights{seen},
 	})
+	require.Contains(t, lines.String(), `"msg":"weightsNamed"`, "what another entry tells is a belief of this one")
+	require.Contains(t, lines.String(), `"version":2,"age":1500000000,"exact":true,"from":"10.0.0.2:1"`)
 	g.ApplyOperator(nil, map[string]int64{"m": 2})
 	require.Equal(t, int64(2), g.weights.required("m", c.at+6500*time.Millisecond-versionMargin))
+	require.Equal(t, 1, strings.Count(lines.String(), `"msg":"weightsNamed"`))
 }
 
 // The operators' rows are taken in whole with each change of any of them. What was
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -167,7 +167,15 @@
 // NameWeights takes in when, in boottime, a version was named at the earliest, as
 // an entry has written it down.
 func (g *Gateway) NameWeights(model string, version int64, named time.Duration) {
-	g.weights.name(model, version, named, true)
+	g.learnNaming(model, version, named, "record")
+}
+
+// learnNaming takes in the exact date of a version that another entry saw.
+func (g *Gateway) learnNaming(model string, version int64, named time.Duration, from string) {
+	if g.weights.name(model, version, named, true) {
+		telemetry.WeightsNamed.Log(context.Background(), g.logger, "model", model, "version", version,
+			"age", g.now()-named, "exact", true, "from", from)
+	}
 }
 
 // hearWeights takes in when another entry saw versions named. The sender wrote its
@@ -179,7 +187,7 @@
 	for _, n := range m.GetWeights() {
 		named := time.Duration(m.GetEcho()) - time.Duration(n.GetAgeUs())*time.Microsecond
 		if n.GetExact() {
-			g.weights.name(n.GetModel(), n.GetVersion(), named, true)
+			g.learnNaming(n.GetModel(), n.GetVersion(), named, m.GetAddress())
 		}
 	}
 }
