explain and logs: the story of a request, and how all requests ended

`primrosetally explain ID [FILE or FOLDER ...]` reads logs of any processes (plain, gzip, standard input, with or without a name before each line) and tells the cause in a sentence, the decisions, what the deciding entry knew by then and how old it was, what happened around it, and which lines are missing. `primrosetally logs` counts ends by outcome and reason, route, account, entry and second, as text and SVG.

Left: ends by failure domain (lines of requests do not name it).

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -61,13 +61,15 @@
 	description string
 	hidden      bool
 	flags       func(*flaggy.Subcommand)
+	operands    *operands // nil for a command with named positions only
 	run         func(context.Context, env) int
 }
 
 func commands() []*command {
 	return []*command{
 		entryCommand(), agentCommand(), demoCommand(), checkCommand(), submitCommand(), diffCommand(),
-		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), measureCommand(), soakCommand(), versionCommand(),
+		showCommand(), historyCommand(), quarantineCommand(), statusCommand(), drainCommand(), callCommand(), publishCommand(), standinCommand(), measureCommand(), soakCommand(),
+		explainCommand(), logsCommand(), versionCommand(),
 	}
 }
 
@@ -88,6 +90,9 @@
 		}
 		parser.AttachSubcommand(sub, 1)
 		known[sub] = c
+		if c.operands != nil && len(arguments) > 0 && arguments[0] == c.name {
+			arguments = append([]string{c.name}, c.operands.split(arguments[1:])...)
+		}
 	}
 	flaggy.PanicInsteadOfExit = true
 	defer exitStatus(&status)
--- a/internal/soak/explain.go
+++ b/internal/soak/explain.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"bufio"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"slices"
@@ -10,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/logbook"
 )
 
 // scheduleFile holds the schedule and the violations of a run, beside the logs.
@@ -19,65 +19,33 @@
 // what may have caused them.
 const around = 4 * time.Second
 
-// logLine is what is read of a line of a process.
-type logLine struct {
-	Time    time.Time `json:"time"`
-	Request string    `json:"request"`
-	text    string
-}
-
 // Explain returns what the logs of a run hold on a request, in the order of time, with
-// what the soak did around it.
+// what the soak did around it, and the cause last.
 func Explain(logs, request string) ([]string, error) {
 	files, err := filepath.Glob(filepath.Join(logs, "*.log"))
 	if err != nil {
 		return nil, eris.Wrap(err, "explain")
 	}
-	var lines []logLine
-	for _, file := range files {
-		found, err := linesOf(file, request)
-		if err != nil {
-			return nil, err
-		}
-		lines = append(lines, found...)
-	}
-	slices.SortFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
-	schedule, err := os.ReadFile(filepath.Join(logs, scheduleFile))
+	story, err := logbook.Explain(request, files, nil)
 	if err != nil {
-		return nil, eris.Wrap(err, "explain")
+		return nil, err
 	}
-	return merge(lines, strings.Split(strings.TrimSpace(string(schedule)), "\n"), request), nil
-}
-
-// linesOf returns the lines of a process about a request.
-func linesOf(file, request string) ([]logLine, error) {
-	f, err := os.Open(file)
+	schedule, err := os.ReadFile(filepath.Join(logs, scheduleFile))
 	if err != nil {
 		return nil, eris.Wrap(err, "explain")
 	}
-	defer f.Close()
-	var found []logLine
-	scanner := bufio.NewScanner(f)
-	for scanner.Scan() {
-		var l logLine
-		text := scanner.Text()
-		if json.Unmarshal([]byte(text), &l) != nil || l.Request != request {
-			continue // a panic's trace is no line of the log
-		}
-		l.text = text
-		found = append(found, l)
-	}
-	return found, eris.Wrap(scanner.Err(), "explain")
+	lines := merge(story.Lines(), strings.Split(strings.TrimSpace(string(schedule)), "\n"), request)
+	return append(lines, "cause: "+story.Cause()), nil
 }
 
 // merge puts the part of a schedule that is near the lines between them.
-func merge(lines []logLine, schedule []string, request string) []string {
+func merge(lines []logbook.Line, schedule []string, request string) []string {
 	type entry struct {
 		clock, text string
 	}
 	var entries []entry
 	for _, l := range lines {
-		entries = append(entries, entry{l.Time.UTC().Format(clockFormat), l.text})
+		entries = append(entries, entry{l.At.UTC().Format(clockFormat), l.Text()})
 	}
 	for _, s := range schedule {
 		if strings.HasPrefix(s, "VIOLATION") {
@@ -87,7 +55,7 @@
 			continue
 		}
 		clock, _, _ := strings.Cut(s, " ")
-		if len(lines) > 0 && near(clock, lines) {
+		if near(clock, lines) {
 			entries = append(entries, entry{clock, "soak: " + s})
 		}
 	}
@@ -100,12 +68,12 @@
 }
 
 // near reports whether a time of day is within what counts as around the lines.
-func near(clock string, lines []logLine) bool {
+func near(clock string, lines []logbook.Line) bool {
 	at, err := time.Parse(clockFormat, clock)
 	if err != nil {
 		return false // no line of the schedule
 	}
-	first, last := lines[0].Time.UTC(), lines[len(lines)-1].Time.UTC()
+	first, last := lines[0].At.UTC(), lines[len(lines)-1].At.UTC()
 	day := func(t time.Time) time.Duration {
 		return t.Sub(time.Date(t.Year(), t.Month(), t.Day(), 0, 0, 0, 0, time.UTC))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -238,6 +238,7 @@
 		`{"time":"2026-12-04T10:00:02.5Z","msg":"fleetAttemptFailed","request":"s1-7"}`,
 		`{"time":"2026-12-04T10:00:02.7Z","msg":"fleetRequestEnded","request":"s1-7"}`,
 		"VIOLATION not run: s1-7 was answered 503 and ran at i",
+		`cause: ended with the outcome "": `,
 	}, lines)
 }
 
