A newer configuration must not lend its confirmation to the one before

Found by writing down, for a model of the confirmations, in which order a process reads what it tells. summary() read the version in force first and the time of the store's confirmation after it: where a configuration comes into force between the two (the process may be suspended there for seconds), the summary says that the old version was confirmed when the new one was. An entry that is cut off then and holds the old version goes on with its keys for the whole bound from there. With now read earlier still, the age was below zero and went out as a number near 2^64.

withheld(), the last look before the first byte, had the same order: the key first, the age after it.

Tests: TestConfirmationIsNotOfANewerConfiguration (summary said version 1; withheld let the request through), TestConfirmationAfterTheStamp (0xfffffffffff0bdc1 instead of 1); both fail before. Mend: the confirmation is read first, and an age is not below zero.

Ruled out: echo and age (TestEchoIsNotNewerThanTheAge), weights beside the age (read after it already).

--- a/internal/gateway/asked.go
+++ b/internal/gateway/asked.go
@@ -51,10 +51,12 @@
 	if q.account == "" {
 		return ""
 	}
-	if _, known := g.view.Load().configuration.Account(q.call.Key); !known {
+	// The age is read before the configuration: a newer one that comes between must not
+	// make a key of the older one look confirmed.
+	if _, fresh := g.fresh(); !fresh {
 		return reasonKeyUnsure
 	}
-	if _, fresh := g.fresh(); !fresh {
+	if _, known := g.view.Load().configuration.Account(q.call.Key); !known {
 		return reasonKeyUnsure
 	}
 	return ""
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -81,6 +81,48 @@
 	require.LessOrEqual(t, sent[0].GetEcho(), sent[0].GetStamp())
 }
 
+// A configuration that comes into force while a summary is made, or a request is looked
+// at for the last time, must not lend its confirmation to the one before: the process may
+// be suspended between the two readings.
+func TestConfirmationIsNotOfANewerConfiguration(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	var g *Gateway
+	comes := false
+	g = newGateway(c, WithConfirmation(func() time.Duration {
+		if !comes {
+			return c.at - 10*time.Second
+		}
+		g.ApplyOperator(fleet.NewConfiguration(2), nil)
+		return c.at
+	}, 5*time.Second))
+	keyed := fleet.NewConfiguration(1, fleet.WithAccount(fleet.NewAccount("shop"), "key"), fleet.WithServices(fleet.NewService("s")))
+	g.ApplyOperator(keyed, nil)
+	service := g.Configuration().Services()["s"]
+	comes = true
+	m := g.summary(c.at)
+	require.Equal(t, int64(2), m.GetConfigurationVersion())
+	require.Equal(t, uint64(1), m.GetConfirmedAgeUs())
+
+	comes = false
+	g = newGateway(c, WithConfirmation(func() time.Duration {
+		if comes {
+			g.ApplyOperator(fleet.NewConfiguration(2), nil)
+		}
+		return c.at
+	}, 5*time.Second))
+	g.ApplyOperator(keyed, nil)
+	comes = true
+	require.Equal(t, reasonKeyUnsure, g.withheld(&request{account: "shop", call: Call{Key: "key"}, service: service}, placement.Candidate{ID: "e"}))
+}
+
+// A confirmation that came while a summary was made is no reason for an age below zero.
+func TestConfirmationAfterTheStamp(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	g := newGateway(c, WithConfirmation(func() time.Duration { return c.at + time.Second }, 5*time.Second))
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	require.Equal(t, uint64(1), g.summary(c.at).GetConfirmedAgeUs())
+}
+
 // A process that was suspended or cut off refuses keys before the bound is over.
 func TestFreshness(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -80,7 +80,11 @@
 	return n
 }
 
+// summary returns what this entry knows. What is confirmed is read before the version
+// that it is told with: a newer version may come between, and must not make an older one
+// look confirmed.
 func (g *Gateway) summary(now time.Duration) *nodev1.EntrySummary {
+	confirmed := g.confirmed()
 	v := g.view.Load()
 	m := &nodev1.EntrySummary{
 		Address:              g.self.PeerAddress,
@@ -97,8 +101,9 @@
 		RequestRate:          uint32(math.Round(g.rate.value())),
 		Active:               uint32(max(g.active.Load(), 0)),
 	}
-	if at := g.confirmed(); at > 0 {
-		age := uint64((now-at)/time.Microsecond) + 1
+	if confirmed > 0 {
+		// A confirmation that came after now is dated by it, which is earlier.
+		age := uint64(max(now-confirmed, 0)/time.Microsecond) + 1
 		m.ConfirmedAgeUs = &age
 	}
 	g.traffic.each(func(_ string, s *serviceTraffic) {
