--- a/internal/logbook/story.go
+++ b/internal/logbook/story.go
@@ -133,7 +133,7 @@
 
 // subject names what a line changes a belief about, empty where that has nothing to do
 // with the request.
-func (s *Story) subject(l Line, endpoints []string) string {
+func subject(l Line, endpoints []string) string {
 	switch {
 	case is(l, telemetry.FleetConfigurationInForce):
 		return "configuration"
@@ -156,7 +156,7 @@
 		if l.Process != end.Process || l.At.After(end.At) {
 			continue
 		}
-		of := s.subject(l, endpoints)
+		of := subject(l, endpoints)
 		if of == "" {
 			continue
 		}
@@ -181,7 +181,7 @@
 			s.dropped = append(s.dropped, l)
 			continue
 		}
-		if s.relevant(l, endpoints, own) {
+		if relevant(l, endpoints, own) {
 			s.near = append(s.near, l)
 		}
 	}
@@ -197,7 +197,7 @@
 
 // relevant reports whether a line may have to do with the request: lines of its endpoints,
 // of the store and of the weights, and where it met no endpoint, why its process had none.
-func (s *Story) relevant(l Line, endpoints []string, own string) bool {
+func relevant(l Line, endpoints []string, own string) bool {
 	switch {
 	case l.Endpoint != "" && slices.Contains(endpoints, l.Endpoint):
 		return true
--- a/internal/measure/goodput/play.go
+++ b/internal/measure/goodput/play.go
@@ -49,7 +49,6 @@
 	ticket   *placement.Ticket
 	choice   placement.Choice
 	placedAt time.Duration
-	noted    bool
 }
 
 // field is a run in progress.
@@ -61,9 +60,9 @@
 	sent    []*request // whose first event has not come
 	returns map[time.Duration][]*request
 	policy  policy
-	errors  []time.Duration
-	told    time.Duration
-	due     bool
+	lags    []time.Duration // of first events behind their prediction
+	told    time.Duration   // of the last summaries
+	due     bool            // summaries go out in this step
 }
 
 // play runs a policy under a load.
@@ -183,7 +182,7 @@
 	f.sent = slices.DeleteFunc(f.sent, func(q *request) bool {
 		if q.first > 0 {
 			list = append(list, q)
-			f.errors = append(f.errors, q.first-q.placedAt-q.choice.First())
+			f.lags = append(f.lags, q.first-q.placedAt-q.choice.First())
 		}
 		return q.first > 0 || q.lost
 	})
@@ -255,9 +254,9 @@
 
 // misjudged returns the 95th percentile of the lag of first events, in milliseconds.
 func (f *field) misjudged() float64 {
-	if len(f.errors) == 0 {
+	if len(f.lags) == 0 {
 		return 0
 	}
-	slices.Sort(f.errors)
-	return float64(f.errors[len(f.errors)*95/100].Microseconds()) / 1000
+	slices.Sort(f.lags)
+	return float64(f.lags[len(f.lags)*95/100].Microseconds()) / 1000
 }
