--- /dev/null
+++ b/internal/gateway/confirmation_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+func age(d time.Duration) *uint64 {
+	us := uint64(d / time.Microsecond)
+	return &us
+}
+
+// A confirmation of another entry is dated by the own stamp that it echoes, and
+// counts only for the configuration that it is about.
+func TestConfirmationOfPeers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		summary *nodev1.EntrySummary
+		age     time.Duration
+		known   bool
+	}{
+		{"fresh", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second)}, 2 * time.Second, true},
+		{"no echo", &nodev1.EntrySummary{ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"echo of another process", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 6, ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"echo from the future", &nodev1.EntrySummary{Echo: uint64(101 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second)}, 0, false},
+		{"never confirmed", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7}, 0, false},
+		{"newer configuration", &nodev1.EntrySummary{Echo: uint64(99 * time.Second), EchoIncarnation: 7, ConfirmedAgeUs: age(time.Second), ConfigurationVersion: 5}, 0, false},
+	} {
+		g := newGateway(&clock{at: 100 * time.Second})
+		test.summary.Address = "10.0.0.2:1"
+		g.Hear(t.Context(), test.summary)
+		got, known := g.age()
+		require.Equal(t, test.known, known, test.name)
+		if known {
+			require.Equal(t, test.age, got, test.name)
+		}
+	}
+}
+
+// A stamp that arrives while a summary is made must not be echoed beside an age that
+// was read before.
+func TestEchoIsNotNewerThanTheAge(t *testing.T) {
+	var g *Gateway
+	ticks := time.Duration(0)
+	tick := func() time.Duration {
+		ticks++
+		if g != nil {
+			g.peers.learn("10.0.0.2:1")
+			g.peers.hear(&nodev1.EntrySummary{Address: "10.0.0.2:1", Region: "riga", Stamp: uint64(ticks)}, ticks)
+		}
+		return ticks
+	}
+	var sent []*nodev1.EntrySummary
+	send := func(_ string, m *nodev1.Datagram) error {
+		sent = append(sent, m.GetSummary())
+		return nil
+	}
+	g = newGateway(&clock{}, WithClock(tick), WithPeers(nil, send))
+	g.sendSummaries(true)
+	require.Len(t, sent, 1)
+	require.LessOrEqual(t, sent[0].GetEcho(), sent[0].GetStamp())
+}
+
+// A configuration that comes into force while a summary is made, or a request is looked
+// at for the last time, must not lend its confirmation to the one before: the process may
+// be suspended between the two readings.
+func TestConfirmationIsNotOfANewerConfiguration(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	var g *Gateway
+	comes := false
+	g = newGateway(c, WithConfirmation(func() time.Duration {
+		if !comes {
+			return c.at - 10*time.Second
+		}
+		g.ApplyOperator(fleet.NewConfiguration(2), nil)
+		return c.at
+	}, 5*time.Second))
+	keyed := fleet.NewConfiguration(1, fleet.WithAccount(fleet.NewAccount("shop"), "key"), fleet.WithServices(fleet.NewService("s")))
+	g.ApplyOperator(keyed, nil)
+	service := g.Configuration().Services()["s"]
+	comes = true
+	m := g.summary(c.at)
+	require.Equal(t, int64(2), m.GetConfigurationVersion())
+	require.Equal(t, uint64(1), m.GetConfirmedAgeUs())
+
+	comes = false
+	g = newGateway(c, WithConfirmation(func() time.Duration {
+		if comes {
+			g.ApplyOperator(fleet.NewConfiguration(2), nil)
+		}
+		return c.at
+	}, 5*time.Second))
+	g.ApplyOperator(keyed, nil)
+	comes = true
+	require.Equal(t, reasonKeyUnsure, g.withheld(&request{account: "shop", call: Call{Key: "key"}, service: service}, placement.Candidate{ID: "e"}))
+}
+
+// A confirmation that came while a summary was made is no reason for an age below zero.
+func TestConfirmationAfterTheStamp(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	g := newGateway(c, WithConfirmation(func() time.Duration { return c.at + time.Second }, 5*time.Second))
+	g.ApplyOperator(fleet.NewConfiguration(1), nil)
+	require.Equal(t, uint64(1), g.summary(c.at).GetConfirmedAgeUs())
+}
+
+// A process that was suspended or cut off refuses keys before the bound is over.
+func TestFreshness(t *testing.T) {
+	for _, test := range []struct {
+		age   time.Duration
+		fresh bool
+	}{
+		{0, true},
+		{3 * time.Second, true},
+		{5*time.Second - revocationMargin, false},
+		{20 * time.Second, false},
+	} {
+		c := &clock{at: 100 * time.Second}
+		confirmed := c.at - test.age
+		g := newGateway(c, WithConfirmation(func() time.Duration { return confirmed }, 5*time.Second))
+		_, fresh := g.fresh()
+		require.Equal(t, test.fresh, fresh, test.age)
+	}
+	_, fresh := newGateway(&clock{at: time.Second}, WithConfirmation(func() time.Duration { return 0 }, 5*time.Second)).fresh()
+	require.False(t, fresh, "never confirmed")
+}
