--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/standin"
 )
 
 func TestDatagrams(t *testing.T) {
@@ -112,23 +112,13 @@
 // An entry that sends rows without end costs some bytes, not the memory.
 func TestRowsWithoutEnd(t *testing.T) {
 	const mostSent = 64 << 20
-	var sent atomic.Int64
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/proto")
-		block := []byte(strings.Repeat("x", 32<<10))
-		for {
-			n, err := w.Write(block)
-			sent.Add(int64(n))
-			if err != nil {
-				return
-			}
-		}
-	}))
+	endless := standin.NewEndless(standin.EndlessBody, "application/proto")
+	server := httptest.NewServer(endless)
 	defer server.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	_, err := NewClient().FetchRows(ctx, strings.TrimPrefix(server.URL, "http://"), nodev1.Table_TABLE_ENDPOINTS, 0)
 	require.Error(t, err)
 	require.NoError(t, ctx.Err())
-	require.Less(t, sent.Load(), int64(mostSent))
+	require.Less(t, endless.Sent(), int64(mostSent))
 }
