Read the rate limit that endpoints state; log and count it

What was missing in the incident: no line and no counter showed that an entry had received a rate limit, which one, or how many requests it sent to that endpoint.

- The adapter decodes the header into quota.Limit; a malformed one changes nothing and is logged once.
- endpointLimited (725) at each change, with the limit before and the requests sent there since; endpointLimitMalformed (726).
- limited_endpoints and limited_requests_total.
- A response to a request that was sent before the newest observation can lower a limit and not raise or lift it: responses overtake each other.

No decision uses the limit yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,8 @@
 	}
 	q.tried = append(q.tried, c.ID)
 	out.endpoint = c.ID
+	q.sentAt = g.now()
+	g.countLimited(q, c.Candidate)
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
@@ -111,6 +113,7 @@
 func (g *Gateway) handleResponse(ctx context.Context, q *request, c *placement.Choice, x *endpoints.Exchange, response *http.Response, out *responseWriter) result {
 	a := g.codec.ReadResponse(response.StatusCode, response.Header)
 	g.recordBackpressure(ctx, q, c.Candidate, a.Backpressure)
+	g.recordRateLimit(ctx, q, c.Candidate, a)
 	if a.NotExecuted {
 		x.Drain()
 		if a.Misdirected {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/coordination/quota"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/endpoints"
@@ -83,6 +84,10 @@
 	Version int64
 	// Backpressure is the endpoint's backpressure for further requests of this entry.
 	Backpressure admission.Backpressure
+	// RateLimit is the rate limit that the endpoint states for all entries together.
+	// RateLimitErr is set if it states one that is malformed.
+	RateLimit    quota.Limit
+	RateLimitErr error
 }
 
 // Codec translates between HTTP headers and the fields of requests and responses, as
@@ -134,6 +139,7 @@
 	targets      *targetVersions
 	notices      *noticeList
 	backpressure *admission.Tracker
+	rateLimits   *rateLimits
 	pool         *endpoints.Pool
 	traffic      traffic
 	peers        *peers
@@ -169,6 +175,7 @@
 		targets:       newTargetVersions(),
 		notices:       newNoticeList(),
 		backpressure:  admission.NewTracker(),
+		rateLimits:    newRateLimits(),
 		confirmedAt:   func() time.Duration { return 0 },
 		retryRatio:    defaultRetryRatio,
 		maxTTL:        defaultMaxTTL,
@@ -253,6 +260,7 @@
 			g.pool.Sweep()
 			g.traffic.expireRecords(g.now())
 			g.backpressure.Expire(g.now())
+			g.expireRateLimits()
 		case <-summary.C:
 			g.sendSummaries(false)
 			g.notifyAgents()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,7 +48,8 @@
 	deadline          time.Duration
 	fingerprint       uint64
 	attempts          int
-	tried             []string // IDs of the endpoints tried, in order
+	sentAt            time.Duration // time of the last attempt
+	tried             []string      // IDs of the endpoints tried, in order
 }
 
 // refusalFingerprint identifies the request when its caller retries it. It includes
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -223,6 +223,14 @@
 		724, "datagramNotRead", slog.LevelWarn,
 		"The socket for datagrams failed once; it is read again.",
 	}
+	EndpointLimited = Event{
+		725, "endpointLimited", slog.LevelInfo,
+		"An endpoint stated another rate limit than before in the head of a response, or none any more. The attributes say how many requests this entry had sent there since the last such line.",
+	}
+	EndpointLimitMalformed = Event{
+		726, "endpointLimitMalformed", slog.LevelWarn,
+		"An endpoint stated a rate limit that is not a number of requests a second. The limit before stays in force.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -243,6 +251,7 @@
 		StoreLost, StoreRegained, PeerHeard, PeerCopyNotFetched, FleetRequestEnded, FleetAttemptFailed, EntryLeaving,
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
+		EndpointLimited, EndpointLimitMalformed,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -49,6 +49,11 @@
 	Revision prometheus.Gauge
 	// SummariesNotSent counts datagrams to other entries that the socket refused.
 	SummariesNotSent prometheus.Counter
+	// LimitedEndpoints is the number of endpoints whose rate limit this entry knows.
+	LimitedEndpoints prometheus.Gauge
+	// LimitedRequests counts the requests that this entry sent to such endpoints, by
+	// service.
+	LimitedRequests *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -62,15 +67,16 @@
 		ChunkBytes:       counters("chunk_bytes_total", "Bytes of weights.", "source"),
 		CorruptChunks:    counter("corrupt_chunks_total", "Chunks that failed verification."),
 		SummariesNotSent: counter("summaries_not_sent_total", "Datagrams to other entries that were not sent."),
-		Revision: prometheus.NewGauge(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "revision", Help: "Configuration revision in force.",
-		}),
+		Revision:         gauge("revision", "Configuration revision in force."),
+		LimitedEndpoints: gauge("limited_endpoints", "Endpoints with a known rate limit."),
+		LimitedRequests:  counters("limited_requests_total", "Requests sent to endpoints with a known rate limit.", "service"),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Requests, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
+		m.LimitedEndpoints, m.LimitedRequests,
 	)
 	return m
 }
@@ -82,6 +88,10 @@
 	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func counters(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
