A failing test: the rate limit of an endpoint holds over all entries

Eight entries, callers at each of them, and four endpoints that state 1, 1.5, 2.5 and 6 requests a second; counted is what reaches the endpoints.

--- /dev/null
+++ b/internal/fleetprocess/ratelimit_test.go
@@ -0,0 +1,166 @@
+package fleetprocess
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// What an endpoint with a rate limit may get from all entries together.
+const (
+	limitWindow      = 4 * time.Second
+	limitFactor      = 1.5
+	limitSlack       = 5 // requests
+	limitGrace       = 3 * time.Second
+	minLimitUse      = 0.6 // of the limit, while there are more requests
+	promptRefusal    = 200 * time.Millisecond
+	limitTestCallers = 3 // at each entry
+)
+
+// arrivalLog records the requests that reach the servers.
+type arrivalLog struct {
+	mu   sync.Mutex
+	list []standin.Arrival
+}
+
+func (l *arrivalLog) add(a standin.Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, a)
+}
+
+// at returns the times at which requests reached a server from the given time on.
+func (l *arrivalLog) at(server string, from time.Time) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var times []time.Time
+	for _, a := range l.list {
+		if a.Server == server && !a.At.Before(from) {
+			times = append(times, a.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// mostInWindow returns the largest number of times within limitWindow.
+func mostInWindow(times []time.Time) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// outcomes counts how callers' requests ended.
+type outcomes struct {
+	answered, refused, failed, withoutRetryAfter, lateRefusals atomic.Int64
+}
+
+// callContinuously sends requests to all entries until ctx is done.
+func (s *system) callContinuously(ctx context.Context, path string, result *outcomes) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	var number atomic.Int64
+	for _, m := range s.Entries {
+		for range limitTestCallers {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					n := number.Add(1)
+					s.callOnce(s.Front(m), fmt.Sprintf("%s%d", path, n), fmt.Sprintf("%s-%d", path[1:3], n), result)
+					time.Sleep(15 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return &callers
+}
+
+func (s *system) callOnce(front, path, attempt string, result *outcomes) {
+	request, err := standin.NewRequest("POST", front, path, attempt, standin.Key, 2500*time.Millisecond)
+	if err != nil {
+		result.failed.Add(1)
+		return
+	}
+	sent := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		result.failed.Add(1)
+		return
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	switch {
+	case err != nil:
+		result.failed.Add(1)
+	case response.StatusCode == http.StatusServiceUnavailable:
+		result.refused.Add(1)
+		if response.Header.Get("Retry-After") == "" {
+			result.withoutRetryAfter.Add(1)
+		}
+		if time.Since(sent) > promptRefusal {
+			result.lateRefusals.Add(1)
+		}
+	case response.StatusCode == http.StatusOK:
+		result.answered.Add(1)
+	default:
+		result.failed.Add(1)
+	}
+}
+
+// An endpoint states a rate limit for all entries together, and each entry knows only
+// what it sends itself.
+func TestRateLimitOfEndpointHoldsOverAllEntries(t *testing.T) {
+	arrivals := &arrivalLog{}
+	s := startSystem(t, standin.WithSize(2, 4, 2, 1), standin.WithArrivalsOf(arrivals.add))
+	limits := []struct {
+		server    string
+		text      string
+		perSecond float64
+	}{
+		{"i-engine-1-1", "1.5", 1.5},
+		{"i-engine-2-1", "6", 6},
+		{"i-plain-1-1", "1", 1},
+		{"i-plain-2-1", "2.5", 2.5},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var streams, publishes outcomes
+	engineCallers := s.callContinuously(ctx, standin.PathStream, &streams)
+	plainCallers := s.callContinuously(ctx, standin.PathPublish, &publishes)
+	time.Sleep(500 * time.Millisecond)
+	for _, l := range limits {
+		s.Servers[l.server].SetRateLimit(l.text)
+	}
+	from := time.Now().Add(limitGrace)
+	time.Sleep(limitGrace + 2*limitWindow)
+	cancel()
+	engineCallers.Wait()
+	plainCallers.Wait()
+	t.Logf("streams %d answered, %d refused; publishes %d answered, %d refused, %d of them late",
+		streams.answered.Load(), streams.refused.Load(), publishes.answered.Load(), publishes.refused.Load(), publishes.lateRefusals.Load())
+	for _, l := range limits {
+		times := arrivals.at(l.server, from)
+		most := mostInWindow(times)
+		t.Logf("%s: limit %s, %d requests in all, %d in %s", l.server, l.text, len(times), most, limitWindow)
+		allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+		require.LessOrEqual(t, float64(most), allowed, l.server)
+		require.GreaterOrEqual(t, float64(len(times)), minLimitUse*l.perSecond*2*limitWindow.Seconds(), l.server)
+	}
+	require.Zero(t, publishes.failed.Load())
+	require.Zero(t, publishes.withoutRetryAfter.Load())
+	require.Less(t, publishes.lateRefusals.Load(), publishes.refused.Load()/10)
+	require.Zero(t, streams.failed.Load())
+	require.Less(t, streams.refused.Load(), streams.answered.Load()/10, "two engines have no limit")
+}
