Rate limits of endpoints hold over all entries: permits from one grantor

What callers saw: nothing. What the endpoints saw: two that had named a limit of 1.7 and 1 requests a second got 24 and 18 in 4 s, where 15 and 11 are allowed.

Cause: no entry read the limit, so placement treated these endpoints like all others. The class of fault is a bound over all entries together while each entry knows only what it sends itself. An even share for each entry does not mend it: with 8 entries and 1.5 a second it is below one request in 5 s, with 148 none is ever sent.

Why this works: a request to a limited endpoint needs a permit. One entry, the grantor, has a token bucket for each limited endpoint and grants permits to the entries that have requests, each in proportion to how many it wants. A permit is valid for a second from the moment it was asked for, on the clock of the entry that asked; it is looked at again just before the first byte. Each entry has one vote and leases it to one grantor at a time, dated from the grantor's own stamp, and a grantor grants the fraction of a limit that its votes are of all entries: grantors that do not know of each other share the limit. Limits travel with the announcements of the grantor, so that all entries know one a round trip after the first has read it.

Requests that find no permit go to other endpoints; where all are limited they are refused once this entry's share of the permits shows that none comes in time, with a Retry-After from that share.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -49,6 +49,9 @@
 	eventInterval time.Duration
 	quota         int // requests that may still be placed before the next grant
 	hold          hold
+	permits       []permit
+	share         float64 // permits a second that this entry can expect, as of shareAt
+	shareAt       time.Duration
 }
 
 // maxProbes is the maximum number of requests placed on an endpoint after a hold until the
@@ -100,16 +103,21 @@
 
 // hasCapacity reports whether another request may be placed on the endpoint.
 func (e *endpoint) hasCapacity(now time.Duration, overcommit int) bool {
-	if now < e.ejectedUntil || !e.hold.admits(now) {
+	if !e.isAvailable(now) {
 		return false
 	}
-	if e.MaxInFlight > 0 && e.ownLoad.InFlight >= e.MaxInFlight {
+	if e.Limited && !e.hasPermit(now) || !e.Limited && !e.Preferred && e.quota <= 0 {
 		return false
 	}
-	if !e.Preferred && e.quota <= 0 {
+	return e.freeSlots(overcommit) > 0
+}
+
+// isAvailable reports whether the endpoint takes requests of this entry at all.
+func (e *endpoint) isAvailable(now time.Duration) bool {
+	if now < e.ejectedUntil || !e.hold.admits(now) {
 		return false
 	}
-	return e.freeSlots(overcommit) > 0
+	return e.MaxInFlight == 0 || e.ownLoad.InFlight < e.MaxInFlight
 }
 
 // freeSlots returns the number of free slots, those by overcommit included.
@@ -148,7 +156,7 @@
 	if e.Domain != domain {
 		score += crossDomainPenalty
 	}
-	if !e.Preferred {
+	if !e.Preferred && !e.Limited {
 		score += nonPreferredPenalty
 	}
 	return score
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -57,6 +57,10 @@
 	serviceTime      time.Duration // mean time from placement to the end of a request
 	medianInterval   time.Duration // median event interval of the endpoints
 	inFlight         int
+	limitedCount     int           // endpoints with a rate limit
+	arrivalRate      float64       // submitted requests a second, as of arrivedAt
+	arrivedAt        time.Duration // last submitted request
+	permitsWanted    func()
 }
 
 // Option sets a property of a Pool.
@@ -107,7 +111,11 @@
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(candidates))
 	p.listed = p.listed[:0]
+	p.limitedCount = 0
 	for _, c := range candidates {
+		if c.Limited {
+			p.limitedCount++
+		}
 		listed[c.ID] = true
 		e := p.endpoints[c.ID]
 		if e == nil {
@@ -120,6 +128,9 @@
 		if e.Candidate.Started != c.Started {
 			e.hold = hold{}
 		}
+		if e.Limited != c.Limited || e.RateLimit != c.RateLimit || e.Candidate.Started != c.Started {
+			e.permits, e.share, e.shareAt = nil, 0, 0
+		}
 		e.Candidate = c
 		e.hold.extend(c.HeldUntil)
 		p.listed = append(p.listed, e)
@@ -206,6 +217,8 @@
 	t := &Ticket{request: r, submittedAt: now, decision: make(chan Decision, 1)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordArrival(now)
+	defer p.askForPermits(now)
 	p.placeQueued(now)
 	p.setWaitLimits(now, t)
 	if t.ahead = p.onTime.countAhead(t); t.ahead == 0 {
@@ -257,6 +270,9 @@
 	e.ownLoad.PrefillTokens -= c.pendingPrefill()
 	p.inFlight--
 	e.recordOutcome(now, outcome)
+	if outcome == Stale || outcome == Unreachable {
+		e.returnPermit(now, c.permitUntil)
+	}
 	if outcome == Succeeded {
 		p.recordServiceTime(now - c.placed)
 		e.hold.recordResponse(c.placed)
@@ -315,6 +331,7 @@
 	p.placeQueued(now)
 	p.expire(now)
 	p.demote(now)
+	p.refuseUnpermitted(now)
 }
 
 // Waiting returns the number of waiting requests.
@@ -372,7 +389,11 @@
 	}
 	e.ownLoad.InFlight++
 	e.ownLoad.PrefillTokens += t.request.Prompt
-	e.quota--
+	if e.Limited {
+		choice.permitUntil = e.takePermit()
+	} else {
+		e.quota--
+	}
 	e.hold.probesPlaced++
 	p.inFlight++
 	p.placedSinceLate++
@@ -398,6 +419,10 @@
 	if reason == ReasonNoEndpoint {
 		minimum = maxRetryAfter / 2
 	}
+	if reason == ReasonRateLimited {
+		minimum = max(minRetryAfter, p.permitRetryAfter(now))
+		return p.holdRemaining(now) + minimum + time.Duration(p.random()*float64(maxRetryAfter))
+	}
 	return p.holdRemaining(now) + minimum + time.Duration(p.random()*float64(maxRetryAfter-minimum))
 }
 
@@ -424,10 +449,11 @@
 	start := int(p.random() * float64(len(p.listed)))
 	for i := range p.listed {
 		e := p.listed[(start+i)%len(p.listed)]
-		if !e.Preferred && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit) || r.excludes(e.ID) {
+		sample := !e.Preferred && !e.Limited
+		if sample && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit) || r.excludes(e.ID) {
 			continue
 		}
-		if !e.Preferred {
+		if sample {
 			sampled++
 		}
 		delay := e.firstEventDelay(p.model, p.medianInterval, r.Prompt)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -179,6 +179,10 @@
 		p.refuse(now, t, refusal)
 		return
 	}
+	if p.limitedCount > 0 && p.permitTooLate(now, t, t.ahead) {
+		p.refuse(now, t, ReasonRateLimited)
+		return
+	}
 	if t.onTimeUntil-now >= minUsefulWait && now+p.expectedWait(p.onTime.countAhead(t)) <= t.onTimeUntil {
 		p.onTime.add(t)
 		return
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -43,6 +43,10 @@
 	Version int64
 	// HeldUntil is the time from which it takes requests again, 0 if it is not held.
 	HeldUntil time.Duration
+	// Limited marks an endpoint that has stated a rate limit. Each request to it needs a
+	// permit. RateLimit is the limit in requests a second of all entries together.
+	Limited   bool
+	RateLimit float64
 	// Preferred marks an endpoint that this entry uses first. Each endpoint is preferred by
 	// few entries, so that these have accurate counts of the requests in flight there.
 	Preferred bool
@@ -79,8 +83,13 @@
 	inFlight        int
 	prefillTokens   int
 	began           bool
+	permitUntil     time.Duration
 }
 
+// PermitUntil returns the end of the permit for an endpoint with a rate limit, 0 if the
+// endpoint had none when it was chosen.
+func (c Choice) PermitUntil() time.Duration { return c.permitUntil }
+
 // pendingPrefill returns the number of prompt tokens that still count as waiting for
 // prefill.
 func (c *Choice) pendingPrefill() int {
@@ -105,10 +114,11 @@
 
 // The reasons.
 const (
-	ReasonNoEndpoint Reason = "no endpoint can take it"
-	ReasonHeld       Reason = "endpoints take none before it is of no use"
-	ReasonOverload   Reason = "no room is expected in time"
-	ReasonExpired    Reason = "no room came in time"
+	ReasonNoEndpoint  Reason = "no endpoint can take it"
+	ReasonHeld        Reason = "endpoints take none before it is of no use"
+	ReasonOverload    Reason = "no room is expected in time"
+	ReasonExpired     Reason = "no room came in time"
+	ReasonRateLimited Reason = "rate limits of the endpoints leave no room in time"
 )
 
 // Decision is the decision on a request: the endpoint that it is placed on, or the reason
--- /dev/null
+++ b/internal/coordination/quota/grantor.go
@@ -0,0 +1,288 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Vote is an entry's vote for this grantor.
+type Vote struct {
+	Address     string
+	Incarnation uint64
+	// Until is the end of its lease.
+	Until time.Duration
+	// Entries is the number of entries that the voter knows, itself included.
+	Entries int
+}
+
+// Wanted is a number of permits that an entry wants for an endpoint.
+type Wanted struct {
+	Endpoint Endpoint
+	Count    int
+}
+
+// Ask is a request for permits. It replaces the previous one of the same entry.
+type Ask struct {
+	Address     string
+	Incarnation uint64
+	// Stamp is the asking entry's clock when it wrote the request; the grant echoes it.
+	Stamp  uint64
+	Wanted []Wanted
+}
+
+// Granted is the answer to what an entry wants for an endpoint.
+type Granted struct {
+	Endpoint Endpoint
+	Count    int
+	// Share is the rate of permits that the entry can expect, in requests a second.
+	Share float64
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Address     string
+	Incarnation uint64
+	Stamp       uint64
+	Permits     []Granted
+}
+
+// Grantor grants permits. It is safe for concurrent use.
+type Grantor struct {
+	random func() float64
+
+	mu      sync.Mutex
+	votes   map[string]Vote   // by address
+	known   map[string]uint64 // revision of the limits that a voter has, by address
+	asks    map[string]*pendingAsk
+	buckets map[uint32]*bucket // by endpoint hash
+}
+
+type pendingAsk struct {
+	Ask
+	at       time.Duration
+	answered bool
+}
+
+// bucket is a token bucket of permits for one endpoint.
+type bucket struct {
+	endpoint   Endpoint
+	tokens     float64
+	refilledAt time.Duration
+}
+
+// GrantorOption sets a property of a Grantor.
+type GrantorOption func(*Grantor)
+
+// WithRandom sets the source of random numbers in [0, 1).
+func WithRandom(random func() float64) GrantorOption {
+	return func(g *Grantor) { g.random = random }
+}
+
+// NewGrantor returns a Grantor without votes.
+func NewGrantor(options ...GrantorOption) *Grantor {
+	g := &Grantor{random: rand.Float64}
+	for _, o := range options {
+		o(g)
+	}
+	g.reset()
+	return g
+}
+
+// Reset forgets votes, requests and unused permits, since this entry does not grant any
+// more.
+func (g *Grantor) Reset() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reset()
+}
+
+func (g *Grantor) reset() {
+	g.votes = make(map[string]Vote)
+	g.known = make(map[string]uint64)
+	g.asks = make(map[string]*pendingAsk)
+	g.buckets = make(map[uint32]*bucket)
+}
+
+// Vote records a vote. A new process at an address replaces the one before.
+func (g *Grantor) Vote(v Vote) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if last := g.votes[v.Address]; last.Incarnation == v.Incarnation && last.Until > v.Until {
+		return
+	}
+	g.votes[v.Address] = v
+}
+
+// SetRevision records the revision of the limits that an entry has.
+func (g *Grantor) SetRevision(address string, revision uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.known[address] = revision
+}
+
+// HasRevision reports whether an entry has the limits of a revision.
+func (g *Grantor) HasRevision(address string, revision uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.known[address] == revision
+}
+
+// Ask records a request for permits.
+func (g *Grantor) Ask(now time.Duration, a Ask) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if last := g.asks[a.Address]; last != nil && last.Incarnation == a.Incarnation && last.Stamp > a.Stamp {
+		return
+	}
+	if len(a.Wanted) == 0 {
+		delete(g.asks, a.Address)
+		return
+	}
+	g.asks[a.Address] = &pendingAsk{Ask: a, at: now}
+}
+
+// Pending reports whether an entry waits for permits.
+func (g *Grantor) Pending() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.asks) > 0
+}
+
+// Fraction returns the fraction of each limit that this grantor may grant, and the number
+// of all entries, which is the largest that it or a voter knows.
+func (g *Grantor) Fraction(now time.Duration, entries int) (fraction float64, all int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fraction(now, entries)
+}
+
+func (g *Grantor) fraction(now time.Duration, entries int) (fraction float64, all int) {
+	all = entries
+	for address, v := range g.votes {
+		if now >= v.Until {
+			delete(g.votes, address)
+			continue
+		}
+		all = max(all, v.Entries)
+	}
+	all = max(all, len(g.votes), 1)
+	return float64(len(g.votes)) / float64(all), all
+}
+
+// Distribute answers the requests for permits of which any is granted or which were not
+// answered before. Entries is the number of entries that this one knows.
+func (g *Grantor) Distribute(now time.Duration, limits []Observation, entries int) []Grant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fraction, all := g.fraction(now, entries)
+	g.dropOldAsks(now, askIntervals*AskInterval(all))
+	g.dropBuckets(limits)
+	granted := make(map[string][]Granted)
+	for _, o := range limits {
+		if o.Limit.Limited() {
+			g.distribute(now, o, fraction, granted)
+		}
+	}
+	var grants []Grant
+	for address, a := range g.asks {
+		permits := granted[address]
+		if a.answered && !slices.ContainsFunc(permits, func(p Granted) bool { return p.Count > 0 }) {
+			continue
+		}
+		a.answered = true
+		grants = append(grants, Grant{Address: address, Incarnation: a.Incarnation, Stamp: a.Stamp, Permits: permits})
+	}
+	return grants
+}
+
+func (g *Grantor) dropOldAsks(now, ttl time.Duration) {
+	for address, a := range g.asks {
+		if now-a.at > ttl {
+			delete(g.asks, address)
+		}
+	}
+}
+
+// dropBuckets removes the buckets of endpoints whose limit is no longer known.
+func (g *Grantor) dropBuckets(limits []Observation) {
+	if len(g.buckets) <= len(limits) {
+		return
+	}
+	known := make(map[uint32]bool, len(limits))
+	for _, o := range limits {
+		known[o.Endpoint.Hash] = true
+	}
+	for hash := range g.buckets {
+		if !known[hash] {
+			delete(g.buckets, hash)
+		}
+	}
+}
+
+// distribute grants the permits of one endpoint, each to one of the entries that want it,
+// with a probability in proportion to how many they want.
+func (g *Grantor) distribute(now time.Duration, o Observation, fraction float64, granted map[string][]Granted) {
+	rate := fraction * min(max(o.Limit.PerSecond(), minRate), maxRate)
+	b := g.refill(now, o.Endpoint, rate)
+	askers, total := g.askersOf(o.Endpoint)
+	if total == 0 {
+		return
+	}
+	counts := make([]int, len(askers))
+	left := total
+	for ; b.tokens >= 1 && left > 0; left-- {
+		draw := int(g.random() * float64(left))
+		for i, a := range askers {
+			remaining := a.wanted.Count - counts[i]
+			if draw < remaining {
+				counts[i]++
+				break
+			}
+			draw -= remaining
+		}
+		b.tokens--
+	}
+	for i, a := range askers {
+		share := rate * float64(a.wanted.Count) / float64(total)
+		granted[a.address] = append(granted[a.address], Granted{Endpoint: o.Endpoint, Count: counts[i], Share: share})
+		a.wanted.Count -= counts[i]
+	}
+}
+
+// asker is what one entry wants for an endpoint.
+type asker struct {
+	address string
+	wanted  *Wanted
+}
+
+// askersOf returns the entries that want permits of an endpoint, in the order of their
+// addresses, and how many they want together.
+func (g *Grantor) askersOf(e Endpoint) (askers []asker, total int) {
+	for address, a := range g.asks {
+		for i := range a.Wanted {
+			if w := &a.Wanted[i]; w.Endpoint.matches(e) && w.Count > 0 {
+				askers = append(askers, asker{address, w})
+				total += w.Count
+			}
+		}
+	}
+	slices.SortFunc(askers, func(a, b asker) int { return strings.Compare(a.address, b.address) })
+	return askers, total
+}
+
+// refill returns the bucket of an endpoint with the permits since the last call. A new
+// one is empty, since the grantor before may just have used the limit.
+func (g *Grantor) refill(now time.Duration, e Endpoint, rate float64) *bucket {
+	b := g.buckets[e.Hash]
+	if b == nil || !b.endpoint.matches(e) {
+		b = &bucket{endpoint: e, refilledAt: now}
+		g.buckets[e.Hash] = b
+	}
+	elapsed := min(now-b.refilledAt, VoteLease(minAnnounceInterval))
+	b.tokens = min(b.tokens+rate*elapsed.Seconds(), max(rate*burstTime.Seconds(), 1))
+	b.refilledAt = now
+	return b
+}
--- a/internal/coordination/quota/limits.go
+++ b/internal/coordination/quota/limits.go
@@ -48,7 +48,7 @@
 	// liftedTTL is how long a lifted limit is kept, so that an entry that missed the
 	// lifting does not restore the limit. It is also how long a limit is kept whose
 	// endpoint is no longer listed.
-	liftedTTL = time.Minute
+	liftedTTL = 20 * time.Second
 	// maxLimits bounds the endpoints; the ones with the oldest observations are dropped
 	// first.
 	maxLimits = 4096
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -227,6 +227,12 @@
 		e.gateway.ReceiveSummary(ctx, c.Summary)
 	case *nodev1.Datagram_Notice:
 		e.gateway.ReceiveNotice(ctx, c.Notice)
+	case *nodev1.Datagram_QuotaReport:
+		e.gateway.ReceiveQuotaReport(ctx, c.QuotaReport)
+	case *nodev1.Datagram_QuotaAnnouncement:
+		e.gateway.ReceiveQuotaAnnouncement(ctx, c.QuotaAnnouncement)
+	case *nodev1.Datagram_QuotaGrant:
+		e.gateway.ReceiveQuotaGrant(ctx, c.QuotaGrant)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 		return g.unreachable(ctx, err)
 	}
 	defer x.End()
-	if reason := g.staleReason(q, c.Candidate); reason != "" {
+	if reason := g.staleReason(q, *c); reason != "" {
 		return result{outcome: placement.Stale, notRun: true, reason: reason}
 	}
 	q.tried = append(q.tried, c.ID)
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -36,6 +36,7 @@
 const (
 	reasonBackpressure    = "endpoint has signaled backpressure since the placement"
 	reasonOutdatedWeights = "weights of the endpoint are too old by now"
+	reasonRateLimited     = "endpoint has a rate limit and the request has no valid permit"
 	reasonUnconfirmed     = "confirmation of the configuration has expired"
 )
 
@@ -43,12 +44,15 @@
 // it, or an empty string if it may. The process may have been suspended since the
 // placement, or may have received new information while a connection was being
 // established.
-func (g *Gateway) staleReason(q *request, c placement.Candidate) string {
+func (g *Gateway) staleReason(q *request, c placement.Choice) string {
 	now := g.now()
-	if !g.backpressure.State(now, incarnationOf(c)).Admits(now) {
+	if !g.backpressure.State(now, incarnationOf(c.Candidate)).Admits(now) {
 		return reasonBackpressure
 	}
-	if g.outdated(q.service, c, now) {
+	if now >= c.PermitUntil() && g.rateLimits.limits.Limit(quotaEndpoint(c.Candidate)).Limited() {
+		return reasonRateLimited
+	}
+	if g.outdated(q.service, c.Candidate, now) {
 		return reasonOutdatedWeights
 	}
 	if q.account == "" {
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -54,7 +54,7 @@
 		g.ApplyConfiguration(keyed(1, "key"), nil)
 		q := &request{account: "shop", head: RequestHead{Key: "key"}, service: g.Configuration().Services()["s"]}
 		test.happen(g, clock)
-		require.Equal(t, test.reason, g.staleReason(q, endpoint), test.name)
+		require.Equal(t, test.reason, g.staleReason(q, placement.Choice{Candidate: endpoint}), test.name)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -140,6 +140,7 @@
 	notices      *noticeList
 	backpressure *admission.Tracker
 	rateLimits   *rateLimits
+	quotas       *quotas
 	pool         *endpoints.Pool
 	traffic      traffic
 	peers        *peers
@@ -190,6 +191,7 @@
 		o(g)
 	}
 	g.started = g.now()
+	g.quotas = newQuotas(self.PeerAddress, g.started)
 	return g
 }
 
@@ -209,6 +211,7 @@
 		var work sync.WaitGroup
 		work.Go(func() { g.run(ctx) })
 		work.Go(func() { g.expire(ctx) })
+		work.Go(func() { g.runQuotas(ctx) })
 		work.Wait()
 	}()
 	return done
@@ -446,7 +449,7 @@
 
 func (g *Gateway) newServiceTraffic() *serviceTraffic {
 	return &serviceTraffic{
-		placement: placement.New(placement.WithDomain(g.self.FailureDomain), placement.WithOvercommit(1)),
+		placement: placement.New(placement.WithDomain(g.self.FailureDomain), placement.WithOvercommit(1), placement.WithPermitsWanted(g.wakeQuotas)),
 		budget:    g.newBudget(),
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,6 +189,43 @@
 	return n
 }
 
+// newPeerTime is how long a peer that was not heard of yet counts as an entry.
+const newPeerTime = 5 * time.Second
+
+// entries returns the number of entries that may be running, this one included: those
+// that were heard of in the last forgetAfter, and those that others have just named.
+func (p *peers) entries(now time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, q := range p.known {
+		if q.summary != nil || q.addedAt == 0 || now-q.addedAt < newPeerTime {
+			n++
+		}
+	}
+	return n
+}
+
+// live returns the addresses of the live peers.
+func (p *peers) live(now time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for address, q := range p.known {
+		if p.alive(q, now) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// all returns the addresses of all known peers.
+func (p *peers) all() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.known))
+}
+
 // ready returns the live peers that accept requests.
 func (p *peers) ready(now time.Duration) []placement.Entry {
 	p.mu.Lock()
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -60,7 +60,14 @@
 	telemetry.EndpointLimited.Log(ctx, g.logger, "request", q.head.ID, "endpoint", c.ID, "started", c.Started,
 		"limited", a.RateLimit.Limited(), "perSecond", a.RateLimit.PerSecond(), "before", before.PerSecond(),
 		"sent", g.rateLimits.takeSent(e.Hash))
+	g.rateLimitsChanged()
+}
+
+// rateLimitsChanged applies changed rate limits to placement.
+func (g *Gateway) rateLimitsChanged() {
 	g.metrics.LimitedEndpoints.Set(float64(g.rateLimits.limits.Count()))
+	g.Refresh()
+	g.wakeQuotas()
 }
 
 // logMalformedLimit logs a malformed limit once for each endpoint and text.
@@ -89,16 +96,13 @@
 	if limits.Empty() {
 		return
 	}
-	listed := make(map[uint32]bool)
-	for _, e := range g.snapshot.Load().endpoints {
-		listed[endpointHash(e.ID())] = true
-	}
-	limits.Expire(g.now(), func(e quota.Endpoint) bool { return listed[e.Hash] })
+	v := g.snapshot.Load()
+	limits.Expire(g.now(), func(e quota.Endpoint) bool { return v.endpointByHash(e.Hash) != nil })
 	g.metrics.LimitedEndpoints.Set(float64(limits.Count()))
 	g.rateLimits.mu.Lock()
 	defer g.rateLimits.mu.Unlock()
 	for hash := range g.rateLimits.malformed {
-		if !listed[hash] {
+		if v.endpointByHash(hash) == nil {
 			delete(g.rateLimits.malformed, hash)
 		}
 	}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -13,9 +13,14 @@
 type snapshot struct {
 	configuration *fleet.Configuration
 	endpoints     []*fleet.Endpoint
-	listed        bool // the platform's list has been read at least once
+	byHash        map[uint32]*fleet.Endpoint // endpoints by the hash in messages between entries
+	listed        bool                       // the platform's list has been read at least once
 }
 
+// endpointByHash returns the endpoint that a message between entries refers to, nil if it
+// is not listed.
+func (v *snapshot) endpointByHash(hash uint32) *fleet.Endpoint { return v.byHash[hash] }
+
 func (v *snapshot) version() int64 {
 	if v.configuration == nil {
 		return 0
@@ -52,6 +57,10 @@
 	old := g.snapshot.Load()
 	next := *old
 	next.endpoints = list
+	next.byHash = make(map[uint32]*fleet.Endpoint, len(list))
+	for _, e := range list {
+		next.byHash[endpointHash(e.ID())] = e
+	}
 	next.listed = true
 	g.logEndpoints(old.endpoints, list)
 	g.snapshot.Store(&next)
@@ -130,6 +139,9 @@
 		return c, false
 	}
 	c.HeldUntil = state.BlockedUntil()
+	if limit := g.rateLimits.limits.Limit(quotaEndpoint(c)); limit.Limited() {
+		c.Limited, c.RateLimit = true, limit.PerSecond()
+	}
 	if s.MaxConnections() > 0 {
 		c.MaxInFlight = min(max(s.MaxConnections()*9/10/max(g.peers.count()+1, 1), 2), maxConnections)
 	}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -231,6 +231,10 @@
 		726, "endpointLimitMalformed", slog.LevelWarn,
 		"An endpoint stated a rate limit that is not a number of requests a second. The limit before stays in force.",
 	}
+	QuotaGrantor = Event{
+		727, "quotaGrantor", slog.LevelInfo,
+		"Another entry than before grants the permits for endpoints with a rate limit, or none does.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -251,7 +255,7 @@
 		StoreLost, StoreRegained, PeerHeard, PeerCopyNotFetched, FleetRequestEnded, FleetAttemptFailed, EntryLeaving,
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
-		EndpointLimited, EndpointLimitMalformed,
+		EndpointLimited, EndpointLimitMalformed, QuotaGrantor,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
