Permits: one answer for what waits, fairness among accounts, endpoints apart

Found by a fleet of gateways in virtual time (internal/gateway/quotafleet_test.go), before any endpoint saw it:

- With 300 entries of one request a second each, 15 of 36 permits were used: requests for permits stayed pending after their callers had been refused, and one that named two endpoints got two permits.
- Permits of one answer were applied one endpoint after the other, so that a refusal for the first preceded the permit for the second.
- An account with eight times the requests took permits in proportion.
- Endpoints with a limit are distributed among entries apart from others.
Otherwise an entry whose preferred endpoints are all limited refuses what others have room for.

Tested with 1, 8, 16 and 148 entries, limits of 0, 0.3, 1.5, 10 and 1e300 a second, all fault kinds of the table.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -101,12 +101,13 @@
 	PrefillTokens int
 }
 
-// hasCapacity reports whether another request may be placed on the endpoint.
-func (e *endpoint) hasCapacity(now time.Duration, overcommit int) bool {
+// hasCapacity reports whether another request may be placed on the endpoint. With
+// unreserved set, it must not use a permit that is reserved for other accounts.
+func (e *endpoint) hasCapacity(now time.Duration, overcommit int, unreserved bool) bool {
 	if !e.isAvailable(now) {
 		return false
 	}
-	if e.Limited && !e.hasPermit(now) || !e.Limited && !e.Preferred && e.quota <= 0 {
+	if e.Limited && !e.hasPermit(now, unreserved) || !e.Limited && !e.Preferred && e.quota <= 0 {
 		return false
 	}
 	return e.freeSlots(overcommit) > 0
--- a/internal/coordination/placement/permits.go
+++ b/internal/coordination/placement/permits.go
@@ -10,9 +10,8 @@
 // Parameters of permits for endpoints with a rate limit.
 const (
 	// arrivalTime is the time constant over which the rate of submitted requests is
-	// averaged. Below minArrivalRate no further request is expected soon.
-	arrivalTime    = time.Second
-	minArrivalRate = 0.3 // requests a second
+	// averaged: long enough that a few requests in a row are no rate.
+	arrivalTime = 3 * time.Second
 	// permitLead is the time for which permits are obtained in advance, about twice as
 	// long as it takes to obtain one.
 	permitLead = 200 * time.Millisecond
@@ -31,7 +30,8 @@
 
 // permit allows one request to an endpoint with a rate limit.
 type permit struct {
-	until time.Duration
+	reservedUntil time.Duration // until then it is kept for accounts that are not above the mean
+	until         time.Duration
 }
 
 // Demand is a number of permits that are wanted for an endpoint.
@@ -40,55 +40,83 @@
 	Count int
 }
 
+// Demands are the permits that an entry wants.
+type Demands struct {
+	Endpoints []Demand
+	// Total is how many permits the requests need, at whichever of the endpoints.
+	Total int
+	// Expected is set if some of the requests are expected soon. Otherwise only permits
+	// that are granted at once are of use.
+	Expected bool
+}
+
 // WithPermitsWanted sets a function that is called when a request finds no permit. It must
 // not block and not call the Pool.
 func WithPermitsWanted(wanted func()) Option { return func(p *Pool) { p.permitsWanted = wanted } }
 
-// GrantPermits adds permits for an endpoint that are valid until the given time. Share is
-// the rate of permits that this entry can expect, in requests a second.
-func (p *Pool) GrantPermits(now time.Duration, id string, count int, until time.Duration, share float64) {
+// Permits are permits for an endpoint.
+type Permits struct {
+	// ID is the identity of the endpoint.
+	ID    string
+	Count int
+	// Until is the end of their validity.
+	Until time.Duration
+	// Share is the rate of permits that this entry can expect, in requests a second.
+	Share float64
+}
+
+// GrantPermits adds the permits of one answer, places waiting requests with them, and
+// refuses those that are not expected to get one in time.
+func (p *Pool) GrantPermits(now time.Duration, granted []Permits) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.endpoints[id]
-	if e == nil || !e.Limited {
-		return
-	}
-	e.share, e.shareAt = share, now
-	for range count {
-		e.permits = append(e.permits, permit{until})
+	for _, g := range granted {
+		e := p.endpoints[g.ID]
+		if e == nil || !e.Limited {
+			continue
+		}
+		e.share, e.shareAt = g.Share, now
+		for range g.Count {
+			e.permits = append(e.permits, permit{reservedUntil: now + reserveTime, until: g.Until})
+		}
 	}
 	p.placeQueued(now)
-	if count == 0 {
-		p.refuseUnpermitted(now)
-	}
+	p.refuseUnpermitted(now)
 }
 
 // WantedPermits returns the permits that this entry wants: for its preferred endpoints
 // those of the requests that are expected soon, and for all endpoints those of waiting
 // requests that have no other endpoint.
-func (p *Pool) WantedPermits(now time.Duration) []Demand {
+func (p *Pool) WantedPermits(now time.Duration) Demands {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.limitedCount == 0 {
+		return Demands{}
+	}
 	waiting := len(p.onTime) + len(p.late)
-	requests := waiting + p.expectedArrivals(now)
-	if requests == 0 {
-		return nil
+	arrivals := p.expectedArrivals(now)
+	if waiting+arrivals == 0 {
+		return Demands{}
 	}
-	scarce := waiting > 0 || p.allLimited()
-	var wanted []*endpoint
+	demands := Demands{Total: waiting + arrivals, Expected: arrivals > 0}
+	count := min((waiting+arrivals+len(p.listed)-1)/len(p.listed), maxWantedPermits)
+	for _, e := range p.lackingPermits(now, waiting > 0 || p.allLimited()) {
+		demands.Endpoints = append(demands.Endpoints, Demand{Candidate: e.Candidate, Count: count})
+	}
+	return demands
+}
+
+// lackingPermits returns the endpoints that could take a request but for a permit, the
+// preferred ones first, and only these unless all is set.
+func (p *Pool) lackingPermits(now time.Duration, all bool) []*endpoint {
+	var list []*endpoint
 	for _, e := range p.listed {
-		if e.lacksPermit(now, p.overcommit) && (e.Preferred || scarce) {
-			wanted = append(wanted, e)
+		if e.lacksPermit(now, p.overcommit) && (e.Preferred || all) {
+			list = append(list, e)
 		}
 	}
-	slices.SortStableFunc(wanted, func(a, b *endpoint) int { return cmp.Compare(preference(a), preference(b)) })
-	wanted = wanted[:min(len(wanted), maxWantedEndpoints)]
-	count := min((requests+len(p.listed)-1)/len(p.listed), maxWantedPermits)
-	demands := make([]Demand, 0, len(wanted))
-	for _, e := range wanted {
-		demands = append(demands, Demand{Candidate: e.Candidate, Count: count})
-	}
-	return demands
+	slices.SortStableFunc(list, func(a, b *endpoint) int { return cmp.Compare(preference(a), preference(b)) })
+	return list[:min(len(list), maxWantedEndpoints)]
 }
 
 // preference orders preferred endpoints before others.
@@ -100,7 +128,10 @@
 }
 
 // recordArrival updates the rate of submitted requests.
-func (p *Pool) recordArrival(now time.Duration) {
+func (p *Pool) recordArrival(now time.Duration, r Request) {
+	if p.limitedCount > 0 {
+		p.use.want(now, r.Account)
+	}
 	p.arrivalRate = p.arrivalRateAt(now) + 1/arrivalTime.Seconds()
 	p.arrivedAt = now
 }
@@ -110,12 +141,10 @@
 }
 
 // expectedArrivals returns the number of requests that are expected within permitLead.
+// Less than one counts as none, since a permit may expire before the next request, while
+// another entry has one that waits.
 func (p *Pool) expectedArrivals(now time.Duration) int {
-	rate := p.arrivalRateAt(now)
-	if rate < minArrivalRate {
-		return 0
-	}
-	return int(math.Ceil(rate * permitLead.Seconds()))
+	return int(p.arrivalRateAt(now) * permitLead.Seconds())
 }
 
 // allLimited reports whether every endpoint has a rate limit.
@@ -167,15 +196,22 @@
 // maxPermitDelaySeconds is beyond every deadline.
 const maxPermitDelaySeconds = 3600
 
+// needsUnreserved reports whether the request may use only permits that are not reserved,
+// because its account has used more than others that share them.
+func (p *Pool) needsUnreserved(now time.Duration, r Request) bool {
+	return p.allLimited() && p.use.aboveMean(now, r.Account)
+}
+
 // waitsForPermit reports whether only a permit is missing to place the request.
 func (p *Pool) waitsForPermit(now time.Duration, r Request) bool {
 	missing := false
+	unreserved := p.needsUnreserved(now, r)
 	for _, e := range p.listed {
 		switch {
 		case r.excludes(e.ID):
 		case !e.Limited:
 			return false
-		case e.lacksPermit(now, p.overcommit):
+		case !e.hasPermit(now, unreserved) && e.isAvailable(now) && e.freeSlots(p.overcommit) > 0:
 			missing = true
 		}
 	}
@@ -222,13 +258,14 @@
 
 // lacksPermit reports whether the endpoint could take a request but for a permit.
 func (e *endpoint) lacksPermit(now time.Duration, overcommit int) bool {
-	return e.Limited && !e.hasPermit(now) && e.isAvailable(now) && e.freeSlots(overcommit) > 0
+	return e.Limited && !e.hasPermit(now, false) && e.isAvailable(now) && e.freeSlots(overcommit) > 0
 }
 
-// hasPermit reports whether there is a valid permit.
-func (e *endpoint) hasPermit(now time.Duration) bool {
+// hasPermit reports whether there is a valid permit, which must not be reserved for other
+// accounts if unreserved is set.
+func (e *endpoint) hasPermit(now time.Duration, unreserved bool) bool {
 	e.permits = slices.DeleteFunc(e.permits, func(r permit) bool { return now >= r.until })
-	return len(e.permits) > 0
+	return slices.ContainsFunc(e.permits, func(r permit) bool { return !unreserved || now >= r.reservedUntil })
 }
 
 // takePermit uses the permit that expires first and returns until when it is valid.
@@ -247,6 +284,6 @@
 // returnPermit gives back the permit of a request that was not sent.
 func (e *endpoint) returnPermit(now, until time.Duration) {
 	if e.Limited && until > now {
-		e.permits = append(e.permits, permit{until})
+		e.permits = append(e.permits, permit{until: until})
 	}
 }
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -60,6 +60,7 @@
 	limitedCount     int           // endpoints with a rate limit
 	arrivalRate      float64       // submitted requests a second, as of arrivedAt
 	arrivedAt        time.Duration // last submitted request
+	use              accountUse    // of permits
 	permitsWanted    func()
 }
 
@@ -85,7 +86,7 @@
 
 // New returns a Pool without endpoints.
 func New(options ...Option) *Pool {
-	p := &Pool{random: rand.Float64, uncontendedShare: 1, endpoints: make(map[string]*endpoint)}
+	p := &Pool{random: rand.Float64, uncontendedShare: 1, endpoints: make(map[string]*endpoint), use: newAccountUse()}
 	for _, o := range options {
 		o(p)
 	}
@@ -217,7 +218,7 @@
 	t := &Ticket{request: r, submittedAt: now, decision: make(chan Decision, 1)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordArrival(now)
+	p.recordArrival(now, r)
 	defer p.askForPermits(now)
 	p.placeQueued(now)
 	p.setWaitLimits(now, t)
@@ -332,6 +333,7 @@
 	p.expire(now)
 	p.demote(now)
 	p.refuseUnpermitted(now)
+	p.use.expire(now)
 }
 
 // Waiting returns the number of waiting requests.
@@ -391,6 +393,7 @@
 	e.ownLoad.PrefillTokens += t.request.Prompt
 	if e.Limited {
 		choice.permitUntil = e.takePermit()
+		p.use.take(now, t.request.Account)
 	} else {
 		e.quota--
 	}
@@ -426,13 +429,18 @@
 	return p.holdRemaining(now) + minimum + time.Duration(p.random()*float64(maxRetryAfter-minimum))
 }
 
-// meanInFlight returns the mean number of requests in flight at an endpoint.
+// meanInFlight returns the mean number of requests in flight at an endpoint without a rate
+// limit, or at all if every endpoint has one.
 func (p *Pool) meanInFlight() int {
-	n := 0
+	n, counted := 0, 0
 	for _, e := range p.listed {
+		if e.Limited && p.limitedCount < len(p.listed) {
+			continue
+		}
 		n += e.ownLoad.InFlight + e.peerLoad.InFlight
+		counted++
 	}
-	return n / max(len(p.listed), 1)
+	return n / max(counted, 1)
 }
 
 // otherSampleSize is the number of endpoints other than the preferred ones that are
@@ -446,11 +454,12 @@
 	var best *endpoint
 	var bestScore, bestDelay time.Duration
 	sampled := 0
+	unreserved := p.limitedCount > 0 && p.needsUnreserved(now, r)
 	start := int(p.random() * float64(len(p.listed)))
 	for i := range p.listed {
 		e := p.listed[(start+i)%len(p.listed)]
 		sample := !e.Preferred && !e.Limited
-		if sample && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit) || r.excludes(e.ID) {
+		if sample && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit, unreserved) || r.excludes(e.ID) {
 			continue
 		}
 		if sample {
--- a/internal/coordination/placement/preferred.go
+++ b/internal/coordination/placement/preferred.go
@@ -6,11 +6,36 @@
 )
 
 // MarkPreferred marks the preferred endpoints of the entry self: those that it uses first.
-// The endpoints of each failure domain are distributed over the live entries of that
-// domain, or over all entries if it has none. The result is the same on every entry
-// that has the same list of members. In a domain with fewer endpoints than entries,
-// several entries share an endpoint.
+// Endpoints with a rate limit are distributed apart from the others: what they take is
+// small, so that an entry which prefers only such ones would refuse what others have
+// room for.
 func MarkPreferred(candidates []Candidate, entries map[string][]string, domain, self string) {
+	slices.SortStableFunc(candidates, compareLimited)
+	firstLimited := slices.IndexFunc(candidates, func(c Candidate) bool { return c.Limited })
+	if firstLimited >= 0 {
+		markPreferred(candidates[firstLimited:], entries, domain, self)
+		candidates = candidates[:firstLimited]
+	}
+	markPreferred(candidates, entries, domain, self)
+}
+
+// compareLimited orders endpoints with a rate limit after others.
+func compareLimited(a, b Candidate) int {
+	switch {
+	case a.Limited == b.Limited:
+		return 0
+	case b.Limited:
+		return -1
+	}
+	return 1
+}
+
+// markPreferred marks the preferred endpoints among the given ones. The endpoints of each
+// failure domain are distributed over the live entries of that domain, or over all
+// entries if it has none. The result is the same on every entry that has the same list of
+// members. In a domain with fewer endpoints than entries, several entries share an
+// endpoint.
+func markPreferred(candidates []Candidate, entries map[string][]string, domain, self string) {
 	var all []string
 	for _, list := range entries {
 		all = append(all, list...)
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -242,7 +242,7 @@
 	skipped := 0
 	for _, t := range p.onTime {
 		e, delay := p.bestEndpoint(now, t.request)
-		if e == nil && len(t.request.Exclude) == 0 {
+		if e == nil && len(t.request.Exclude) == 0 && p.limitedCount == 0 {
 			return false
 		}
 		if e != nil && p.meetsTarget(now, t, e, delay) {
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -68,6 +68,8 @@
 	Priority int
 	// Prompt is the number of prompt tokens, 0 for plain endpoints.
 	Prompt int
+	// Account is the name of the client account.
+	Account string
 	// Exclude lists the IDs of endpoints that were already tried.
 	Exclude []string
 	// PlacedBefore marks a request that was placed before. It precedes all others.
--- a/internal/coordination/quota/grantor.go
+++ b/internal/coordination/quota/grantor.go
@@ -31,6 +31,11 @@
 	// Stamp is the asking entry's clock when it wrote the request; the grant echoes it.
 	Stamp  uint64
 	Wanted []Wanted
+	// Total is how many permits its requests need, at whichever of the endpoints.
+	Total int
+	// TTL is how long the permits are of use after the first answer. With 0 there is only
+	// one answer: the entry refuses its requests if it contains no permit.
+	TTL time.Duration
 }
 
 // Granted is the answer to what an entry wants for an endpoint.
@@ -137,7 +142,7 @@
 	if last := g.asks[a.Address]; last != nil && last.Incarnation == a.Incarnation && last.Stamp > a.Stamp {
 		return
 	}
-	if len(a.Wanted) == 0 {
+	if len(a.Wanted) == 0 || a.Total <= 0 {
 		delete(g.asks, a.Address)
 		return
 	}
@@ -177,8 +182,8 @@
 func (g *Grantor) Distribute(now time.Duration, limits []Observation, entries int) []Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fraction, all := g.fraction(now, entries)
-	g.dropOldAsks(now, askIntervals*AskInterval(all))
+	fraction, _ := g.fraction(now, entries)
+	g.dropOldAsks(now)
 	g.dropBuckets(limits)
 	granted := make(map[string][]Granted)
 	for _, o := range limits {
@@ -198,9 +203,10 @@
 	return grants
 }
 
-func (g *Grantor) dropOldAsks(now, ttl time.Duration) {
+// dropOldAsks removes answered requests whose permits are no longer of use.
+func (g *Grantor) dropOldAsks(now time.Duration) {
 	for address, a := range g.asks {
-		if now-a.at > ttl {
+		if a.answered && now-a.at >= a.TTL {
 			delete(g.asks, address)
 		}
 	}
@@ -227,50 +233,69 @@
 func (g *Grantor) distribute(now time.Duration, o Observation, fraction float64, granted map[string][]Granted) {
 	rate := fraction * min(max(o.Limit.PerSecond(), minRate), maxRate)
 	b := g.refill(now, o.Endpoint, rate)
-	askers, total := g.askersOf(o.Endpoint)
+	askers := g.askersOf(o.Endpoint)
+	total := totalWanted(askers)
 	if total == 0 {
 		return
 	}
-	counts := make([]int, len(askers))
-	left := total
-	for ; b.tokens >= 1 && left > 0; left-- {
-		draw := int(g.random() * float64(left))
-		for i, a := range askers {
-			remaining := a.wanted.Count - counts[i]
-			if draw < remaining {
-				counts[i]++
-				break
-			}
-			draw -= remaining
-		}
+	for i := range askers {
+		askers[i].share = rate * float64(askers[i].wants()) / float64(total)
+	}
+	for ; b.tokens >= 1 && total > 0; total = totalWanted(askers) {
 		b.tokens--
+		a := draw(askers, int(g.random()*float64(total)))
+		a.granted++
+		a.wanted.Count--
+		a.ask.Total--
 	}
-	for i, a := range askers {
-		share := rate * float64(a.wanted.Count) / float64(total)
-		granted[a.address] = append(granted[a.address], Granted{Endpoint: o.Endpoint, Count: counts[i], Share: share})
-		a.wanted.Count -= counts[i]
+	for _, a := range askers {
+		granted[a.ask.Address] = append(granted[a.ask.Address], Granted{Endpoint: o.Endpoint, Count: a.granted, Share: a.share})
 	}
 }
 
-// asker is what one entry wants for an endpoint.
+// asker is what one entry wants for an endpoint, and what it is granted.
 type asker struct {
-	address string
+	ask     *pendingAsk
 	wanted  *Wanted
+	share   float64
+	granted int
+}
+
+// wants returns the permits that it still wants for the endpoint.
+func (a asker) wants() int { return min(a.wanted.Count, a.ask.Total) }
+
+func totalWanted(askers []asker) int {
+	total := 0
+	for _, a := range askers {
+		total += a.wants()
+	}
+	return total
+}
+
+// draw returns the asker of the n-th of all wanted permits.
+func draw(askers []asker, n int) *asker {
+	for i := range askers {
+		if n < askers[i].wants() {
+			return &askers[i]
+		}
+		n -= askers[i].wants()
+	}
+	panic("quota: more permits are drawn than wanted")
 }
 
 // askersOf returns the entries that want permits of an endpoint, in the order of their
-// addresses, and how many they want together.
-func (g *Grantor) askersOf(e Endpoint) (askers []asker, total int) {
-	for address, a := range g.asks {
+// addresses.
+func (g *Grantor) askersOf(e Endpoint) []asker {
+	var askers []asker
+	for _, a := range g.asks {
 		for i := range a.Wanted {
-			if w := &a.Wanted[i]; w.Endpoint.matches(e) && w.Count > 0 {
-				askers = append(askers, asker{address, w})
-				total += w.Count
+			if w := &a.Wanted[i]; w.Endpoint.matches(e) {
+				askers = append(askers, asker{ask: a, wanted: w})
 			}
 		}
 	}
-	slices.SortFunc(askers, func(a, b asker) int { return strings.Compare(a.address, b.address) })
-	return askers, total
+	slices.SortFunc(askers, func(a, b asker) int { return strings.Compare(a.ask.Address, b.ask.Address) })
+	return askers
 }
 
 // refill returns the bucket of an endpoint with the permits since the last call. A new
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -58,11 +58,9 @@
 	silenceTimeout = 800 * time.Millisecond
 	silencePeriod  = 10 * time.Second
 	// minAskInterval is how often an entry repeats what permits it wants. With many
-	// entries the grantor gets one such message every askPeerInterval. What is not
-	// repeated is dropped after askIntervals.
+	// entries the grantor gets one such message every askPeerInterval.
 	minAskInterval  = 100 * time.Millisecond
 	askPeerInterval = 1500 * time.Microsecond
-	askIntervals    = 2
 	// PermitTTL is how long a permit is valid after the request for it.
 	PermitTTL = time.Second
 	// MaxGrantDelay is the age of a request for permits from which its answer is
@@ -91,6 +89,10 @@
 	return leaseIntervals*interval + leaseMargin
 }
 
+// AskTTL returns how long a request for permits is pending that an entry repeats for
+// requests that it expects. One repetition may be lost.
+func AskTTL(entries int) time.Duration { return 2 * AskInterval(entries) }
+
 // AskInterval returns how often each of so many entries repeats what permits it wants.
 func AskInterval(entries int) time.Duration {
 	return max(minAskInterval, time.Duration(entries)*askPeerInterval)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/coordination/quota"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -130,11 +131,7 @@
 	if len(g.rateLimits.limits.Unreported(1)) > 0 {
 		return true
 	}
-	wanted := false
-	g.traffic.each(func(_ string, s *serviceTraffic) {
-		wanted = wanted || len(s.placement.WantedPermits(now)) > 0
-	})
-	return wanted
+	return len(g.wantedPermits(now).Wanted) > 0
 }
 
 // sendReport sends what this entry wants and has observed, in response to an
@@ -168,21 +165,28 @@
 	if c := g.quotas.complete.Load(); c != nil && c.Address == a.Address && c.Incarnation == a.Incarnation {
 		m.Revision = c.Revision
 	}
-	for _, w := range g.wantedPermits(now) {
+	ask := g.wantedPermits(now)
+	m.WantedMs, m.WantedTotal = uint32(ask.TTL.Milliseconds()), uint32(ask.Total)
+	for _, w := range ask.Wanted {
 		m.Wanted = append(m.Wanted, &nodev1.EndpointPermits{Endpoint: w.Endpoint.Hash, Started: w.Endpoint.Started, Count: uint32(w.Count)})
 	}
 	return m
 }
 
-// wantedPermits returns the permits that this entry wants for all services.
-func (g *Gateway) wantedPermits(now time.Duration) []quota.Wanted {
-	var wanted []quota.Wanted
+// wantedPermits returns a request for the permits that this entry wants for all services.
+func (g *Gateway) wantedPermits(now time.Duration) quota.Ask {
+	ask := quota.Ask{Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: uint64(now)}
 	g.traffic.each(func(_ string, s *serviceTraffic) {
-		for _, d := range s.placement.WantedPermits(now) {
-			wanted = append(wanted, quota.Wanted{Endpoint: quotaEndpoint(d.Candidate), Count: d.Count})
+		demands := s.placement.WantedPermits(now)
+		for _, d := range demands.Endpoints {
+			ask.Wanted = append(ask.Wanted, quota.Wanted{Endpoint: quotaEndpoint(d.Candidate), Count: d.Count})
+		}
+		ask.Total += demands.Total
+		if demands.Expected {
+			ask.TTL = quota.AskTTL(g.peers.entries(now))
 		}
 	})
-	return wanted
+	return ask
 }
 
 // grantRound announces this entry as the grantor, if that is due, and distributes
@@ -201,9 +205,7 @@
 		return min(next, gap)
 	}
 	q.distributedAt = now
-	q.grantor.Ask(now, quota.Ask{
-		Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: uint64(now), Wanted: g.wantedPermits(now),
-	})
+	q.grantor.Ask(now, g.wantedPermits(now))
 	for _, grant := range q.grantor.Distribute(now, limits, entries) {
 		g.deliver(now, grant)
 	}
@@ -278,13 +280,15 @@
 		return
 	}
 	v := g.snapshot.Load()
+	byService := make(map[string][]placement.Permits)
 	for _, p := range grant.Permits {
-		e := v.endpointByHash(p.Endpoint.Hash)
-		if e == nil {
-			continue
+		if e := v.endpointByHash(p.Endpoint.Hash); e != nil {
+			byService[e.Service()] = append(byService[e.Service()],
+				placement.Permits{ID: e.ID(), Count: p.Count, Until: asked + quota.PermitTTL, Share: p.Share})
 		}
-		pool := g.trafficOf(e.Service()).placement
-		pool.GrantPermits(now, e.ID(), p.Count, asked+quota.PermitTTL, p.Share)
+	}
+	for service, permits := range byService {
+		g.trafficOf(service).placement.GrantPermits(now, permits)
 	}
 }
 
@@ -301,7 +305,10 @@
 		})
 		grantor.SetRevision(m.GetAddress(), m.GetRevision())
 	}
-	a := quota.Ask{Address: m.GetAddress(), Incarnation: m.GetIncarnation(), Stamp: m.GetStamp()}
+	a := quota.Ask{
+		Address: m.GetAddress(), Incarnation: m.GetIncarnation(), Stamp: m.GetStamp(),
+		Total: int(m.GetWantedTotal()), TTL: time.Duration(m.GetWantedMs()) * time.Millisecond,
+	}
 	for _, w := range m.GetWanted() {
 		a.Wanted = append(a.Wanted, quota.Wanted{Endpoint: quota.Endpoint{Hash: w.GetEndpoint(), Started: w.GetStarted()}, Count: int(w.GetCount())})
 	}
--- /dev/null
+++ b/internal/gateway/quota_test.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/quota"
+)
+
+// What an endpoint with a rate limit may get in four seconds, from limitGrace after it
+// stated the limit.
+const (
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitGrace  = 3 * time.Second
+)
+
+func allowedBy(limit float64) float64 { return limitFactor*limit*4 + limitSlack }
+
+// The limit holds, and most of it is used, with one entry and with many, and with limits
+// far below one request a second for each entry.
+func TestRateLimitIsKeptAndUsed(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		entries int
+		rate    float64 // requests a second at each entry
+		limit   float64
+		used    float64 // at least this fraction of what the limit allows
+	}{
+		{1, 20, 1.5, 0.8},
+		{1, 20, 0.3, 0.8},
+		{8, 10, 1.5, 0.8},
+		{8, 10, 0.3, 0.7},
+		{8, 10, 10, 0.8},
+		{8, 1, 4, 0.5},
+		{8, 10, 0, 0},
+		{8, 10, 1e300, 0},
+		{30, 5, 1, 0.7},
+		{148, 2, 1.5, 0.7},
+	} {
+		t.Run(fmt.Sprintf("%d entries, %g a second", test.entries, test.limit), func(t *testing.T) {
+			f := newSimFleet(1, test.entries, 2, test.rate)
+			f.run(6 * time.Second)
+			s := f.endpoints[0]
+			for _, e := range f.endpoints {
+				e.limit = quota.NewLimit(test.limit)
+			}
+			named := f.now
+			f.run(limitGrace)
+			from := f.now
+			f.run(8 * time.Second)
+			got := s.between(from, f.now)
+			t.Logf("%d requests in 8 s, %d at most in 4 s", got, s.most(named+limitGrace, 0))
+			require.LessOrEqual(t, float64(s.most(named+limitGrace, 0)), allowedBy(test.limit))
+			require.GreaterOrEqual(t, float64(got), math.Floor(test.used*8*test.limit))
+			if test.limit == 0 {
+				require.Positive(t, got, "an endpoint that takes none is asked now and then whether it still does")
+			}
+			for _, e := range f.entries {
+				for _, d := range e.refusals {
+					require.Positive(t, d.RetryAfter())
+				}
+			}
+		})
+	}
+}
+
+// A limit that one entry reads binds all, and one that is changed or lifted is known to
+// all, within a second.
+func TestRateLimitReachesAllEntries(t *testing.T) {
+	t.Parallel()
+	for _, entries := range []int{1, 8, 148} {
+		f := newSimFleet(2, entries, 3, max(2, 40/float64(entries)))
+		f.run(6 * time.Second)
+		s := f.endpoints[0]
+		for _, stated := range []quota.Limit{quota.NewLimit(2), quota.NewLimit(0.5), quota.NewLimit(8), {}} {
+			s.limit = stated
+			changed := f.now
+			known := func() int {
+				n := 0
+				for _, e := range f.entries {
+					if e.rateLimits.limits.Limit(quota.Endpoint{Hash: endpointHash(s.id), Started: s.started}) == stated {
+						n++
+					}
+				}
+				return n
+			}
+			first := time.Duration(0)
+			for f.now-changed < 20*time.Second && known() < entries {
+				f.run(10 * time.Millisecond)
+				if first == 0 && known() > 0 {
+					first = f.now
+				}
+			}
+			t.Logf("%d entries, limit %v: known to all after %s, %s after the first", entries, stated, f.now-changed, f.now-first)
+			require.Equal(t, entries, known(), "%d entries, %v", entries, stated)
+			require.LessOrEqual(t, f.now-max(first, changed), time.Second, "%d entries, %v", entries, stated)
+		}
+	}
+}
+
+// Faults of entries and of their connections: the endpoint is sent no more than it
+// takes, by all entries together and with none excused.
+func TestRateLimitHoldsUnderFaults(t *testing.T) {
+	t.Parallel()
+	first := func(f *simFleet) *simEntry { return f.entries[0] }
+	cutInto := func(sides int) func(f *simFleet) {
+		return func(f *simFleet) {
+			for i, e := range f.entries {
+				e.side = i % sides
+			}
+		}
+	}
+	heal := func(f *simFleet) { cutInto(1)(f) }
+	for _, test := range []struct {
+		name  string
+		begin func(f *simFleet)
+		end   func(f *simFleet)
+		// starts is set if processes start. Only requests of entries count then that
+		// have read the limit themselves more than half a second before.
+		starts bool
+	}{
+		{"no fault", func(*simFleet) {}, func(*simFleet) {}, false},
+		{"grantor is suspended", func(f *simFleet) { first(f).suspend() }, func(f *simFleet) { first(f).resume() }, false},
+		{"half of the entries are suspended", func(f *simFleet) {
+			for i, e := range f.entries {
+				if i%2 == 0 {
+					e.suspend()
+				}
+			}
+		}, func(f *simFleet) {
+			for _, e := range f.entries {
+				e.resume()
+			}
+		}, false},
+		{"grantor is gone", func(f *simFleet) { first(f).stop() }, func(*simFleet) {}, false},
+		{"grantor starts again", func(f *simFleet) {
+			first(f).stop()
+			f.start(0, 5)
+		}, func(*simFleet) {}, true},
+		{"all entries start again", func(f *simFleet) {
+			for i := range f.entries {
+				f.entries[i].stop()
+				f.start(i, 5)
+			}
+		}, func(*simFleet) {}, true},
+		{"as many entries are added", func(f *simFleet) {
+			for i := range f.entries {
+				f.start(len(f.entries)+i, 5)
+			}
+		}, func(*simFleet) {}, true},
+		{"grantor is cut from the others", func(f *simFleet) { first(f).side = 1 }, heal, false},
+		{"two halves", cutInto(2), heal, false},
+		{"three parts", cutInto(3), heal, false},
+		{"each entry alone", func(f *simFleet) { cutInto(len(f.entries))(f) }, heal, false},
+		{"a fifth of the messages is lost", func(f *simFleet) { f.loss = 0.2 }, func(f *simFleet) { f.loss = 0 }, false},
+		{"endpoint starts again", func(f *simFleet) {
+			f.endpoints[0].started++
+			f.endpoints[0].restartedAt = f.now
+			for _, e := range f.entries {
+				e.list()
+			}
+		}, func(*simFleet) {}, false},
+	} {
+		for _, size := range []struct {
+			entries int
+			limit   float64
+		}{{1, 1.5}, {8, 1}, {16, 6}} {
+			if size.entries == 1 && test.name == "grantor is gone" {
+				continue
+			}
+			for seed := range uint64(2) {
+				name := fmt.Sprintf("%s, %d entries, %g a second, seed %d", test.name, size.entries, size.limit, seed)
+				f := newSimFleet(seed, size.entries, 2, 5)
+				f.run(2 * time.Second)
+				for _, e := range f.endpoints {
+					e.limit = quota.NewLimit(size.limit)
+				}
+				named := f.now
+				f.run(5 * time.Second)
+				test.begin(f)
+				f.run(4 * time.Second)
+				test.end(f)
+				ended := f.now
+				f.run(10 * time.Second)
+				s := f.endpoints[0]
+				after := s.between(ended+5*time.Second, f.now)
+				require.GreaterOrEqual(t, float64(after), math.Floor(0.4*5*size.limit), "%s: used again after the fault", name)
+				if test.starts {
+					s.arrivals = s.arrivalsTold
+				}
+				most := s.most(named+limitGrace, s.restartedAt)
+				if s.restartedAt > 0 {
+					most = max(most, s.most(s.restartedAt+limitGrace, f.now))
+				}
+				require.LessOrEqual(t, float64(most), allowedBy(size.limit), name)
+			}
+		}
+	}
+}
+
+// Where every endpoint of a service is limited, accounts share what there is evenly,
+// whatever they ask for.
+func TestRateLimitIsSharedAmongAccounts(t *testing.T) {
+	f := newSimFleet(3, 8, 3, 15)
+	f.accounts = func(r *rand.Rand) string {
+		if r.Float64() < 0.8 {
+			return "large"
+		}
+		return fmt.Sprintf("small-%d", r.IntN(2))
+	}
+	for _, e := range f.endpoints {
+		e.limit = quota.NewLimit(4)
+	}
+	f.run(30 * time.Second)
+	answered := make(map[string]int)
+	for _, e := range f.entries {
+		for account, n := range e.answered {
+			answered[account] += n
+		}
+	}
+	t.Log(answered)
+	for _, small := range []string{"small-0", "small-1"} {
+		require.Less(t, answered["large"], 3*answered[small], "the large account sends eight times as much")
+	}
+	total := answered["large"] + answered["small-0"] + answered["small-1"]
+	require.GreaterOrEqual(t, total, 8*3*4*30/10, "most of the limit is used")
+}
+
+// A request that finds no permit is refused at once, and not before a permit is likely.
+func TestRateLimitRefusesAtOnce(t *testing.T) {
+	f := newSimFleet(4, 8, 3, 10)
+	for _, e := range f.endpoints {
+		e.limit = quota.NewLimit(1)
+	}
+	f.run(10 * time.Second)
+	refused, waited := 0, 0
+	for _, e := range f.entries {
+		for _, d := range e.refusals {
+			refused++
+			if d.Waited() > 100*time.Millisecond {
+				waited++
+			}
+			require.GreaterOrEqual(t, d.RetryAfter(), 300*time.Millisecond)
+		}
+	}
+	t.Logf("%d refused, %d of them after a wait", refused, waited)
+	require.Greater(t, refused, 400)
+	require.Less(t, waited, refused/20)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -281,6 +281,7 @@
 		Deadline:     q.deadline,
 		Priority:     q.priority,
 		Prompt:       q.head.PromptTokens,
+		Account:      q.account,
 		Exclude:      q.tried,
 		PlacedBefore: isRetry,
 	})
