--- a/internal/transport/chunks/chunks.go
+++ b/internal/transport/chunks/chunks.go
@@ -26,10 +26,10 @@
 	"github.com/primrosetally/primrosetally/internal/state/model"
 )
 
-// retryAfterHeader of a refused chunk says when to ask again, in milliseconds.
+// retryAfterHeader of a refused chunk is the time to wait before a retry, in milliseconds.
 const retryAfterHeader = "Retry-After-Ms"
 
-// Map asks an agent which chunks of a manifest it can send, and how many uploads
+// Map requests from an agent which chunks of a manifest it can send, and how many uploads
 // it has in progress.
 func Map(ctx context.Context, agent nodev1connect.AgentServiceClient, m *model.Manifest) (swarm.Bitmap, int, error) {
 	request := &nodev1.ChunkMapRequest{Manifest: m.ID().Bytes()}
@@ -61,7 +61,7 @@
 	return body, nil
 }
 
-// Manifest asks an agent for a manifest; nil where it has none.
+// Manifest requests a manifest from an agent; it is nil where the agent has none.
 func Manifest(ctx context.Context, client connect.HTTPClient, address, name string, version int64) (*model.Manifest, error) {
 	service := nodev1connect.NewReplicaServiceClient(tcp.NewBounded(client.Do), "http://"+address, connect.WithReadMaxBytes(tcp.MaxMessage))
 	answer, err := service.FetchManifest(ctx, connect.NewRequest(&nodev1.FetchManifestRequest{Model: name, Version: version}))
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -1,10 +1,10 @@
 // Package endpoints holds the connections to the endpoints of the fleet.
 //
 // A connection carries one exchange at a time, and an exchange is written at most
-// once: nothing here repeats a request. The error of an exchange tells whether a
+// once: nothing here repeats a request. The error of an exchange shows whether a
 // byte of it may have reached the endpoint. A connection is kept after an answer
 // that ended where its framing says, and is dropped when bytes come after it, when
-// the endpoint asks for it, or when it has been idle for longer than allowed.
+// the endpoint closes it, or when it has been idle for longer than allowed.
 //
 // An endpoint may send bytes without end. Everything but the body of the own answer is
 // bounded here; the reader of the body bounds that.
@@ -257,7 +257,7 @@
 	Header http.Header
 }
 
-// Match tells to which request the head of an answer belongs.
+// Match is the request to which the head of an answer belongs.
 type Match int
 
 // The matches.
@@ -266,14 +266,14 @@
 	Foreign Match = iota
 	// Own: to the request of the exchange.
 	Own
-	// Unnamed: the head does not tell.
+	// Unnamed: the head does not name a request.
 	Unnamed
 )
 
 // errUnnamed is returned for an answer that may be a late one to an earlier request.
 var errUnnamed = eris.New("answer on a used connection names no request")
 
-// Send writes the request and reads the head of its answer. match tells which answer
+// Send writes the request and reads the head of its answer. match reports which answer
 // belongs to the request; those of others are read to their end and dropped. One that
 // names no request is taken on a new connection only. The error wraps ErrNotSent where
 // nothing was written. The end of ctx closes the connection.
--- a/internal/transport/engines/engines.go
+++ b/internal/transport/engines/engines.go
@@ -59,7 +59,7 @@
 const (
 	// HeaderWeightsDigest names the manifest that the answer comes from.
 	HeaderWeightsDigest = "Weights-Digest"
-	// HeaderIncarnation tells a restarted engine from the one before it.
+	// HeaderIncarnation distinguishes a restarted engine from the one before it.
 	HeaderIncarnation = "Engine-Incarnation"
 )
 
@@ -68,7 +68,7 @@
 	maxStateBytes  = 16 << 20
 )
 
-// Client speaks to one engine. It is safe for concurrent use.
+// Client calls one engine. It is safe for concurrent use.
 type Client struct {
 	baseURL string
 	timeout time.Duration
@@ -99,7 +99,7 @@
 	return c
 }
 
-// State is what an engine says of itself. It lags behind the truth.
+// State is what an engine reports about itself. It lags behind the truth.
 type State struct {
 	wire WireState
 }
@@ -115,7 +115,7 @@
 	Incarnation uint64        `json:"incarnation"`
 }
 
-// Serving returns the ID of the manifest that the engine says it serves, zero
+// Serving returns the ID of the manifest that the engine reports to serve, zero
 // for none.
 func (s State) Serving() digest.Digest { return s.wire.Serving }
 
--- a/internal/transport/engines/staging.go
+++ b/internal/transport/engines/staging.go
@@ -14,7 +14,7 @@
 	"github.com/primrosetally/primrosetally/internal/state/model"
 )
 
-// Order tells an engine to serve the weights of a manifest. Repeating it is
+// Order is an order to an engine to serve the weights of a manifest. Repeating it is
 // harmless.
 type Order struct {
 	manifest *model.Manifest
@@ -33,7 +33,7 @@
 	return o
 }
 
-// WithRevision sets the configuration revision that asks for the weights.
+// WithRevision sets the configuration revision that names the weights.
 func WithRevision(n uint64) OrderOption {
 	return func(w *WireOrder) { w.Revision = n }
 }
@@ -65,7 +65,7 @@
 	Chunks []digest.Digest `json:"chunks"`
 }
 
-// Load gives the order. The engine accepts it and loads; State tells when it
+// Load gives the order. The engine accepts it and loads; State shows when it
 // is done. The error is ErrFenced, ErrMissingChunk or ErrUnavailable.
 func (c *Client) Load(ctx context.Context, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
--- a/internal/transport/entries/entries.go
+++ b/internal/transport/entries/entries.go
@@ -67,14 +67,14 @@
 	return eris.Wrap(err, "entries")
 }
 
-// Bounds of failed readings. One may be the network's word on a datagram that was sent;
-// a socket that fails for a second is of no use any more.
+// Bounds of failed readings. One may be an error report about a datagram that was sent;
+// a socket that fails for a second is given up.
 const (
 	receivePause = 50 * time.Millisecond
 	maxFailures  = 20 // in a row
 )
 
-// Receive hands on each datagram until ctx ends or the socket is of no use. What does
+// Receive passes each datagram to take until ctx ends or the socket is of no use. What does
 // not decode is dropped: anyone may send a datagram. A reading that fails is reported
 // and tried again.
 func (c *Conn) Receive(ctx context.Context, take func(m *nodev1.Datagram), failed func(err error)) error {
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -74,7 +74,7 @@
 	idleConnTimeout = 20 * time.Second
 )
 
-// Client asks entries for rows. It is safe for concurrent use.
+// Client fetches rows from entries. It is safe for concurrent use.
 type Client struct {
 	http   *http.Client
 	region string
@@ -84,7 +84,7 @@
 // ClientOption sets a property of a Client.
 type ClientOption func(*Client)
 
-// WithRegion sets the region of an agent, and what is told the addresses of entries in
+// WithRegion sets the region of an agent, and the function that receives the addresses of entries in
 // it with each answer.
 func WithRegion(region string, learn func(entries []string)) ClientOption {
 	return func(c *Client) { c.region, c.learn = region, learn }
@@ -106,7 +106,7 @@
 	return c
 }
 
-// FetchRows asks the entry at an address what a copy with the given content lacks.
+// FetchRows fetches from the entry at an address what a copy with the given content lacks.
 func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, content int64) (watch.Update, error) {
 	service := c.service(address)
 	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Content: content, Region: c.region}))
@@ -134,7 +134,7 @@
 		connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tcp.MaxMessage))
 }
 
-// Entries asks an entry for entries of the own region.
+// Entries fetches the addresses of entries of the own region from an entry.
 func (c *Client) Entries(ctx context.Context, address string) ([]string, error) {
 	service := c.service(address)
 	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Region: c.region}))
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -8,7 +8,7 @@
 //
 // All messages are POSTs without an Idempotency-Key header, so net/http never sends
 // one twice: it replays a request only if no byte of it was written or if the peer
-// said that it did not process it.
+// reported that it did not process it.
 //
 // # Usage
 //
@@ -112,7 +112,7 @@
 	}
 }
 
-// newControlTransport returns a transport that speaks HTTP/2 alone. It pings a
+// newControlTransport returns a transport that uses HTTP/2 alone. It pings a
 // connection that has been silent, so that a peer that was cut off is noticed.
 func newControlTransport(dialer *net.Dialer, c config) *http.Transport {
 	var protocols http.Protocols
@@ -128,7 +128,7 @@
 }
 
 // ServerProtocols returns the protocols that a listener for the processes of the
-// system speaks.
+// system uses.
 func ServerProtocols() *http.Protocols {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
--- a/internal/transport/objects/objects.go
+++ b/internal/transport/objects/objects.go
@@ -1,5 +1,5 @@
 // Package objects is the client of the object store and of the origin of
-// weights, which speak the plain subset of S3: GET with Range, HEAD and PUT on
+// weights, which implement the plain subset of S3: GET with Range, HEAD and PUT on
 // path-style keys.
 //
 // Keys in use are chunks/<digest>, manifests/<id> and sections/<digest>. What
@@ -35,7 +35,7 @@
 var (
 	// ErrNotFound means that no object has the key.
 	ErrNotFound = eris.New("object not found")
-	// ErrUnavailable means that the store did not do what was asked. A Put may
+	// ErrUnavailable means that the store did not carry out the call. A Put may
 	// have taken effect all the same; it may be repeated.
 	ErrUnavailable = eris.New("object store unavailable")
 	// ErrSlowDown means that the store limits its rate; see RetryAfter.
@@ -77,7 +77,7 @@
 	return slow.retryAfter
 }
 
-// Client speaks to one store. It is safe for concurrent use.
+// Client calls one store. It is safe for concurrent use.
 type Client struct {
 	baseURL string
 	http    *http.Client
--- a/internal/transport/operators/changes.go
+++ b/internal/transport/operators/changes.go
@@ -55,16 +55,16 @@
 			}
 		}
 	}
-	ask := func(ctx context.Context, d digest.Digest) (bool, error) {
+	knownOrStored := func(ctx context.Context, d digest.Digest) (bool, error) {
 		if known[d] {
 			return true, nil
 		}
 		return exists(ctx, d)
 	}
-	return configtext.Check(ctx, cfg, configtext.WithManifestExists(ask))
+	return configtext.Check(ctx, cfg, configtext.WithManifestExists(knownOrStored))
 }
 
-// Submit makes a text the next revision, or tells what became of the change
+// Submit makes a text the next revision, or returns the outcome of the change
 // earlier. Every answer but "unknown" is final.
 func (h *Handler) Submit(ctx context.Context, r *connect.Request[adminv1.SubmitRequest]) (*connect.Response[adminv1.SubmitResponse], error) {
 	cfg, err := configtext.Parse(r.Msg.GetFile(), r.Msg.GetText())
--- a/internal/transport/tables/tables.go
+++ b/internal/transport/tables/tables.go
@@ -43,7 +43,7 @@
 	// ErrConflict means that a row did not have the expected version. Nothing
 	// was written.
 	ErrConflict = eris.New("table row has another version")
-	// ErrUnavailable means that the service did not do what was asked.
+	// ErrUnavailable means that the service did not carry out the call.
 	ErrUnavailable = eris.New("table service unavailable")
 	// ErrUnknown means that a transaction may or may not have taken effect.
 	ErrUnknown = eris.New("outcome of table transaction unknown")
@@ -82,7 +82,7 @@
 // Version returns the version of the last write, 0 for an absent row.
 func (r Row) Version() Version { return r.version }
 
-// Client speaks to one table service. It is safe for concurrent use.
+// Client calls one table service. It is safe for concurrent use.
 type Client struct {
 	baseURL string
 	timeout time.Duration
