Soak: servers state rate limits, and a checker from what they get

A fault of its own plan, so that the plans of all seeds keep their other faults; a checker that counts what reaches a server from all processes which had forwarded its limit, and broken traces for it. The stand-in's backpressure has the field's names (was: wishes, says, pours).

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -355,7 +355,7 @@
 // A request ends although its caller never reads the response.
 func TestUnreadResponseIsAborted(t *testing.T) {
 	s := startSystem(t)
-	s.breakFirst(standin.BreakPour)
+	s.breakFirst(standin.BreakFastEvents)
 	address := s.Front(s.Entries[0])
 	request, err := standin.NewRequest("POST", address, standin.PathStream+"unread", "unread-1", standin.Key, 500*time.Millisecond)
 	require.NoError(t, err)
@@ -411,7 +411,7 @@
 func TestDrainingReportedInResponse(t *testing.T) {
 	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
 	draining := s.Servers["i-plain-1-1"]
-	draining.SayLeaving()
+	draining.SignalLeaving()
 	for draining.Arrivals() == 0 {
 		require.Equal(t, http.StatusOK, s.call("GET", standin.PathRead, standin.Key).status)
 	}
--- a/internal/gateway/quotafleet_test.go
+++ b/internal/gateway/quotafleet_test.go
@@ -96,7 +96,8 @@
 	entries   []*simEntry
 	endpoints []*simEndpoint
 	accounts  func(r *rand.Rand) string
-	loss      float64 // of messages
+	loss      float64       // of messages
+	work      time.Duration // of a request at an endpoint
 	starts    uint64
 
 	messages, bytes int // between entries, about permits
@@ -104,7 +105,7 @@
 }
 
 func newSimFleet(seed uint64, entries, endpoints int, rate float64) *simFleet {
-	f := &simFleet{now: 100 * time.Second, random: rand.New(rand.NewPCG(seed, 2)), accounts: func(*rand.Rand) string { return "shop" }}
+	f := &simFleet{now: 100 * time.Second, work: simWork, random: rand.New(rand.NewPCG(seed, 2)), accounts: func(*rand.Rand) string { return "shop" }}
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &simEndpoint{id: fmt.Sprintf("i-%d", i), domain: simDomain(i), started: 1000})
 	}
@@ -295,7 +296,7 @@
 		s.arrivalsTold = append(s.arrivalsTold, f.now)
 	}
 	head := ResponseHead{Authenticated: true, RateLimit: s.limit}
-	f.at(f.now+simWork, e, func() {
+	f.at(f.now+f.work, e, func() {
 		e.active.Add(-1)
 		e.answered[r.account]++
 		if key := quotaEndpoint(c.Candidate); head.RateLimit.Limited() && e.told[key] == 0 {
--- a/internal/soak/wishes.go
+++ b/internal/soak/backpressure.go
@@ -7,38 +7,38 @@
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
-// Bounds of what servers ask for.
+// Bounds of the backpressure of servers.
 const (
-	// heardSlack is the time in which a machine takes in that it was turned away.
+	// heardSlack is the time in which a process must apply a refusal.
 	heardSlack = 500 * time.Millisecond
-	// probesAtMost reach a server that asks for nothing, once that was heard.
+	// probesAtMost is the number of requests that may reach a server during a hold.
 	probesAtMost = 2
 )
 
-// absurdWaits are texts that no machine may fall over.
+// absurdWaits are texts of a Retry-After that a process must survive.
 var absurdWaits = []string{"1e300", "-5", "NaN", "soon", "99999999999999999999", "", "0x10"}
 
-// askForNothing lets a server, or all of a service, ask for no requests; they begin
-// another life when the fault ends.
-func (r *run) askForNothing(f Fault) (end func()) {
+// signalBackpressure makes a server, or all of a service, signal that they leave or hold.
+// When the fault ends, each starts another incarnation.
+func (r *run) signalBackpressure(f Fault) (end func()) {
 	ids := r.someServers(f)
-	var ask func(s *standin.Server)
+	var signal func(s *standin.Server)
 	what := ""
 	switch f.pick(1, 3) {
 	case 0:
-		what = "say that they leave"
-		ask = func(s *standin.Server) { s.SayLeaving() }
+		what = "signal that they leave"
+		signal = func(s *standin.Server) { s.SignalLeaving() }
 	case 1:
-		what = "ask for a pause"
-		ask = func(s *standin.Server) { s.Hold(f.Length) }
+		what = "refuse with a retry delay"
+		signal = func(s *standin.Server) { s.Hold(f.Length) }
 	default:
 		text := absurdWaits[f.pick(3, len(absurdWaits))]
-		what = "ask for an absurd pause (" + text + ")"
-		ask = func(s *standin.Server) { s.HoldSaying(text, f.Length) }
+		what = "refuse with an absurd retry delay (" + text + ")"
+		signal = func(s *standin.Server) { s.HoldWithText(text, f.Length) }
 	}
 	r.note("%s %s for %s", strings.Join(ids, " "), what, f.Length)
 	for _, id := range ids {
-		ask(r.deployment.Servers[id])
+		signal(r.deployment.Servers[id])
 	}
 	return func() {
 		for _, id := range ids {
@@ -48,7 +48,7 @@
 }
 
 // disturbedBetween reports whether the process at an address or its way to a server was
-// disturbed between two times, so that it may not have heard what the server said.
+// disturbed between two times, so that it may not have received what the server signaled.
 func (r *run) disturbedBetween(front, server string, from, until time.Time) bool {
 	name := serverLink(r.deployment.ServerAddress(server))
 	for _, l := range r.hidden {
@@ -102,19 +102,19 @@
 	return list
 }
 
-// checkWishes finds processes that sent requests to a server which had asked them for
-// none.
-func (l *ledger) checkWishes() {
+// checkBackpressure finds processes that sent requests to a server against its
+// backpressure.
+func (l *ledger) checkBackpressure() {
 	for p, list := range l.pairings() {
 		l.checkLeft(p, list)
 		l.checkHolds(p, list)
 	}
 }
 
-// checkLeft finds requests that a caller sent long after the process had passed on an
-// answer which said that the server leaves.
+// checkLeft finds requests that a caller sent long after the process had forwarded a
+// response which signaled that the server leaves.
 func (l *ledger) checkLeft(p pairing, list []sending) {
-	var heard time.Time // when the first such answer was passed on
+	var heard time.Time // when the first such response was forwarded
 	for _, s := range list {
 		if s.arrival.Leaving && s.call.status == 200 && s.call.whole && (heard.IsZero() || s.call.ended.Before(heard)) {
 			heard = s.call.ended
@@ -122,14 +122,14 @@
 	}
 	for _, s := range list {
 		if !heard.IsZero() && s.call.sent.Sub(heard) > drainBound {
-			l.violateLocked("left alone: %s reached %s from %s, sent %s after it had passed on that the server leaves",
+			l.violateLocked("left alone: %s reached %s from %s, sent %s after it had forwarded that the server leaves",
 				s.arrival.Attempt, p.server, p.entry, s.call.sent.Sub(heard))
 		}
 	}
 }
 
-// checkHolds finds servers that more than a few requests of one process reached while
-// they asked it for none, unless it may not have heard them.
+// checkHolds finds servers that more than a few requests of one process reached during a
+// hold, unless the process may not have received the refusal.
 func (l *ledger) checkHolds(p pairing, list []sending) {
 	for i, refused := range list {
 		from, until := refused.arrival.At.Add(heardSlack), refused.arrival.Held
@@ -143,7 +143,7 @@
 			}
 		}
 		if probes > probesAtMost {
-			l.violateLocked("pause: %d requests reached %s from %s while it asked for none, since %s",
+			l.violateLocked("pause: %d requests reached %s from %s during a hold, since %s",
 				probes, p.server, p.entry, refused.arrival.Attempt)
 			return
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -118,8 +118,10 @@
 		end = r.cut(number, entry, silenced, f.Length)
 		r.rotateKey()
 		return end
-	case AskForNothing:
-		return r.askForNothing(f)
+	case SignalBackpressure:
+		return r.signalBackpressure(f)
+	case StateRateLimit:
+		return r.stateRateLimit(f)
 	}
 	return func() {}
 }
@@ -225,7 +227,7 @@
 func (r *run) spoilServers(f Fault) func() {
 	ids := r.someServers(f)
 	// Whole events that a server makes up can't be told from its answer.
-	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakPour)-1))
+	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakFastEvents)-1))
 	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
 	for _, id := range ids {
 		r.deployment.Servers[id].SetBroken(everyThird(kind))
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -160,7 +160,8 @@
 	}
 	l.checkReverts()
 	l.checkRepeats()
-	l.checkWishes()
+	l.checkBackpressure()
+	l.checkRateLimits()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -37,19 +39,22 @@
 	// RevokeDuringCut takes a key away while an entry is cut off in this way, for longer
 	// than a revoked key may work.
 	RevokeDuringCut
-	// AskForNothing lets servers ask for no requests, because they leave or for some time.
-	AskForNothing
+	// SignalBackpressure makes servers signal that they leave, or that they take no
+	// requests for some time.
+	SignalBackpressure
+	// StateRateLimit makes servers state a rate limit for all entries together.
+	StateRateLimit
 )
 
 var kindNames = []string{
 	"kill", "terminate", "pause", "hang up", "stop in series", "store fails", "store is slow", "store forgets its history",
 	"server spoils answers", "origin spoils chunks", "staged chunk turns bad", "route is added", "key is rotated",
-	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers ask for nothing",
+	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers signal backpressure", "servers state a rate limit",
 }
 
 func (k Kind) String() string { return kindNames[k] }
 
-// weights of the kinds in a plan.
+// kindWeights are the weights of the kinds in a plan, but for StateRateLimit.
 var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2, 2, 4}
 
 // Fault is one fault of a plan. Draws decide the rest, whatever the size of the
@@ -100,6 +105,8 @@
 		}
 		plan = append(plan, f)
 	}
+	plan = append(plan, limitPlan(seed, duration)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,7 +121,7 @@
 }
 
 // What processes send to a server that asked them for nothing.
-func TestCheckersOfWishes(t *testing.T) {
+func TestCheckersOfBackpressure(t *testing.T) {
 	now := time.Now()
 	const pause = 4 * time.Second
 	type sent struct {
@@ -180,6 +180,57 @@
 	}
 }
 
+// Requests of all processes together to a server that states a rate limit.
+func TestCheckersOfRateLimits(t *testing.T) {
+	now := time.Now()
+	type sent struct {
+		after time.Duration
+		entry string
+		limit string
+	}
+	// Requests of two entries at an interval, from the first response with the limit on.
+	series := func(limit string, from, until, interval time.Duration) []sent {
+		var list []sent
+		for at := from; at < until; at += interval {
+			list = append(list, sent{at, fmt.Sprint("e", len(list)%2), limit})
+		}
+		return list
+	}
+	const end = 12 * time.Second
+	for _, test := range []struct {
+		name      string
+		sent      []sent
+		disturbed bool
+		find      string
+	}{
+		{"within the limit", series("2", 0, end, 500*time.Millisecond), false, ""},
+		{"within the slack", series("2", 0, end, 280*time.Millisecond), false, ""},
+		{"above the limit", series("2", 0, end, 200*time.Millisecond), false, "rate limit"},
+		{"above the limit, each entry by itself below it", series("4", 0, end, 130*time.Millisecond), false, "rate limit"},
+		{"above the limit just after it was stated", series("2", 0, limitGrace, 50*time.Millisecond), false, ""},
+		{"above no limit", series("", 0, end, 20*time.Millisecond), false, ""},
+		{"above an absurd limit", series("-1", 0, end, 20*time.Millisecond), false, ""},
+		{"above a limit of none", series("0", 0, end, 500*time.Millisecond), false, "rate limit"},
+		{"the same, over a disturbed way", series("0", 0, end, 500*time.Millisecond), true, ""},
+		{"after it was lifted", append(series("2", 0, 5*time.Second, time.Second), series("", 5*time.Second, end, 20*time.Millisecond)...), false, ""},
+	} {
+		l := newLedger()
+		l.disturbed = func(string, string, time.Time, time.Time) bool { return test.disturbed }
+		for i, s := range test.sent {
+			attempt, at := fmt.Sprint("a", i), now.Add(s.after)
+			l.arrived(standin.Arrival{Attempt: attempt, Server: "i", Life: 1, At: at, RateLimit: s.limit})
+			l.answered(call{attempt: attempt, entry: s.entry, lifetime: 1, status: 200, whole: true, sent: at, ended: at.Add(time.Millisecond)})
+		}
+		l.conclude()
+		found := strings.Join(l.report().Violations, "\n")
+		if test.find == "" {
+			require.Empty(t, found, test.name)
+			continue
+		}
+		require.Contains(t, found, test.find+":", test.name)
+	}
+}
+
 // The peak of a process's memory, in bytes.
 func TestParsePeak(t *testing.T) {
 	peak, err := parsePeak([]byte("Name:\tx\nVmPeak:\t 900 kB\nVmHWM:\t   12 kB\n"))
@@ -204,7 +255,7 @@
 		}
 	}
 	require.Len(t, seen, len(kindNames))
-	require.Len(t, kindWeights, len(kindNames))
+	require.Len(t, kindWeights, len(kindNames)-1, "rate limits have a plan of their own")
 }
 
 // A plan that fails by two of its faults is reduced to these.
