--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -259,3 +259,64 @@
 	require.Greater(t, refused, 400)
 	require.Less(t, waited, refused/20)
 }
+
+// While some endpoints are limited, the others are used as before: what is served is what
+// all of them can take.
+func TestRateLimitLeavesOtherEndpointsInUse(t *testing.T) {
+	const (
+		endpoints = 19
+		slots     = 16 // requests a second of an endpoint without a limit, as each takes a second
+		limit     = 1.5
+	)
+	for _, limited := range []int{4, 12} {
+		for _, rate := range []float64{8, 17} { // requests a second at each of eight entries
+			f := newSimFleet(5, 8, endpoints, rate)
+			f.work = time.Second
+			f.run(4 * time.Second)
+			for _, s := range f.endpoints[:limited] {
+				s.limit = quota.NewLimit(limit)
+			}
+			f.run(6 * time.Second)
+			from, sent := f.now, 0
+			f.run(10 * time.Second)
+			for _, s := range f.endpoints {
+				sent += s.between(from, f.now)
+			}
+			possible := min(8*rate, slots*float64(endpoints-limited)+limit*float64(limited))
+			t.Logf("%d limited, %g a second: %g sent, %g possible", limited, 8*rate, float64(sent)/10, possible)
+			require.GreaterOrEqual(t, float64(sent)/10, 0.9*possible)
+		}
+	}
+}
+
+// BenchmarkPermits measures what permits cost all entries together, in a second, while
+// some endpoints are limited.
+func BenchmarkPermits(b *testing.B) {
+	for _, entries := range []int{30, 100, 300} {
+		for _, limited := range []int{1, 20} {
+			b.Run(fmt.Sprintf("%d entries, %d endpoints", entries, limited), func(b *testing.B) {
+				for b.Loop() {
+					measurePermits(b, entries, limited)
+				}
+			})
+		}
+	}
+}
+
+func measurePermits(b *testing.B, entries, limited int) {
+	const seconds = 10
+	f := newSimFleet(6, entries, 40, 5)
+	f.run(6 * time.Second)
+	for _, s := range f.endpoints[:limited] {
+		s.limit = quota.NewLimit(2)
+	}
+	f.run(3 * time.Second)
+	f.messages, f.bytes, f.processing = 0, 0, 0
+	f.mostOfEntry()
+	f.run(seconds * time.Second)
+	most := f.mostOfEntry()
+	b.ReportMetric(float64(f.messages)/seconds, "messages/s")
+	b.ReportMetric(float64(f.bytes)/seconds, "bytes/s")
+	b.ReportMetric(f.processing.Seconds()*1000/seconds, "ms/s")
+	b.ReportMetric(most.Seconds()*1000/seconds, "ms/s-grantor")
+}
--- a/internal/gateway/quotafleet_test.go
+++ b/internal/gateway/quotafleet_test.go
@@ -82,6 +82,7 @@
 	rate      float64 // requests a second of its callers
 	side      int     // entries on different sides do not reach each other
 	quotaAt   time.Duration
+	processed time.Duration // time spent on permits
 	refusals  []placement.Decision
 	answered  map[string]int // by account
 	told      map[quota.Endpoint]time.Duration
@@ -234,10 +235,27 @@
 	case *nodev1.Datagram_QuotaGrant:
 		e.ReceiveQuotaGrant(ctx, c.QuotaGrant)
 	}
-	e.fleet.processing += time.Since(began)
+	e.spent(began)
 	e.tick()
 }
 
+// spent counts the processor time since a moment as spent on permits.
+func (e *simEntry) spent(began time.Time) {
+	e.processed += time.Since(began)
+	e.fleet.processing += time.Since(began)
+}
+
+// mostOfEntry returns the longest time that an entry has spent on permits since the last
+// call.
+func (f *simFleet) mostOfEntry() time.Duration {
+	most := time.Duration(0)
+	for _, e := range f.entries {
+		most = max(most, e.processed)
+		e.processed = 0
+	}
+	return most
+}
+
 // tick does the work of the background goroutines and looks at waiting requests.
 func (e *simEntry) tick() {
 	f := e.fleet
@@ -249,7 +267,7 @@
 	if f.now >= e.quotaAt {
 		began := time.Now()
 		e.quotaAt = f.now + e.quotaRound(context.Background(), f.now)
-		f.processing += time.Since(began)
+		e.spent(began)
 	}
 	pool := e.trafficOf("s").placement
 	pool.Expire(f.now)
