--- a/internal/coordination/quota/grantor.go
+++ b/internal/coordination/quota/grantor.go
@@ -289,7 +289,7 @@
 	var askers []asker
 	for _, a := range g.asks {
 		for i := range a.Wanted {
-			if w := &a.Wanted[i]; w.Endpoint.matches(e) {
+			if w := &a.Wanted[i]; w.Endpoint.Matches(e) {
 				askers = append(askers, asker{ask: a, wanted: w})
 			}
 		}
@@ -302,7 +302,7 @@
 // one is empty, since the grantor before may just have used the limit.
 func (g *Grantor) refill(now time.Duration, e Endpoint, rate float64) *bucket {
 	b := g.buckets[e.Hash]
-	if b == nil || !b.endpoint.matches(e) {
+	if b == nil || !b.endpoint.Matches(e) {
 		b = &bucket{endpoint: e, refilledAt: now}
 		g.buckets[e.Hash] = b
 	}
--- a/internal/coordination/quota/limits.go
+++ b/internal/coordination/quota/limits.go
@@ -30,9 +30,9 @@
 	Started int64
 }
 
-// matches reports whether both may be the same incarnation. An unknown start time
+// Matches reports whether both may be the same incarnation. An unknown start time
 // matches any.
-func (e Endpoint) matches(other Endpoint) bool {
+func (e Endpoint) Matches(other Endpoint) bool {
 	return e.Hash == other.Hash && (e.Started == other.Started || e.Started == 0 || other.Started == 0)
 }
 
@@ -81,7 +81,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r, known := l.byEndpoint[e.Hash]
-	if known && !r.Endpoint.matches(e) {
+	if known && !r.Endpoint.Matches(e) {
 		if e.Started < r.Endpoint.Started {
 			return false // a response of an earlier incarnation
 		}
@@ -111,9 +111,9 @@
 	defer l.mu.Unlock()
 	r, known := l.byEndpoint[o.Endpoint.Hash]
 	switch {
-	case known && !r.Endpoint.matches(o.Endpoint) && o.Endpoint.Started < r.Endpoint.Started:
+	case known && !r.Endpoint.Matches(o.Endpoint) && o.Endpoint.Started < r.Endpoint.Started:
 		return false
-	case known && r.Endpoint.matches(o.Endpoint) && o.At <= r.At:
+	case known && r.Endpoint.Matches(o.Endpoint) && o.At <= r.At:
 		if r.Limit == o.Limit {
 			r.unreported = false
 			l.byEndpoint[o.Endpoint.Hash] = r
@@ -154,7 +154,7 @@
 func (l *Limits) Limit(e Endpoint) Limit {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if r, known := l.byEndpoint[e.Hash]; known && r.Endpoint.matches(e) {
+	if r, known := l.byEndpoint[e.Hash]; known && r.Endpoint.Matches(e) {
 		return r.Limit
 	}
 	return Limit{}
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -69,6 +69,8 @@
 	// MaxGrantDelay is the age of a request for permits from which its answer is
 	// ignored.
 	MaxGrantDelay = 600 * time.Millisecond
+	// maxTransit is the part of MaxGrantDelay that is left for the two messages.
+	maxTransit = 100 * time.Millisecond
 )
 
 // Rates of permits.
@@ -94,7 +96,7 @@
 
 // AskTTL returns how long a request for permits is pending that an entry repeats for
 // requests that it expects. One repetition may be lost.
-func AskTTL(entries int) time.Duration { return 2 * AskInterval(entries) }
+func AskTTL(entries int) time.Duration { return min(2*AskInterval(entries), MaxGrantDelay-maxTransit) }
 
 // AskInterval returns how often each of so many entries repeats what permits it wants.
 func AskInterval(entries int) time.Duration {
--- a/internal/gateway/quotafleet_test.go
+++ b/internal/gateway/quotafleet_test.go
@@ -99,6 +99,7 @@
 	accounts  func(r *rand.Rand) string
 	loss      float64       // of messages
 	work      time.Duration // of a request at an endpoint
+	options   []Option      // of each gateway
 	starts    uint64
 
 	messages, bytes int // between entries, about permits
@@ -132,8 +133,11 @@
 	for n := range min(3, i+1) {
 		seeds = append(seeds, simAddress(n))
 	}
-	e.Gateway = New(self, Codec{}, WithClock(func() time.Duration { return f.now }),
-		WithPeers(seeds, e.sendMessage), WithAgents(func(string) string { return "" }, func(domain string) string { return domain }))
+	options := append([]Option{
+		WithClock(func() time.Duration { return f.now }), WithPeers(seeds, e.sendMessage),
+		WithAgents(func(string) string { return "" }, func(domain string) string { return domain }),
+	}, f.options...)
+	e.Gateway = New(self, Codec{}, options...)
 	e.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s"))), nil)
 	e.list()
 	f.entries = append(f.entries, e)
