Retry reserve and connections: an entry counts the others before it has heard them

What callers and endpoints could see: after a start of 148 entries that all retry at once, 302 retries from a reserve of 60.

Cause: the number was that of entries whose summary had arrived; in the first second after a start that is a few of 148, and each took a large share. Now it is that of all addresses that others have named. The share of an endpoint's connections is divided by the same number.

--- /dev/null
+++ b/internal/gateway/bounds_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/coordination/retry"
+)
+
+// The reserve of retries is for all entries together. Entries that start together know
+// few of the others at first.
+func TestRetryReserveHoldsWhileEntriesStart(t *testing.T) {
+	const (
+		entries = 148
+		reserve = 60
+	)
+	f := newSimFleet(7, 0, 1, 0.1)
+	f.options = []Option{WithRetries(0, reserve)}
+	for i := range entries {
+		f.start(i, 0.1)
+	}
+	retries := 0
+	for range 20 {
+		f.run(500 * time.Millisecond)
+		for _, e := range f.entries {
+			s := e.trafficOf("s").budget.Start(retry.WithIdempotent(true))
+			for s.Decide(retry.MayHaveRun(), time.Minute).Kind() == retry.Retry {
+				retries++
+			}
+		}
+	}
+	t.Logf("%d retries", retries)
+	require.LessOrEqual(t, retries, reserve, "the requests of this test are few")
+}
+
+// The quotas that entries grant themselves at an endpoint which several of them use come
+// to no more than its free slots, whatever each knows of the others.
+func TestQuotasOfAllEntriesFitFreeSlots(t *testing.T) {
+	const slots = 64
+	for _, entries := range []int{1, 8, 148} {
+		granted := 0
+		for range entries {
+			p := placement.New(placement.WithRandom(func() float64 { return 0 }))
+			p.SetEndpoints(0, []placement.Candidate{{ID: "e", Slots: slots, SameRegion: true}})
+			p.GrantQuota(0, placement.EntryCounts{SameRegion: entries}, true)
+			for {
+				d := <-p.Submit(0, placement.Request{Deadline: time.Nanosecond}).Decision()
+				if !d.Placed() {
+					break
+				}
+				granted++
+			}
+		}
+		require.LessOrEqual(t, granted, slots, "%d entries", entries)
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -176,19 +176,6 @@
 	return p.regionInterval()
 }
 
-// count returns the number of known peers that have sent a summary.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, q := range p.known {
-		if q.summary != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // newPeerTime is how long a peer that was not heard of yet counts as an entry.
 const newPeerTime = 5 * time.Second
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -143,7 +143,7 @@
 		c.Limited, c.RateLimit = true, limit.PerSecond()
 	}
 	if s.MaxConnections() > 0 {
-		c.MaxInFlight = min(max(s.MaxConnections()*9/10/max(g.peers.count()+1, 1), 2), maxConnections)
+		c.MaxInFlight = min(max(s.MaxConnections()*9/10/g.peers.entries(now), 2), maxConnections)
 	}
 	if s.Engine() == nil {
 		return c, true
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -24,7 +24,7 @@
 	now := g.now()
 	g.recordOutage(now)
 	g.rate.advance(now)
-	g.traffic.refill(now, g.retryReserve, g.peers.count()+1)
+	g.traffic.refill(now, g.retryReserve, g.peers.entries(now))
 	g.refreshFor(active)
 	regionSummary := g.summary(now)
 	regionSummary.Peers = r.peers
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -122,7 +122,7 @@
 	m := newMesh(18)
 	m.advance(12 * time.Second)
 	for address, g := range m.entries {
-		require.Equal(t, len(m.entries)-1, g.peers.count(), address)
+		require.Equal(t, len(m.entries)-1, heardPeers(g), address)
 	}
 }
 
@@ -244,3 +244,16 @@
 	g.sendSummaries(false)
 	require.Empty(t, g.peers.load(), "removed without having been detected as dead before")
 }
+
+// heardPeers returns the number of peers that have sent a summary.
+func heardPeers(g *Gateway) int {
+	g.peers.mu.Lock()
+	defer g.peers.mu.Unlock()
+	n := 0
+	for _, q := range g.peers.known {
+		if q.summary != nil {
+			n++
+		}
+	}
+	return n
+}
