A poisonous request is reported to all entries at once

The second crash under a request makes the next round of summaries a broadcast, a second after the last one at the earliest. TestPoisonousRequestIsKnownToAllEntriesSoon: 4 of 148 entries knew it after half a second before; all know it within 2 s now (the time that the test allows).

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -36,6 +36,26 @@
 	require.LessOrEqual(t, retries, reserve, "the requests of this test are few")
 }
 
+// A request that has crashed as many endpoints as it may is reported to all entries soon,
+// also to those of other regions, which get a broadcast every nine seconds only.
+func TestPoisonousRequestIsKnownToAllEntriesSoon(t *testing.T) {
+	f := newSimFleet(8, 148, 3, 0.1)
+	f.run(10 * time.Second)
+	g := f.entries[100].Gateway
+	q := &request{fingerprint: 7, traffic: g.trafficOf("s")}
+	for range maxCrashes {
+		g.recordCrash(q)
+	}
+	f.run(2 * time.Second)
+	known := 0
+	for _, e := range f.entries {
+		if e.traffic.suspects.crashes(7) >= maxCrashes {
+			known++
+		}
+	}
+	require.Equal(t, len(f.entries), known)
+}
+
 // The quotas that entries grant themselves at an endpoint which several of them use come
 // to no more than its free slots, whatever each knows of the others.
 func TestQuotasOfAllEntriesFitFreeSlots(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,6 +39,8 @@
 	// sooner from entries of their own region.
 	broadcastInterval     = 2 * time.Second
 	broadcastPeerInterval = 60 * time.Millisecond
+	// minBroadcastGap is the shortest time between two broadcasts.
+	minBroadcastGap = time.Second
 	// minReporters is the number of entries of a region that report to other regions
 	// in addition to those that place requests: the one that watches the store and
 	// the next.
@@ -193,6 +195,15 @@
 	return n
 }
 
+// broadcastSoon makes the next round a broadcast, or the first one minBroadcastGap after
+// the last broadcast.
+func (p *peers) broadcastSoon(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	due := max(now, p.broadcastSentAt+minBroadcastGap)
+	p.broadcastSentAt = min(p.broadcastSentAt, due-p.broadcastInterval())
+}
+
 // live returns the addresses of the live peers.
 func (p *peers) live(now time.Duration) []string {
 	p.mu.Lock()
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -67,7 +67,7 @@
 		s.errorResponse = r.errorResponse
 	}
 	if r.crashed {
-		s.gateway.traffic.suspects.recordCrash(q.fingerprint, s.gateway.now())
+		s.gateway.recordCrash(q)
 	}
 	if ctx.Err() != nil {
 		s.timedOut(ctx, q, r, out)
@@ -80,6 +80,18 @@
 	return true
 }
 
+// recordCrash records that an endpoint broke off while it ran the request. A request that
+// has crashed as many endpoints as it may is reported to all entries at once: one that
+// they run for another caller would be one too many, and broadcasts are rare in a large
+// fleet.
+func (g *Gateway) recordCrash(q *request) {
+	g.traffic.suspects.recordCrash(q.fingerprint, g.now())
+	if g.traffic.suspects.crashes(q.fingerprint) >= maxCrashes {
+		g.peers.broadcastSoon(g.now())
+		g.wake()
+	}
+}
+
 // mayRetry reports whether the request may be sent once more.
 func (s *sequence) mayRetry(q *request, r result) bool {
 	limit := max(q.route.MaxAttempts(), 1)
