--- a/internal/logbook/cause.go
+++ b/internal/logbook/cause.go
@@ -58,6 +58,8 @@
 		return "the entry knew no endpoint that might begin it" + weightsOf(s)
 	case "endpoints take none before it is of no use":
 		return "all endpoints of the service had asked for a pause longer than the caller's time" + asksOf(s)
+	case "rate limits of the endpoints leave no room in time":
+		return "all endpoints of the service have a rate limit, and no permit was expected in its time" + grantorOf(s)
 	case "configuration is not confirmed":
 		return fmt.Sprintf("the last confirmation of the configuration was %s old, too old for a key%s", round(end.Age), storeOf(s))
 	case "no configuration is known yet":
@@ -92,6 +94,20 @@
 	return ""
 }
 
+// grantorOf names the entry that granted permits last.
+func grantorOf(s *Story) string {
+	for i := len(s.near) - 1; i >= 0; i-- {
+		switch l := s.near[i]; {
+		case !is(l, telemetry.QuotaGrantor):
+		case l.Grantor == "":
+			return "; no entry granted permits"
+		default:
+			return "; " + l.Grantor + " granted the permits"
+		}
+	}
+	return ""
+}
+
 // storeOf tells since when the process had no answer of the store.
 func storeOf(s *Story) string {
 	for _, b := range s.beliefs {
--- a/internal/logbook/logbook_test.go
+++ b/internal/logbook/logbook_test.go
@@ -95,6 +95,10 @@
 			line(4, "endpointAsks", `"endpoint":"e","wait":9000000000`),
 			line(6, "fleetRequestEnded", `"request":"r","outcome":"notRun","reason":"endpoints take none before it is of no use"`),
 		}, "did not run: all endpoints of the service had asked for a pause longer than the caller's time; e asked for 9s at 10:00:04.000", nil, 1, 0},
+		{"all endpoints have a rate limit", []string{
+			line(4, "quotaGrantor", `"grantor":"10.0.0.7:1"`),
+			line(6, "fleetRequestEnded", `"request":"r","outcome":"notRun","reason":"rate limits of the endpoints leave no room in time"`),
+		}, "did not run: all endpoints of the service have a rate limit, and no permit was expected in its time; 10.0.0.7:1 granted the permits", nil, 1, 0},
 		{"no final answer", []string{failed}, "no final answer is logged: the process ended", nil, 0, 0},
 		{"no final answer, lines are missing", []string{failed, line(5, "linesDropped", `"lines":7`)}, "no final answer is logged, and lines are missing", nil, 0, 1},
 		{"the process started again", []string{failed, line(6, "processStarted", `"role":"entry"`)}, "no final answer: entry-1 ended with the request in progress and started again at 10:00:06.000", nil, 1, 0},
--- a/internal/logbook/read.go
+++ b/internal/logbook/read.go
@@ -25,6 +25,7 @@
 
 	Request  string `json:"request"`
 	Endpoint string `json:"endpoint"`
+	Grantor  string `json:"grantor"`
 	Outcome  string `json:"outcome"`
 	Status   int    `json:"status"`
 	Reason   string `json:"reason"`
--- a/internal/logbook/story.go
+++ b/internal/logbook/story.go
@@ -100,6 +100,7 @@
 var tellingEvents = []telemetry.Event{
 	telemetry.ProcessStarted, telemetry.EntryLeaving, telemetry.FleetConfigurationInForce, telemetry.WeightsNamed,
 	telemetry.EndpointListed, telemetry.EndpointGone, telemetry.EndpointNoticed, telemetry.EndpointAsks,
+	telemetry.EndpointLimited, telemetry.QuotaGrantor,
 	telemetry.StoreLost, telemetry.StoreRegained, telemetry.WeightsInService, telemetry.WeightsStaged,
 	telemetry.EndpointOrdered, telemetry.EndpointNotReached, telemetry.LinesDropped,
 }
