--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -54,44 +54,6 @@
 	shareAt       time.Duration
 }
 
-// maxProbes is the maximum number of requests placed on an endpoint after a hold until the
-// response to one of them begins. All waiting requests at once would overload it again.
-const maxProbes = 2
-
-// hold is a period in which an endpoint has asked for no requests.
-type hold struct {
-	until        time.Duration
-	probing      bool // no response to a request placed after the hold has begun yet
-	probesPlaced int  // requests placed since the hold was set
-}
-
-// extend prolongs the hold, and restarts the probing, if the given time is later than its
-// end.
-func (h *hold) extend(until time.Duration) {
-	if until > h.until {
-		*h = hold{until: until, probing: true}
-	}
-}
-
-// admits reports whether the hold permits another request.
-func (h *hold) admits(now time.Duration) bool {
-	return now >= h.until && (!h.probing || h.probesPlaced < maxProbes)
-}
-
-// recordResponse ends the probing if the response is to a request placed after the hold.
-func (h *hold) recordResponse(placed time.Duration) {
-	if placed >= h.until {
-		h.probing = false
-	}
-}
-
-// recordFailure permits another probe if the failed request was one.
-func (h *hold) recordFailure(placed time.Duration) {
-	if h.probing && placed >= h.until && h.probesPlaced > 0 {
-		h.probesPlaced--
-	}
-}
-
 // Load is the load that a set of requests puts on an endpoint.
 type Load struct {
 	// InFlight is the number of requests that were placed and have not ended.
@@ -126,14 +88,6 @@
 	return e.Slots + overcommit - e.ownLoad.InFlight - e.peerLoad.InFlight
 }
 
-// quotaShare returns one entry's share of a fraction of the free slots, which is divided
-// evenly among entries that do not see each other's latest placements. The result is
-// rounded up or down at random, so that the sum over all entries is right on average.
-func (e *endpoint) quotaShare(fraction float64, entries, overcommit int, random float64) int {
-	freeSlots := max(e.freeSlots(overcommit), 0)
-	return int(fraction*float64(freeSlots)/float64(max(entries, 1)) + random)
-}
-
 // firstEventDelay predicts the time from placement to the first event of the response.
 // The prediction of the model is scaled by the slowdown relative to the median event
 // interval.
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -163,34 +163,6 @@
 	p.placeQueued(now)
 }
 
-// EntryCounts holds the numbers of entries that share the endpoints they do not prefer.
-type EntryCounts struct {
-	// SameRegion is the number of entries in the own region, OtherRegions the number in
-	// all other regions.
-	SameRegion, OtherRegions int
-}
-
-// GrantQuota grants this entry a quota of requests at each endpoint that it does not
-// prefer, until the next call. The quota is a share of the free slots according to the
-// latest load reports, since the entries do not see what others place in between. Quotas
-// in other regions are renewed only if otherRegions is set, because regions exchange their
-// load at a longer interval.
-func (p *Pool) GrantQuota(now time.Duration, counts EntryCounts, otherRegions bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.medianInterval = p.medianEventInterval()
-	for _, e := range p.listed {
-		switch {
-		case e.Preferred:
-		case e.SameRegion:
-			e.quota = e.quotaShare(sameRegionShare, counts.SameRegion, p.overcommit, p.random())
-		case otherRegions:
-			e.quota = e.quotaShare(1-sameRegionShare, counts.OtherRegions, p.overcommit, p.random())
-		}
-	}
-	p.placeQueued(now)
-}
-
 // medianEventInterval returns the median event interval of the endpoints for which one
 // has been recorded, 0 if there are none.
 func (p *Pool) medianEventInterval() time.Duration {
@@ -207,10 +179,6 @@
 	return intervals[len(intervals)/2]
 }
 
-// sameRegionShare is the fraction of the free slots that is granted to the entries in the
-// endpoint's region. The rest is granted to the entries in other regions.
-const sameRegionShare = 0.7
-
 // Submit places the request, queues it or refuses it. The ticket delivers the decision.
 func (p *Pool) Submit(now time.Duration, r Request) *Ticket {
 	t := &Ticket{request: r, submittedAt: now, decision: make(chan Decision, 1)}
@@ -281,37 +249,6 @@
 	p.placeQueued(now)
 }
 
-// Hold stops placements on an endpoint until the given time. Requests in flight there
-// continue. Waiting requests that can no longer be placed in time are refused.
-func (p *Pool) Hold(now time.Duration, id string, until time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.endpoints[id]; e != nil {
-		e.hold.extend(until)
-	}
-	p.refuseUnplaceable(now)
-}
-
-// HoldRemaining returns the time until the first hold ends if all endpoints are held,
-// else 0.
-func (p *Pool) HoldRemaining(now time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.holdRemaining(now)
-}
-
-// holdRemaining is HoldRemaining for a caller that holds p.mu.
-func (p *Pool) holdRemaining(now time.Duration) time.Duration {
-	if len(p.listed) == 0 {
-		return 0
-	}
-	earliest := p.listed[0].hold.until
-	for _, e := range p.listed {
-		earliest = min(earliest, e.hold.until)
-	}
-	return max(earliest-now, 0)
-}
-
 // recordServiceTime updates the moving average of the service time, over about 32
 // requests.
 func (p *Pool) recordServiceTime(d time.Duration) {
--- /dev/null
+++ b/internal/gateway/confirmations.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+)
+
+// confirmed returns the last time at which, according to a peer, no version newer
+// than the given one was in force, 0 for never.
+func (p *peers) confirmed(version int64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.confirmedVersion > version {
+		return 0
+	}
+	return p.confirmedAt
+}
+
+// confirm records the confirmation in a summary with its time. The sender echoes a
+// stamp of this process, so it wrote the summary after that stamp, and its
+// confirmation then had the age it states. The resulting time is a lower bound,
+// whatever the network delay of the summary.
+func (p *peers) confirm(m *nodev1.EntrySummary, now time.Duration) {
+	if !p.echoes(m, now) || m.ConfirmedAgeUs == nil {
+		return
+	}
+	at := time.Duration(m.GetEcho()) - time.Duration(m.GetConfirmedAgeUs())*time.Microsecond
+	if at > p.confirmedAt {
+		p.confirmedAt = at
+		p.confirmedVersion = m.GetConfigurationVersion()
+		p.confirmedWeights = m.GetWeights()
+	}
+}
+
+// confirmedWithout returns the last time at which, according to a peer, the target
+// version of weights was not set yet, 0 for never. A sender reads its weights after
+// the age of its confirmation, so the weights are not older than the confirmation.
+func (p *peers) confirmedWithout(model string, version int64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.confirmedWeights {
+		if n.GetModel() == model && n.GetVersion() >= version {
+			return 0
+		}
+	}
+	return p.confirmedAt
+}
+
+// echoes reports whether a summary was written after a stamp of this process.
+func (p *peers) echoes(m *nodev1.EntrySummary, now time.Duration) bool {
+	return m.GetEcho() != 0 && m.GetEchoIncarnation() == p.incarnation && m.GetEcho() <= uint64(now)
+}
