Soak and stand-in of the platform: plain names, one check of findings

Lives are incarnations with a start, callers have a timeout, servers refuse; the four tables of broken traces share requireFinding, which checks what each did.

--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -9,8 +9,8 @@
 
 // Bounds of the backpressure of servers.
 const (
-	// heardSlack is the time in which a process must apply a refusal.
-	heardSlack = 500 * time.Millisecond
+	// applySlack is the time in which a process must apply a refusal.
+	applySlack = 500 * time.Millisecond
 	// probesAtMost is the number of requests that may reach a server during a hold.
 	probesAtMost = 2
 )
@@ -74,11 +74,11 @@
 	l.arrivals = append(l.arrivals, a)
 }
 
-// pairing is one process and one life of a server that it sends requests to.
+// pairing is one process and one incarnation of a server that it sends requests to.
 type pairing struct {
 	process
-	server string
-	life   int64
+	server  string
+	started int64
 }
 
 // sending is a request that reached a server from a process which it is known of.
@@ -87,7 +87,7 @@
 	arrival standin.Arrival
 }
 
-// pairings returns what reached each life of each server from each process, in order of
+// pairings returns what reached each incarnation of each server from each process, in order of
 // arrival. Requests of a process that ended meanwhile are not among them.
 func (l *ledger) pairings() map[pairing][]sending {
 	list := make(map[pairing][]sending)
@@ -96,7 +96,7 @@
 		if !known || c.lifetime == 0 {
 			continue
 		}
-		p := pairing{process{c.entry, c.lifetime}, a.Server, a.Life}
+		p := pairing{process{c.entry, c.lifetime}, a.Server, a.Started}
 		list[p] = append(list[p], sending{c, a})
 	}
 	return list
@@ -114,16 +114,16 @@
 // checkLeft finds requests that a caller sent long after the process had forwarded a
 // response which signaled that the server leaves.
 func (l *ledger) checkLeft(p pairing, list []sending) {
-	var heard time.Time // when the first such response was forwarded
+	var forwarded time.Time // when the first such response was forwarded
 	for _, s := range list {
-		if s.arrival.Leaving && s.call.status == 200 && s.call.whole && (heard.IsZero() || s.call.ended.Before(heard)) {
-			heard = s.call.ended
+		if s.arrival.Leaving && s.call.status == 200 && s.call.whole && (forwarded.IsZero() || s.call.ended.Before(forwarded)) {
+			forwarded = s.call.ended
 		}
 	}
 	for _, s := range list {
-		if !heard.IsZero() && s.call.sent.Sub(heard) > drainBound {
+		if !forwarded.IsZero() && s.call.sent.Sub(forwarded) > drainBound {
 			l.violateLocked("left alone: %s reached %s from %s, sent %s after it had forwarded that the server leaves",
-				s.arrival.Attempt, p.server, p.entry, s.call.sent.Sub(heard))
+				s.arrival.Attempt, p.server, p.entry, s.call.sent.Sub(forwarded))
 		}
 	}
 }
@@ -132,7 +132,7 @@
 // hold, unless the process may not have received the refusal.
 func (l *ledger) checkHolds(p pairing, list []sending) {
 	for i, refused := range list {
-		from, until := refused.arrival.At.Add(heardSlack), refused.arrival.Held
+		from, until := refused.arrival.At.Add(applySlack), refused.arrival.Held
 		if until.IsZero() || l.disturbed(p.entry, p.server, refused.arrival.At.Add(-longestFault), until) {
 			continue
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -16,12 +16,12 @@
 // Times of a caller.
 const (
 	callTimeout = 3500 * time.Millisecond
-	// callerPatience is the time that a caller says it waits.
-	callerPatience = 2800 * time.Millisecond
-	thinkTime      = 15 * time.Millisecond
+	// callerTimeout is the timeout that a caller sends with its requests.
+	callerTimeout = 2800 * time.Millisecond
+	thinkTime     = 15 * time.Millisecond
 )
 
-// caller asks for addresses, keeps the answer, and sends requests over connections
+// caller requests addresses, caches the response, and sends requests over connections
 // that it keeps open until the process is gone.
 type caller struct {
 	run       *run
@@ -89,7 +89,7 @@
 		method = http.MethodGet
 	}
 	if c.send(method, at, q) == 0 {
-		c.until = time.Time{} // ask again after a failure
+		c.until = time.Time{} // resolve again after a failure
 	}
 }
 
@@ -106,7 +106,7 @@
 	return q
 }
 
-// resolve asks any entry for addresses.
+// resolve requests the addresses from any entry.
 func (c *caller) resolve() {
 	entries := c.run.deployment.Entries
 	for range 3 {
@@ -126,7 +126,7 @@
 	q.sent = time.Now()
 	q.entry = at
 	lifetime := c.run.lifetime(at)
-	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerPatience)
+	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerTimeout)
 	if err != nil {
 		c.run.ledger.violate("soak: %v", err)
 		return 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,7 +34,7 @@
 }
 
 // decideStore decides on a call to the store by the machine that makes it, which the
-// address tells that it called.
+// address identifies.
 func (r *run) decideStore(q *http.Request) standin.Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -226,7 +226,7 @@
 // more are then to be repeated than may be.
 func (r *run) spoilServers(f Fault) func() {
 	ids := r.someServers(f)
-	// Whole events that a server makes up can't be told from its answer.
+	// Whole events that a server makes up can't be distinguished from its answer.
 	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakFastEvents)-1))
 	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
 	for _, id := range ids {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -143,7 +143,7 @@
 	return status == 408 || status == 421 || status == 429 || status == 503
 }
 
-// conclude checks what can only be told when every run is known.
+// conclude checks what can be decided only when every run is known.
 func (l *ledger) conclude() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,7 +183,7 @@
 
 func (l *ledger) checkRun(run standin.Run) {
 	if at, leaves := l.leaving[run.Server]; leaves && run.Began.Sub(at) > drainBound {
-		l.violateLocked("leaving: %s ran at %s %s after it said that it leaves", run.Attempt, run.Server, run.Began.Sub(at))
+		l.violateLocked("leaving: %s ran at %s %s after it signaled that it leaves", run.Attempt, run.Server, run.Began.Sub(at))
 	}
 	if late := run.Began.Sub(l.versionAt); l.version > 0 && run.Version > 0 && run.Version < l.version && late > versionBound {
 		l.violateLocked("versions: %s began on version %d at %s, %s after version %d was named", run.Attempt, run.Version, run.Server, late, l.version)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -282,7 +282,7 @@
 }
 
 // halveAll ends the server's side of every connection, of which the caller's side is
-// not told.
+// not informed.
 func (l *link) halveAll() {
 	l.disturbed.begin(lasting)
 	l.each(func(c *pair) {
--- a/internal/soak/ratelimit.go
+++ b/internal/soak/ratelimit.go
@@ -59,17 +59,17 @@
 	}
 }
 
-// incarnation is one life of a server.
+// incarnation is one incarnation of a server.
 type incarnation struct {
-	server string
-	life   int64
+	server  string
+	started int64
 }
 
 // checkRateLimits finds servers that got more requests than their rate limit allows.
 func (l *ledger) checkRateLimits() {
 	byServer := make(map[incarnation][]sending)
 	for p, list := range l.pairings() {
-		key := incarnation{p.server, p.life}
+		key := incarnation{p.server, p.started}
 		byServer[key] = append(byServer[key], list...)
 	}
 	for server, list := range byServer {
@@ -110,16 +110,16 @@
 	perSecond, _ := parseLimit(period[0].arrival.RateLimit)
 	allowed := limitFactor*perSecond*limitWindow.Seconds() + limitSlack
 	from := period[0].arrival.At.Add(limitGrace)
-	told := make(map[process]time.Time)
+	forwardedAt := make(map[process]time.Time)
 	var counted []time.Time
 	for _, s := range period {
 		p := process{s.call.entry, s.call.lifetime}
-		if at, known := told[p]; known && s.arrival.At.Sub(at) >= limitSlackTime && s.arrival.At.After(from) &&
+		if at, known := forwardedAt[p]; known && s.arrival.At.Sub(at) >= limitSlackTime && s.arrival.At.After(from) &&
 			!l.disturbed(p.entry, server.server, at.Add(-longestFault), s.arrival.At) {
 			counted = append(counted, s.arrival.At)
 		}
-		if at, known := told[p]; s.call.status == 200 && s.call.whole && (!known || s.call.ended.Before(at)) {
-			told[p] = s.call.ended
+		if at, known := forwardedAt[p]; s.call.status == 200 && s.call.whole && (!known || s.call.ended.Before(at)) {
+			forwardedAt[p] = s.call.ended
 		}
 	}
 	first := 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,14 +63,21 @@
 			l.ran(r)
 		}
 		l.answered(test.call)
-		l.conclude()
-		found := strings.Join(l.report().Violations, "\n")
-		if test.find == "" {
-			require.Empty(t, found, test.name)
-			continue
-		}
-		require.Contains(t, found, test.find+":", test.name)
+		requireFinding(t, l, test.find, test.name)
+	}
+}
+
+// requireFinding concludes the ledger and requires that it found a violation of the given
+// promise, or none if it is empty.
+func requireFinding(t *testing.T, l *ledger, promise, name string) {
+	t.Helper()
+	l.conclude()
+	found := strings.Join(l.report().Violations, "\n")
+	if promise == "" {
+		require.Empty(t, found, name)
+		return
 	}
+	require.Contains(t, found, promise+":", name)
 }
 
 // What only shows between several calls.
@@ -94,13 +101,7 @@
 		for _, c := range test.calls {
 			l.answered(c)
 		}
-		l.conclude()
-		found := strings.Join(l.report().Violations, "\n")
-		if test.find == "" {
-			require.Empty(t, found, test.name)
-			continue
-		}
-		require.Contains(t, found, test.find+":", test.name)
+		requireFinding(t, l, test.find, test.name)
 	}
 	for _, test := range []struct {
 		repeats int
@@ -120,63 +121,57 @@
 	}
 }
 
-// What processes send to a server that asked them for nothing.
+// What processes send to a server against its backpressure.
 func TestCheckersOfBackpressure(t *testing.T) {
 	now := time.Now()
 	const pause = 4 * time.Second
 	type sent struct {
 		after   time.Duration // of the arrival; the call was sent then and ends soon
 		entry   string
-		life    int64
+		started int64
 		leaving bool
-		held    time.Duration // that is asked for
+		held    time.Duration // of the refusal
 	}
 	series := func(n int, s sent) []sent {
-		list := []sent{{entry: "e", life: 1, held: pause}}
+		list := []sent{{entry: "e", started: 1, held: pause}}
 		for range n {
 			list = append(list, s)
 		}
 		return list
 	}
-	early := sent{after: heardSlack / 2, entry: "e", life: 1}
-	late := sent{after: 2 * heardSlack, entry: "e", life: 1, held: pause - 2*heardSlack}
+	early := sent{after: applySlack / 2, entry: "e", started: 1}
+	late := sent{after: 2 * applySlack, entry: "e", started: 1, held: pause - 2*applySlack}
 	for _, test := range []struct {
 		name      string
 		sent      []sent
 		disturbed bool
 		find      string
 	}{
-		{"sent long after the server said that it leaves", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 1, true, 0}}, false, "left alone"},
+		{"sent long after the server signaled that it leaves", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 1, true, 0}}, false, "left alone"},
 		{"the same, over a disturbed way", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 1, true, 0}}, true, "left alone"},
 		{"sent just after", []sent{{0, "e", 1, true, 0}, {drainBound / 2, "e", 1, true, 0}}, false, ""},
 		{"another entry", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "f", 1, true, 0}}, false, ""},
-		{"another life", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 2, false, 0}}, false, ""},
+		{"another incarnation", []sent{{0, "e", 1, true, 0}, {drainBound + time.Second, "e", 2, false, 0}}, false, ""},
 		{"probes", series(probesAtMost, late), false, ""},
 		{"more than probes", series(probesAtMost+1, late), false, "pause"},
 		{"more, over a disturbed way", series(probesAtMost+1, late), true, ""},
-		{"more before it was heard", series(probesAtMost+1, early), false, ""},
-		{"more after the pause", series(probesAtMost+1, sent{after: pause, entry: "e", life: 1}), false, ""},
-		{"more from another entry", series(probesAtMost+1, sent{after: 2 * heardSlack, entry: "f", life: 1}), false, ""},
-		{"more to another life", series(probesAtMost+1, sent{after: 2 * heardSlack, entry: "e", life: 2}), false, ""},
+		{"more before it was forwarded", series(probesAtMost+1, early), false, ""},
+		{"more after the pause", series(probesAtMost+1, sent{after: pause, entry: "e", started: 1}), false, ""},
+		{"more from another entry", series(probesAtMost+1, sent{after: 2 * applySlack, entry: "f", started: 1}), false, ""},
+		{"more to another incarnation", series(probesAtMost+1, sent{after: 2 * applySlack, entry: "e", started: 2}), false, ""},
 	} {
 		l := newLedger()
 		l.disturbed = func(string, string, time.Time, time.Time) bool { return test.disturbed }
 		for i, s := range test.sent {
 			attempt, at := fmt.Sprint("a", i), now.Add(s.after)
-			a := standin.Arrival{Attempt: attempt, Server: "i", Life: s.life, At: at, Leaving: s.leaving}
+			a := standin.Arrival{Attempt: attempt, Server: "i", Started: s.started, At: at, Leaving: s.leaving}
 			if s.held > 0 {
 				a.Held = at.Add(s.held)
 			}
 			l.arrived(a)
 			l.answered(call{attempt: attempt, entry: s.entry, lifetime: 1, status: 200, whole: true, sent: at, ended: at.Add(time.Millisecond)})
 		}
-		l.conclude()
-		found := strings.Join(l.report().Violations, "\n")
-		if test.find == "" {
-			require.Empty(t, found, test.name)
-			continue
-		}
-		require.Contains(t, found, test.find+":", test.name)
+		requireFinding(t, l, test.find, test.name)
 	}
 }
 
@@ -218,16 +213,10 @@
 		l.disturbed = func(string, string, time.Time, time.Time) bool { return test.disturbed }
 		for i, s := range test.sent {
 			attempt, at := fmt.Sprint("a", i), now.Add(s.after)
-			l.arrived(standin.Arrival{Attempt: attempt, Server: "i", Life: 1, At: at, RateLimit: s.limit})
+			l.arrived(standin.Arrival{Attempt: attempt, Server: "i", Started: 1, At: at, RateLimit: s.limit})
 			l.answered(call{attempt: attempt, entry: s.entry, lifetime: 1, status: 200, whole: true, sent: at, ended: at.Add(time.Millisecond)})
 		}
-		l.conclude()
-		found := strings.Join(l.report().Violations, "\n")
-		if test.find == "" {
-			require.Empty(t, found, test.name)
-			continue
-		}
-		require.Contains(t, found, test.find+":", test.name)
+		requireFinding(t, l, test.find, test.name)
 	}
 }
 
