Permits: how long other requests take says nothing about the wait for a permit

Cause: a request without a permit was queued by the expected wait for a slot, which is the time of a request divided by those in flight, a second or more at such an entry.

--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -179,8 +179,8 @@
 		p.refuse(now, t, refusal)
 		return
 	}
-	if p.limitedCount > 0 && p.permitTooLate(now, t, t.ahead) {
-		p.refuse(now, t, ReasonRateLimited)
+	if p.limitedCount > 0 && p.waitsForPermit(now, t.request) {
+		p.enqueueForPermit(now, t)
 		return
 	}
 	if t.onTimeUntil-now >= minUsefulWait && now+p.expectedWait(p.onTime.countAhead(t)) <= t.onTimeUntil {
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -9,9 +9,21 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/coordination/quota"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
 
+// choose returns the choice of an endpoint at a time, with a permit that is valid for the
+// given time if it is not 0.
+func choose(c placement.Candidate, now, permit time.Duration) placement.Choice {
+	c.Slots, c.Preferred, c.Limited = 1, true, permit > 0
+	p := placement.New()
+	p.SetEndpoints(now, []placement.Candidate{c})
+	p.GrantPermits(now, []placement.Permits{{ID: c.ID, Count: 1, Until: now + permit}})
+	d := <-p.Submit(now, placement.Request{Deadline: now + time.Second}).Decision()
+	return d.Choice()
+}
+
 // A process may be suspended, or receive new information, between the choice of an
 // endpoint and the first byte sent to it. The conditions that held at the placement
 // must be checked again.
@@ -22,30 +34,46 @@
 			fleet.WithServices(fleet.NewService("s", fleet.WithEngine(&fleet.Engine{Models: []string{"m"}}))),
 			fleet.WithAccount(fleet.NewAccount("shop"), key))
 	}
+	const second = time.Second
 	endpoint := placement.Candidate{ID: "e", Started: 1000, Version: 1}
+	limit := func(g *Gateway, c *clock) {
+		g.rateLimits.limits.Record(c.at, c.at, quotaEndpoint(endpoint), quota.NewLimit(1))
+	}
 	for _, test := range []struct {
 		name   string
 		happen func(g *Gateway, c *clock)
 		reason string
+		// permit is how long the request has a permit for, 0 if it has none.
+		permit time.Duration
 	}{
-		{"no change", func(*Gateway, *clock) {}, ""},
-		{"short suspension", func(_ *Gateway, c *clock) { c.at += time.Second }, ""},
-		{"long suspension", func(_ *Gateway, c *clock) { c.at += revocation }, reasonUnconfirmed},
-		{"key is revoked", func(g *Gateway, _ *clock) { g.ApplyConfiguration(keyed(2, "other"), nil) }, reasonUnconfirmed},
+		{"no change", func(*Gateway, *clock) {}, "", 0},
+		{"short suspension", func(_ *Gateway, c *clock) { c.at += time.Second }, "", 0},
+		{"long suspension", func(_ *Gateway, c *clock) { c.at += revocation }, reasonUnconfirmed, 0},
+		{"key is revoked", func(g *Gateway, _ *clock) { g.ApplyConfiguration(keyed(2, "other"), nil) }, reasonUnconfirmed, 0},
 		{"endpoint is draining", func(g *Gateway, c *clock) {
 			g.backpressure.Record(c.at, incarnationOf(endpoint), admission.Backpressure{Draining: true})
-		}, reasonBackpressure},
+		}, reasonBackpressure, 0},
 		{"endpoint signals a retry delay", func(g *Gateway, c *clock) {
 			g.backpressure.Record(c.at, incarnationOf(endpoint), admission.Backpressure{RetryAfter: time.Second})
-		}, reasonBackpressure},
+		}, reasonBackpressure, 0},
 		{"retry delay has passed", func(g *Gateway, c *clock) {
 			g.backpressure.Record(c.at, incarnationOf(endpoint), admission.Backpressure{RetryAfter: time.Second})
 			c.at += time.Second
-		}, ""},
+		}, "", 0},
 		{"suspended until the weights are outdated", func(g *Gateway, c *clock) {
 			g.targets.add("m", 2, c.at-7*time.Second, true)
 			c.at += 500 * time.Millisecond
-		}, reasonOutdatedWeights},
+		}, reasonOutdatedWeights, 0},
+		{"rate limit became known, no permit", func(g *Gateway, c *clock) { limit(g, c) }, reasonRateLimited, 0},
+		{"rate limit became known, with a permit", func(g *Gateway, c *clock) { limit(g, c) }, "", second},
+		{"suspended until the permit expired", func(g *Gateway, c *clock) {
+			limit(g, c)
+			c.at += second
+		}, reasonRateLimited, second},
+		{"rate limit was lifted", func(g *Gateway, c *clock) {
+			limit(g, c)
+			g.rateLimits.limits.Record(c.at, c.at, quotaEndpoint(endpoint), quota.Limit{})
+		}, "", 0},
 	} {
 		clock := &clock{at: 100 * time.Second}
 		confirmed := clock.at
@@ -53,8 +81,9 @@
 			WithVersionBound(8*time.Second, func(TargetVersion) {}))
 		g.ApplyConfiguration(keyed(1, "key"), nil)
 		q := &request{account: "shop", head: RequestHead{Key: "key"}, service: g.Configuration().Services()["s"]}
+		choice := choose(endpoint, clock.at, test.permit)
 		test.happen(g, clock)
-		require.Equal(t, test.reason, g.staleReason(q, placement.Choice{Candidate: endpoint}), test.name)
+		require.Equal(t, test.reason, g.staleReason(q, choice), test.name)
 	}
 }
 
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -32,20 +32,24 @@
 		rate    float64 // requests a second at each entry
 		limit   float64
 		used    float64 // at least this fraction of what the limit allows
+		work    time.Duration
 	}{
-		{1, 20, 1.5, 0.8},
-		{1, 20, 0.3, 0.8},
-		{8, 10, 1.5, 0.8},
-		{8, 10, 0.3, 0.7},
-		{8, 10, 10, 0.8},
-		{8, 1, 4, 0.5},
-		{8, 10, 0, 0},
-		{8, 10, 1e300, 0},
-		{30, 5, 1, 0.7},
-		{148, 2, 1.5, 0.7},
+		{1, 20, 1.5, 0.8, simWork},
+		{1, 20, 0.3, 0.8, simWork},
+		{8, 10, 1.5, 0.8, simWork},
+		{8, 10, 0.3, 0.7, simWork},
+		{8, 10, 10, 0.8, simWork},
+		{8, 1, 4, 0.5, simWork},
+		{8, 10, 0, 0, simWork},
+		{8, 10, 1e300, 0, simWork},
+		{30, 5, 1, 0.7, simWork},
+		{8, 1, 4, 0.5, time.Second},
+		{30, 1, 6, 0.6, time.Second},
+		{148, 2, 1.5, 0.7, simWork},
 	} {
 		t.Run(fmt.Sprintf("%d entries, %g a second", test.entries, test.limit), func(t *testing.T) {
 			f := newSimFleet(1, test.entries, 2, test.rate)
+			f.work = test.work
 			f.run(6 * time.Second)
 			s := f.endpoints[0]
 			for _, e := range f.endpoints {
@@ -127,6 +131,15 @@
 		starts bool
 	}{
 		{"no fault", func(*simFleet) {}, func(*simFleet) {}, false},
+		{"burst of requests", func(f *simFleet) {
+			for _, e := range f.entries {
+				e.rate *= 20
+			}
+		}, func(f *simFleet) {
+			for _, e := range f.entries {
+				e.rate /= 20
+			}
+		}, false},
 		{"grantor is suspended", func(f *simFleet) { first(f).suspend() }, func(f *simFleet) { first(f).resume() }, false},
 		{"half of the entries are suspended", func(f *simFleet) {
 			for i, e := range f.entries {
