Permits: the terms of the field, and no limit that is not a number

Requests, reports and announcements in place of asking and hearing. A message with a limit that is negative or not a number would have stopped the bucket of its endpoint for good.

--- a/internal/coordination/placement/permits.go
+++ b/internal/coordination/placement/permits.go
@@ -152,8 +152,8 @@
 	return len(p.listed) > 0 && !slices.ContainsFunc(p.listed, func(e *endpoint) bool { return !e.Limited })
 }
 
-// askForPermits calls permitsWanted if an endpoint could take a request but for a permit.
-func (p *Pool) askForPermits(now time.Duration) {
+// requestPermits calls permitsWanted if an endpoint could take a request but for a permit.
+func (p *Pool) requestPermits(now time.Duration) {
 	if p.limitedCount == 0 || p.permitsWanted == nil {
 		return
 	}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -185,7 +185,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordArrival(now, r)
-	defer p.askForPermits(now)
+	defer p.requestPermits(now)
 	p.placeQueued(now)
 	p.setWaitLimits(now, t)
 	if t.ahead = p.onTime.countAhead(t); t.ahead == 0 {
--- a/internal/coordination/quota/election.go
+++ b/internal/coordination/quota/election.go
@@ -24,13 +24,13 @@
 	self    string
 	started time.Duration
 
-	mu          sync.Mutex
-	grants      bool // this entry grants permits
-	announced   map[string]announced
-	askedSince  map[string]time.Duration // reports without an announcement in return, by address
-	silentUntil map[string]time.Duration
-	votedFor    Announcement // grantor that has the vote
-	voteUntil   time.Duration
+	mu            sync.Mutex
+	grants        bool // this entry grants permits
+	announced     map[string]announced
+	reportedSince map[string]time.Duration // reports without an announcement in return, by address
+	silentUntil   map[string]time.Duration
+	votedFor      Announcement // grantor that has the vote
+	voteUntil     time.Duration
 }
 
 type announced struct {
@@ -57,12 +57,12 @@
 func (e *Election) reset() {
 	e.grants = false
 	e.announced = make(map[string]announced)
-	e.askedSince = make(map[string]time.Duration)
+	e.reportedSince = make(map[string]time.Duration)
 	e.silentUntil = make(map[string]time.Duration)
 }
 
-// Hear records an announcement.
-func (e *Election) Hear(now time.Duration, a Announcement) {
+// RecordAnnouncement records an announcement.
+func (e *Election) RecordAnnouncement(now time.Duration, a Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	last := e.announced[a.Address]
@@ -70,7 +70,7 @@
 		return
 	}
 	e.announced[a.Address] = announced{a, now}
-	delete(e.askedSince, a.Address)
+	delete(e.reportedSince, a.Address)
 	delete(e.silentUntil, a.Address)
 }
 
@@ -132,21 +132,21 @@
 	return list
 }
 
-// Asked records that a report was sent to a grantor. One that does not announce itself in
+// RecordReport records that a report was sent to a grantor. One that does not announce itself in
 // return is passed over for a while.
-func (e *Election) Asked(now time.Duration, grantor string) {
+func (e *Election) RecordReport(now time.Duration, grantor string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if _, answers := e.announced[grantor]; answers {
 		return
 	}
-	since, asked := e.askedSince[grantor]
+	since, reported := e.reportedSince[grantor]
 	switch {
-	case !asked:
-		e.askedSince[grantor] = now
+	case !reported:
+		e.reportedSince[grantor] = now
 	case now-since >= silenceTimeout:
 		e.silentUntil[grantor] = now + silencePeriod
-		delete(e.askedSince, grantor)
+		delete(e.reportedSince, grantor)
 	}
 }
 
--- a/internal/coordination/quota/grantor.go
+++ b/internal/coordination/quota/grantor.go
@@ -24,11 +24,11 @@
 	Count    int
 }
 
-// Ask is a request for permits. It replaces the previous one of the same entry.
-type Ask struct {
+// PermitRequest is an entry's request for permits. It replaces the previous one of the same entry.
+type PermitRequest struct {
 	Address     string
 	Incarnation uint64
-	// Stamp is the asking entry's clock when it wrote the request; the grant echoes it.
+	// Stamp is the sender's clock when it wrote the request; the grant echoes it.
 	Stamp  uint64
 	Wanted []Wanted
 	// Total is how many permits its requests need, at whichever of the endpoints.
@@ -46,7 +46,7 @@
 	Share float64
 }
 
-// Grant answers an Ask.
+// Grant answers a PermitRequest.
 type Grant struct {
 	Address     string
 	Incarnation uint64
@@ -58,15 +58,15 @@
 type Grantor struct {
 	random func() float64
 
-	mu      sync.Mutex
-	votes   map[string]Vote   // by address
-	known   map[string]uint64 // revision of the limits that a voter has, by address
-	asks    map[string]*pendingAsk
-	buckets map[uint32]*bucket // by endpoint hash
+	mu       sync.Mutex
+	votes    map[string]Vote   // by address
+	known    map[string]uint64 // revision of the limits that a voter has, by address
+	requests map[string]*pendingRequest
+	buckets  map[uint32]*bucket // by endpoint hash
 }
 
-type pendingAsk struct {
-	Ask
+type pendingRequest struct {
+	PermitRequest
 	at       time.Duration
 	answered bool
 }
@@ -107,7 +107,7 @@
 func (g *Grantor) reset() {
 	g.votes = make(map[string]Vote)
 	g.known = make(map[string]uint64)
-	g.asks = make(map[string]*pendingAsk)
+	g.requests = make(map[string]*pendingRequest)
 	g.buckets = make(map[uint32]*bucket)
 }
 
@@ -135,25 +135,25 @@
 	return g.known[address] == revision
 }
 
-// Ask records a request for permits.
-func (g *Grantor) Ask(now time.Duration, a Ask) {
+// Request records a request for permits.
+func (g *Grantor) Request(now time.Duration, r PermitRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if last := g.asks[a.Address]; last != nil && last.Incarnation == a.Incarnation && last.Stamp > a.Stamp {
+	if last := g.requests[r.Address]; last != nil && last.Incarnation == r.Incarnation && last.Stamp > r.Stamp {
 		return
 	}
-	if len(a.Wanted) == 0 || a.Total <= 0 {
-		delete(g.asks, a.Address)
+	if len(r.Wanted) == 0 || r.Total <= 0 {
+		delete(g.requests, r.Address)
 		return
 	}
-	g.asks[a.Address] = &pendingAsk{Ask: a, at: now}
+	g.requests[r.Address] = &pendingRequest{PermitRequest: r, at: now}
 }
 
 // Pending reports whether an entry waits for permits.
 func (g *Grantor) Pending() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.asks) > 0
+	return len(g.requests) > 0
 }
 
 // Fraction returns the fraction of each limit that this grantor may grant, and the number
@@ -183,7 +183,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	fraction, _ := g.fraction(now, entries)
-	g.dropOldAsks(now)
+	g.dropAnswered(now)
 	g.dropBuckets(limits)
 	granted := make(map[string][]Granted)
 	for _, o := range limits {
@@ -192,22 +192,22 @@
 		}
 	}
 	var grants []Grant
-	for address, a := range g.asks {
+	for address, r := range g.requests {
 		permits := granted[address]
-		if a.answered && !slices.ContainsFunc(permits, func(p Granted) bool { return p.Count > 0 }) {
+		if r.answered && !slices.ContainsFunc(permits, func(p Granted) bool { return p.Count > 0 }) {
 			continue
 		}
-		a.answered = true
-		grants = append(grants, Grant{Address: address, Incarnation: a.Incarnation, Stamp: a.Stamp, Permits: permits})
+		r.answered = true
+		grants = append(grants, Grant{Address: address, Incarnation: r.Incarnation, Stamp: r.Stamp, Permits: permits})
 	}
 	return grants
 }
 
-// dropOldAsks removes answered requests whose permits are no longer of use.
-func (g *Grantor) dropOldAsks(now time.Duration) {
-	for address, a := range g.asks {
-		if a.answered && now-a.at >= a.TTL {
-			delete(g.asks, address)
+// dropAnswered removes answered requests whose permits are no longer of use.
+func (g *Grantor) dropAnswered(now time.Duration) {
+	for address, r := range g.requests {
+		if r.answered && now-r.at >= r.TTL {
+			delete(g.requests, address)
 		}
 	}
 }
@@ -233,69 +233,69 @@
 func (g *Grantor) distribute(now time.Duration, o Observation, fraction float64, granted map[string][]Granted) {
 	rate := fraction * min(max(o.Limit.PerSecond(), minRate), maxRate)
 	b := g.refill(now, o.Endpoint, rate)
-	askers := g.askersOf(o.Endpoint)
-	total := totalWanted(askers)
+	requesters := g.requestersOf(o.Endpoint)
+	total := totalWanted(requesters)
 	if total == 0 {
 		return
 	}
-	for i := range askers {
-		askers[i].share = rate * float64(askers[i].wants()) / float64(total)
+	for i := range requesters {
+		requesters[i].share = rate * float64(requesters[i].wants()) / float64(total)
 	}
-	for ; b.tokens >= 1 && total > 0; total = totalWanted(askers) {
+	for ; b.tokens >= 1 && total > 0; total = totalWanted(requesters) {
 		b.tokens--
-		a := draw(askers, int(g.random()*float64(total)))
-		a.granted++
-		a.wanted.Count--
-		a.ask.Total--
+		r := draw(requesters, int(g.random()*float64(total)))
+		r.granted++
+		r.wanted.Count--
+		r.request.Total--
 	}
-	for _, a := range askers {
-		granted[a.ask.Address] = append(granted[a.ask.Address], Granted{Endpoint: o.Endpoint, Count: a.granted, Share: a.share})
+	for _, r := range requesters {
+		granted[r.request.Address] = append(granted[r.request.Address], Granted{Endpoint: o.Endpoint, Count: r.granted, Share: r.share})
 	}
 }
 
-// asker is what one entry wants for an endpoint, and what it is granted.
-type asker struct {
-	ask     *pendingAsk
+// requester is what one entry wants for an endpoint, and what it is granted.
+type requester struct {
+	request *pendingRequest
 	wanted  *Wanted
 	share   float64
 	granted int
 }
 
 // wants returns the permits that it still wants for the endpoint.
-func (a asker) wants() int { return min(a.wanted.Count, a.ask.Total) }
+func (r requester) wants() int { return min(r.wanted.Count, r.request.Total) }
 
-func totalWanted(askers []asker) int {
+func totalWanted(requesters []requester) int {
 	total := 0
-	for _, a := range askers {
-		total += a.wants()
+	for _, r := range requesters {
+		total += r.wants()
 	}
 	return total
 }
 
-// draw returns the asker of the n-th of all wanted permits.
-func draw(askers []asker, n int) *asker {
-	for i := range askers {
-		if n < askers[i].wants() {
-			return &askers[i]
+// draw returns the requester of the n-th of all wanted permits.
+func draw(requesters []requester, n int) *requester {
+	for i := range requesters {
+		if n < requesters[i].wants() {
+			return &requesters[i]
 		}
-		n -= askers[i].wants()
+		n -= requesters[i].wants()
 	}
 	panic("quota: more permits are drawn than wanted")
 }
 
-// askersOf returns the entries that want permits of an endpoint, in the order of their
+// requestersOf returns the entries that want permits of an endpoint, in the order of their
 // addresses.
-func (g *Grantor) askersOf(e Endpoint) []asker {
-	var askers []asker
-	for _, a := range g.asks {
-		for i := range a.Wanted {
-			if w := &a.Wanted[i]; w.Endpoint.Matches(e) {
-				askers = append(askers, asker{ask: a, wanted: w})
+func (g *Grantor) requestersOf(e Endpoint) []requester {
+	var requesters []requester
+	for _, r := range g.requests {
+		for i := range r.Wanted {
+			if w := &r.Wanted[i]; w.Endpoint.Matches(e) {
+				requesters = append(requesters, requester{request: r, wanted: w})
 			}
 		}
 	}
-	slices.SortFunc(askers, func(a, b asker) int { return strings.Compare(a.ask.Address, b.ask.Address) })
-	return askers
+	slices.SortFunc(requesters, func(a, b requester) int { return strings.Compare(a.request.Address, b.request.Address) })
+	return requesters
 }
 
 // refill returns the bucket of an endpoint with the permits since the last call. A new
--- a/internal/coordination/quota/grantor_test.go
+++ b/internal/coordination/quota/grantor_test.go
@@ -48,30 +48,30 @@
 func TestDistribute(t *testing.T) {
 	a, b := Endpoint{Hash: 1, Started: 1000}, Endpoint{Hash: 2, Started: 1000}
 	limits := []Observation{{Endpoint: a, Limit: NewLimit(2)}, {Endpoint: b, Limit: NewLimit(2)}}
-	ask := func(address string, stamp uint64, total int, ttl time.Duration, count int) Ask {
-		return Ask{Address: address, Incarnation: 1, Stamp: stamp, Total: total, TTL: ttl, Wanted: []Wanted{{a, count}, {b, count}}}
+	wants := func(address string, stamp uint64, total int, ttl time.Duration, count int) PermitRequest {
+		return PermitRequest{Address: address, Incarnation: 1, Stamp: stamp, Total: total, TTL: ttl, Wanted: []Wanted{{a, count}, {b, count}}}
 	}
 	for _, test := range []struct {
-		name    string
-		asks    []Ask
-		granted []int // at 1 s, and at 2 s
+		name     string
+		requests []PermitRequest
+		granted  []int // at 1 s, and at 2 s
 	}{
-		{"nobody asks", nil, []int{0, 0}},
-		{"one permit for either endpoint", []Ask{ask("0", 1, 1, 0, 1)}, []int{1, 0}},
-		{"as many as there are", []Ask{ask("0", 1, 10, 0, 5)}, []int{2, 0}},
-		{"more later while they are of use", []Ask{ask("0", 1, 10, 5*second, 5)}, []int{2, 2}},
-		{"two entries", []Ask{ask("0", 1, 1, 0, 1), ask("1", 1, 1, 0, 1)}, []int{2, 0}},
-		{"replaced by a later one", []Ask{ask("0", 1, 5, 0, 5), ask("0", 2, 1, 0, 1)}, []int{1, 0}},
-		{"not replaced by an earlier one", []Ask{ask("0", 2, 1, 0, 1), ask("0", 1, 5, 0, 5)}, []int{1, 0}},
-		{"withdrawn", []Ask{ask("0", 1, 5, 0, 5), {Address: "0", Incarnation: 1, Stamp: 2}}, []int{0, 0}},
+		{"no request", nil, []int{0, 0}},
+		{"one permit for either endpoint", []PermitRequest{wants("0", 1, 1, 0, 1)}, []int{1, 0}},
+		{"as many as there are", []PermitRequest{wants("0", 1, 10, 0, 5)}, []int{2, 0}},
+		{"more later while they are of use", []PermitRequest{wants("0", 1, 10, 5*second, 5)}, []int{2, 2}},
+		{"two entries", []PermitRequest{wants("0", 1, 1, 0, 1), wants("1", 1, 1, 0, 1)}, []int{2, 0}},
+		{"replaced by a later one", []PermitRequest{wants("0", 1, 5, 0, 5), wants("0", 2, 1, 0, 1)}, []int{1, 0}},
+		{"not replaced by an earlier one", []PermitRequest{wants("0", 2, 1, 0, 1), wants("0", 1, 5, 0, 5)}, []int{1, 0}},
+		{"withdrawn", []PermitRequest{wants("0", 1, 5, 0, 5), {Address: "0", Incarnation: 1, Stamp: 2}}, []int{0, 0}},
 	} {
 		g := NewGrantor()
 		for _, v := range votes(4, 4, time.Hour) {
 			g.Vote(v)
 		}
 		require.Empty(t, g.Distribute(0, limits, 4), "new buckets are empty")
-		for _, ask := range test.asks {
-			g.Ask(second, ask)
+		for _, r := range test.requests {
+			g.Request(second, r)
 		}
 		for i, want := range test.granted {
 			got := 0
@@ -118,24 +118,27 @@
 	}
 	live := func() []string { return []string{"c", "a"} }
 	for _, test := range []struct {
-		name    string
-		prepare func(e *Election)
-		at      time.Duration
-		want    string
-		ask     []string
+		name     string
+		prepare  func(e *Election)
+		at       time.Duration
+		want     string
+		reportTo []string
 	}{
 		{"none announces itself", func(*Election) {}, now, "", []string{"a", "b"}},
-		{"one does", func(e *Election) { e.Hear(now, announcement("c")) }, now, "c", nil},
-		{"two do", func(e *Election) { e.Hear(now, announcement("c")); e.Hear(now, announcement("a")) }, now, "a", nil},
-		{"one did", func(e *Election) { e.Hear(0, announcement("c")) }, now, "", []string{"a", "b"}},
-		{"the first is silent", func(e *Election) { e.Asked(now-2*second, "a"); e.Asked(now-second, "a") }, now, "b", nil},
-		{"the first was silent long ago", func(e *Election) { e.Asked(0, "a"); e.Asked(second, "a") }, now + 2*second, "", []string{"a", "b"}},
+		{"one does", func(e *Election) { e.RecordAnnouncement(now, announcement("c")) }, now, "c", nil},
+		{"two do", func(e *Election) {
+			e.RecordAnnouncement(now, announcement("c"))
+			e.RecordAnnouncement(now, announcement("a"))
+		}, now, "a", nil},
+		{"one did", func(e *Election) { e.RecordAnnouncement(0, announcement("c")) }, now, "", []string{"a", "b"}},
+		{"the first is silent", func(e *Election) { e.RecordReport(now-2*second, "a"); e.RecordReport(now-second, "a") }, now, "b", nil},
+		{"the first was silent long ago", func(e *Election) { e.RecordReport(0, "a"); e.RecordReport(second, "a") }, now + 2*second, "", []string{"a", "b"}},
 	} {
 		e := NewElection("b", 0)
 		test.prepare(e)
 		grantor, candidates := e.Grantor(test.at, live)
 		require.Equal(t, test.want, grantor, test.name)
-		require.Equal(t, test.ask, candidates, test.name)
+		require.Equal(t, test.reportTo, candidates, test.name)
 	}
 	young := NewElection("a", now)
 	grantor, _ := young.Grantor(now+startDelay/2, live)
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -13,8 +13,8 @@
 //     which the vote echoes, so that it never counts a vote for longer than the voter
 //     does. It grants the fraction of a limit that its votes are of all entries. Grantors
 //     that do not know of each other therefore share the limit between them.
-//   - A permit is valid for a short time from the moment at which it was asked for, on
-//     the clock of the entry that asked. A delayed message or a suspended process leaves
+//   - A permit is valid for a short time from the moment at which it was requested, on
+//     the clock of the requesting entry. A delayed message or a suspended process leaves
 //     nothing to use.
 //
 // The number of all entries is the largest that any voter knows. An entry that was not
@@ -31,7 +31,7 @@
 //	granting, candidates := election.Grantor(now, live)
 //	if granting == self {
 //		grantor.Vote(vote)
-//		grantor.Ask(now, ask)
+//		grantor.Request(now, request)
 //		grants := grantor.Distribute(now, observations, entries)
 //	} else {
 //		... report the vote, observations and wanted permits to it or to the candidates
@@ -54,16 +54,16 @@
 	// startDelay is how long a process discovers other entries before it may grant.
 	startDelay = 500 * time.Millisecond
 	// silenceTimeout is how long reports to a live entry may go unanswered before the
-	// next one is asked to grant, which is then preferred for silencePeriod.
+	// next one is to grant, which is then preferred for silencePeriod.
 	silenceTimeout = 800 * time.Millisecond
 	silencePeriod  = 10 * time.Second
 	// maxCandidates is the number of entries to which reports are sent at a time while
 	// none announces itself.
 	maxCandidates = 8
-	// minAskInterval is how often an entry repeats what permits it wants. With many
-	// entries the grantor gets one such message every askPeerInterval.
-	minAskInterval  = 100 * time.Millisecond
-	askPeerInterval = 1500 * time.Microsecond
+	// minRequestInterval is how often an entry repeats what permits it wants. With many
+	// entries the grantor gets one such message every requestPeerInterval.
+	minRequestInterval  = 100 * time.Millisecond
+	requestPeerInterval = 1500 * time.Microsecond
 	// PermitTTL is how long a permit is valid after the request for it.
 	PermitTTL = time.Second
 	// MaxGrantDelay is the age of a request for permits from which its answer is
@@ -94,11 +94,13 @@
 	return leaseIntervals*interval + leaseMargin
 }
 
-// AskTTL returns how long a request for permits is pending that an entry repeats for
+// RequestTTL returns how long a request for permits is pending that an entry repeats for
 // requests that it expects. One repetition may be lost.
-func AskTTL(entries int) time.Duration { return min(2*AskInterval(entries), MaxGrantDelay-maxTransit) }
+func RequestTTL(entries int) time.Duration {
+	return min(2*RequestInterval(entries), MaxGrantDelay-maxTransit)
+}
 
-// AskInterval returns how often each of so many entries repeats what permits it wants.
-func AskInterval(entries int) time.Duration {
-	return max(minAskInterval, time.Duration(entries)*askPeerInterval)
+// RequestInterval returns how often each of so many entries repeats what permits it wants.
+func RequestInterval(entries int) time.Duration {
+	return max(minRequestInterval, time.Duration(entries)*requestPeerInterval)
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -116,7 +116,7 @@
 		if address == g.self.PeerAddress {
 			continue
 		}
-		g.quotas.election.Asked(now, address)
+		g.quotas.election.RecordReport(now, address)
 		g.sendDatagram(address, &nodev1.Datagram{Content: &nodev1.Datagram_QuotaReport{QuotaReport: m}})
 	}
 	return reportInterval
@@ -126,7 +126,7 @@
 // limit. Reports that only renew the vote answer the grantor's announcements.
 func (g *Gateway) reportRound(now time.Duration, grantor string) time.Duration {
 	q := g.quotas
-	interval := quota.AskInterval(g.peers.entries(now))
+	interval := quota.RequestInterval(g.peers.entries(now))
 	if due := q.reportedAt + interval; now < due {
 		return due - now
 	}
@@ -169,35 +169,35 @@
 	if c := g.quotas.complete.Load(); c != nil && c.Address == a.Address && c.Incarnation == a.Incarnation {
 		m.Revision = c.Revision
 	}
-	ask := g.wantedPermits(now)
-	m.WantedMs, m.WantedTotal = uint32(ask.TTL.Milliseconds()), uint32(ask.Total)
-	for _, w := range ask.Wanted {
+	r := g.wantedPermits(now)
+	m.WantedMs, m.WantedTotal = uint32(r.TTL.Milliseconds()), uint32(r.Total)
+	for _, w := range r.Wanted {
 		m.Wanted = append(m.Wanted, &nodev1.EndpointPermits{Endpoint: w.Endpoint.Hash, Started: w.Endpoint.Started, Count: uint32(w.Count)})
 	}
 	return m
 }
 
 // wantedPermits returns a request for the permits that this entry wants for all services.
-func (g *Gateway) wantedPermits(now time.Duration) quota.Ask {
-	ask := quota.Ask{Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: uint64(now)}
+func (g *Gateway) wantedPermits(now time.Duration) quota.PermitRequest {
+	r := quota.PermitRequest{Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: uint64(now)}
 	g.traffic.each(func(_ string, s *serviceTraffic) {
 		demands := s.placement.WantedPermits(now)
 		for _, d := range demands.Endpoints {
-			ask.Wanted = append(ask.Wanted, quota.Wanted{Endpoint: quotaEndpoint(d.Candidate), Count: d.Count})
+			r.Wanted = append(r.Wanted, quota.Wanted{Endpoint: quotaEndpoint(d.Candidate), Count: d.Count})
 		}
-		ask.Total += demands.Total
+		r.Total += demands.Total
 		if demands.Expected {
-			ask.TTL = quota.AskTTL(g.peers.entries(now))
+			r.TTL = quota.RequestTTL(g.peers.entries(now))
 		}
 	})
-	return ask
+	return r
 }
 
 // usePermits passes permits to placement. They are valid from the time at which they
-// were asked for, so that a late answer leaves little to use.
+// were requested, so that a late answer leaves little to use.
 func (g *Gateway) usePermits(now time.Duration, grant quota.Grant) {
-	asked := time.Duration(grant.Stamp)
-	if asked > now || now-asked > quota.MaxGrantDelay {
+	requestedAt := time.Duration(grant.Stamp)
+	if requestedAt > now || now-requestedAt > quota.MaxGrantDelay {
 		return
 	}
 	v := g.snapshot.Load()
@@ -206,7 +206,7 @@
 		e := v.endpointByHash(p.Endpoint.Hash)
 		if e != nil && p.Endpoint.Matches(quota.Endpoint{Hash: p.Endpoint.Hash, Started: e.Started()}) {
 			byService[e.Service()] = append(byService[e.Service()],
-				placement.Permits{ID: e.ID(), Count: p.Count, Until: asked + quota.PermitTTL, Share: p.Share})
+				placement.Permits{ID: e.ID(), Count: p.Count, Until: requestedAt + quota.PermitTTL, Share: p.Share})
 		}
 	}
 	for service, permits := range byService {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -64,7 +64,7 @@
 			require.LessOrEqual(t, float64(s.most(named+limitGrace, 0)), allowedBy(test.limit))
 			require.GreaterOrEqual(t, float64(got), math.Floor(test.used*8*test.limit))
 			if test.limit == 0 {
-				require.Positive(t, got, "an endpoint that takes none is asked now and then whether it still does")
+				require.Positive(t, got, "an endpoint that takes none gets a request now and then, whose response shows whether it still does")
 			}
 			for _, e := range f.entries {
 				for _, d := range e.refusals {
@@ -224,7 +224,7 @@
 }
 
 // Where every endpoint of a service is limited, accounts share what there is evenly,
-// whatever they ask for.
+// however many requests each sends.
 func TestRateLimitIsSharedAmongAccounts(t *testing.T) {
 	f := newSimFleet(3, 8, 3, 15)
 	f.accounts = func(r *rand.Rand) string {
--- a/internal/gateway/quotagrants.go
+++ b/internal/gateway/quotagrants.go
@@ -26,7 +26,7 @@
 		return min(next, gap)
 	}
 	q.distributedAt = now
-	q.grantor.Ask(now, g.wantedPermits(now))
+	q.grantor.Request(now, g.wantedPermits(now))
 	for _, grant := range q.grantor.Distribute(now, limits, entries) {
 		g.deliver(now, grant)
 	}
@@ -59,7 +59,7 @@
 	}
 }
 
-// deliver sends a grant to the entry that asked for it, or uses it if that is this one.
+// deliver sends a grant to the entry that requested it, or uses it if that is this one.
 func (g *Gateway) deliver(now time.Duration, grant quota.Grant) {
 	if grant.Address == g.self.PeerAddress {
 		g.usePermits(now, grant)
--- a/internal/gateway/quotamessages.go
+++ b/internal/gateway/quotamessages.go
@@ -44,14 +44,14 @@
 		})
 		grantor.SetRevision(m.GetAddress(), m.GetRevision())
 	}
-	a := quota.Ask{
+	a := quota.PermitRequest{
 		Address: m.GetAddress(), Incarnation: m.GetIncarnation(), Stamp: m.GetStamp(),
 		Total: min(int(m.GetWantedTotal()), maxWanted), TTL: time.Duration(m.GetWantedMs()) * time.Millisecond,
 	}
 	for _, w := range m.GetWanted() {
 		a.Wanted = append(a.Wanted, quota.Wanted{Endpoint: quota.Endpoint{Hash: w.GetEndpoint(), Started: w.GetStarted()}, Count: min(int(w.GetCount()), maxWanted)})
 	}
-	grantor.Ask(now, a)
+	grantor.Request(now, a)
 	if len(a.Wanted) > 0 || m.GetEcho() == 0 {
 		g.wakeQuotas()
 	}
@@ -66,7 +66,7 @@
 		Interval: time.Duration(m.GetIntervalMs()) * time.Millisecond, Revision: m.GetRevision(),
 	}
 	q := g.quotas
-	q.election.Hear(now, a)
+	q.election.RecordAnnouncement(now, a)
 	if m.GetComplete() {
 		q.complete.Store(&a)
 	}
@@ -101,6 +101,9 @@
 			At:       now - time.Duration(m.GetAgeMs())*time.Millisecond,
 		}
 		if m.PerSecond != nil {
+			if !(m.GetPerSecond() >= 0) {
+				continue // negative, or not a number
+			}
 			o.Limit = quota.NewLimit(m.GetPerSecond())
 		}
 		if !g.rateLimits.limits.Merge(o) {
