Permits: a lifted limit expires; bounds on grants and announcements

Found by reading the diff: after a limit was lifted, each further response renewed its record, so that the grantor went on announcing itself for as long as the endpoint had requests (about 250 messages a second in a large fleet).

A grant with four thousand million permits would have used up the memory, and an announcement with an interval of weeks would have taken the vote for as long (TestAbsurdQuotaMessages).

--- a/internal/coordination/quota/election.go
+++ b/internal/coordination/quota/election.go
@@ -132,8 +132,8 @@
 	return list
 }
 
-// RecordReport records that a report was sent to a grantor. One that does not announce itself in
-// return is passed over for a while.
+// RecordReport records that a report was sent to a grantor. One that does not announce
+// itself in return is passed over for a while.
 func (e *Election) RecordReport(now time.Duration, grantor string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/coordination/quota/limits.go
+++ b/internal/coordination/quota/limits.go
@@ -94,6 +94,9 @@
 	if known && sent < r.At && !stated.lower(r.Limit) {
 		return false
 	}
+	if known && !r.Limit.Limited() && !stated.Limited() {
+		return false // keeps the time of the lifting, so that it expires
+	}
 	changed = r.Limit != stated
 	l.put(record{Observation: Observation{Endpoint: e, Limit: stated, At: now}, unreported: changed || r.unreported})
 	return changed
--- a/internal/coordination/quota/limits_test.go
+++ b/internal/coordination/quota/limits_test.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// A limit that was lifted is forgotten although the endpoint goes on answering.
+func TestLiftedLimitExpires(t *testing.T) {
+	l := NewLimits()
+	e := Endpoint{Hash: 1, Started: 1000}
+	l.Record(0, 0, e, NewLimit(1))
+	for at := second; at < 2*liftedTTL; at += second {
+		l.Record(at, at, e, Limit{})
+		l.Expire(at, func(Endpoint) bool { return true })
+	}
+	require.True(t, l.Empty())
+}
+
 func TestExpireAndBounds(t *testing.T) {
 	l := NewLimits()
 	for i := range uint32(maxLimits + 10) {
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -32,10 +32,11 @@
 	// one announcement, so that each fits in one datagram.
 	maxReportedLimits  = 64
 	maxAnnouncedLimits = 240
-	// maxWanted bounds the permits, and maxVoteLease the lease, that a message may
-	// contain.
-	maxWanted    = 1024
-	maxVoteLease = time.Minute
+	// maxWanted bounds the permits for one endpoint, maxVoteLease the lease and
+	// maxAnnounceInterval the interval that a message may contain.
+	maxWanted           = 1024
+	maxVoteLease        = time.Minute
+	maxAnnounceInterval = 10 * time.Second
 )
 
 // quotas is the part of a gateway that obtains and grants permits for endpoints with a
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/quota"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
 // What an endpoint with a rate limit may get in four seconds, from limitGrace after it
@@ -302,6 +303,34 @@
 	}
 }
 
+// A message with absurd numbers must not use up the memory, give a vote away for good or
+// stop the permits of an endpoint.
+func TestAbsurdQuotaMessages(t *testing.T) {
+	f := newSimFleet(9, 1, 1, 20)
+	e := f.entries[0]
+	s := f.endpoints[0]
+	s.limit = quota.NewLimit(2)
+	f.run(4 * time.Second)
+	hash := endpointHash(s.id)
+	e.ReceiveQuotaGrant(t.Context(), &nodev1.QuotaGrant{ // its permits would not fit into the memory
+		Echo: uint64(f.now), EchoIncarnation: e.self.Incarnation,
+		Permits: []*nodev1.EndpointPermits{{Endpoint: hash, Started: s.started, Count: math.MaxUint32}},
+	})
+	for _, perSecond := range []float64{math.NaN(), -1, math.Inf(1)} {
+		e.ReceiveQuotaReport(t.Context(), &nodev1.QuotaReport{
+			Address: "10.9.0.1:1", Stamp: 1, WantedTotal: math.MaxUint32, WantedMs: math.MaxUint32, Entries: 1,
+			Limits: []*nodev1.EndpointLimit{{Endpoint: hash + 1, PerSecond: &perSecond}, {Endpoint: hash, Started: s.started, PerSecond: &perSecond}},
+			Wanted: []*nodev1.EndpointPermits{{Endpoint: hash, Count: math.MaxUint32}, {Endpoint: hash, Count: math.MaxUint32}},
+		})
+		f.run(time.Second)
+	}
+	e.ReceiveQuotaAnnouncement(t.Context(), &nodev1.QuotaAnnouncement{Address: "10.0.0.0:0", Incarnation: 1, Stamp: 1, IntervalMs: math.MaxUint32})
+	f.run(time.Minute)
+	from := f.now
+	f.run(10 * time.Second)
+	require.GreaterOrEqual(t, s.between(from, f.now), 10, "the entry grants itself permits again")
+}
+
 // BenchmarkPermits measures what permits cost all entries together, in a second, while
 // some endpoints are limited.
 func BenchmarkPermits(b *testing.B) {
--- a/internal/gateway/quotamessages.go
+++ b/internal/gateway/quotamessages.go
@@ -44,15 +44,15 @@
 		})
 		grantor.SetRevision(m.GetAddress(), m.GetRevision())
 	}
-	a := quota.PermitRequest{
+	r := quota.PermitRequest{
 		Address: m.GetAddress(), Incarnation: m.GetIncarnation(), Stamp: m.GetStamp(),
 		Total: min(int(m.GetWantedTotal()), maxWanted), TTL: time.Duration(m.GetWantedMs()) * time.Millisecond,
 	}
 	for _, w := range m.GetWanted() {
-		a.Wanted = append(a.Wanted, quota.Wanted{Endpoint: quota.Endpoint{Hash: w.GetEndpoint(), Started: w.GetStarted()}, Count: min(int(w.GetCount()), maxWanted)})
+		r.Wanted = append(r.Wanted, quota.Wanted{Endpoint: quota.Endpoint{Hash: w.GetEndpoint(), Started: w.GetStarted()}, Count: min(int(w.GetCount()), maxWanted)})
 	}
-	grantor.Request(now, a)
-	if len(a.Wanted) > 0 || m.GetEcho() == 0 {
+	grantor.Request(now, r)
+	if len(r.Wanted) > 0 || m.GetEcho() == 0 {
 		g.wakeQuotas()
 	}
 }
@@ -63,7 +63,7 @@
 	g.mergeLimits(ctx, now, m.GetAddress(), m.GetLimits())
 	a := quota.Announcement{
 		Address: m.GetAddress(), Incarnation: m.GetIncarnation(), Stamp: m.GetStamp(),
-		Interval: time.Duration(m.GetIntervalMs()) * time.Millisecond, Revision: m.GetRevision(),
+		Interval: min(time.Duration(m.GetIntervalMs())*time.Millisecond, maxAnnounceInterval), Revision: m.GetRevision(),
 	}
 	q := g.quotas
 	q.election.RecordAnnouncement(now, a)
@@ -86,7 +86,7 @@
 	grant := quota.Grant{Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: m.GetEcho()}
 	for _, p := range m.GetPermits() {
 		grant.Permits = append(grant.Permits, quota.Granted{
-			Endpoint: quota.Endpoint{Hash: p.GetEndpoint(), Started: p.GetStarted()}, Count: int(p.GetCount()), Share: float64(p.GetShare()),
+			Endpoint: quota.Endpoint{Hash: p.GetEndpoint(), Started: p.GetStarted()}, Count: min(int(p.GetCount()), maxWanted), Share: float64(p.GetShare()),
 		})
 	}
 	g.usePermits(g.now(), grant)
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
@@ -101,9 +102,7 @@
 	g.metrics.LimitedEndpoints.Set(float64(limits.Count()))
 	g.rateLimits.mu.Lock()
 	defer g.rateLimits.mu.Unlock()
-	for hash := range g.rateLimits.malformed {
-		if v.endpointByHash(hash) == nil {
-			delete(g.rateLimits.malformed, hash)
-		}
-	}
+	gone := func(hash uint32) bool { return v.endpointByHash(hash) == nil }
+	maps.DeleteFunc(g.rateLimits.malformed, func(hash uint32, _ string) bool { return gone(hash) })
+	maps.DeleteFunc(g.rateLimits.sent, func(hash uint32, _ int) bool { return gone(hash) })
 }
