--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,7 +67,7 @@
 	}
 	q.tried = append(q.tried, c.ID)
 	out.endpoint = c.ID
-	q.sentAt = g.now()
+	q.sentAt, q.begunAt = g.now(), 0
 	g.countLimited(q, c.Candidate)
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
@@ -186,6 +186,7 @@
 			now := g.now()
 			out.recordEvents(now)
 			if last == 0 {
+				q.begunAt = now
 				q.traffic.placement.RecordFirstEvent(now, c)
 			} else {
 				q.traffic.placement.RecordEventInterval(*c, (now-last)/time.Duration(batch.count))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,9 @@
 	// Prompt identifies its parts.
 	PromptTokens int
 	Prompt       string
+	// SharedParts are the identities of those parts of the prompt that other requests
+	// may have too.
+	SharedParts []string
 	// LastEvent is the id of the last event of a stream that the caller has received.
 	LastEvent string
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,7 @@
 	fingerprint       uint64
 	attempts          int
 	sentAt            time.Duration // time of the last attempt
+	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	tried             []string      // IDs of the endpoints tried, in order
 }
 
@@ -312,5 +313,23 @@
 		return // the record of the request's end includes the endpoint
 	}
 	telemetry.FleetAttemptFailed.Log(ctx, g.logger, "request", q.head.ID, "route", q.route.Name(),
-		"endpoint", v.Choice().ID, "reason", r.reason, "executed", !r.notRun, "waited", v.Waited())
+		"endpoint", v.Choice().ID, "reason", r.reason, "executed", !r.notRun, "waited", v.Waited(),
+		"sent", q.sinceSent(g.now()), "begun", q.sinceBegun(g.now()), "parts", q.head.SharedParts)
+}
+
+// sinceSent returns the time since the last attempt was sent, 0 if none was.
+func (q *request) sinceSent(now time.Duration) time.Duration {
+	if q.sentAt == 0 {
+		return 0
+	}
+	return now - q.sentAt
+}
+
+// sinceBegun returns the time since the first event of the last attempt, 0 if there was
+// none.
+func (q *request) sinceBegun(now time.Duration) time.Duration {
+	if q.begunAt == 0 {
+		return 0
+	}
+	return now - q.begunAt
 }
