A stream without length or chunks that ends before its first event has been broken off

What callers saw: an empty stream with status 200 that looked whole, where an endpoint that answers with neither a length nor chunks crashed after the head.

Cause: the end of the connection was taken for the end of such a stream unless an event was cut in two; with no event there is nothing to cut.

Evidence: the rows 'ends before its first event' of TestBrokenResponses and TestUnframedResponseAfterRepeat failed (one run of two; no error). An answer with a length or chunks shows its own end and may be empty as before.

The stand-in answers without length or chunks: whole, cut in an event, reset after one, empty; the other rows passed on the code before.

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -193,6 +193,14 @@
 		{"read, 500", "GET", standin.PathRead + "c", standin.BreakError, 200, 2},
 		{"stream, no response", "POST", standin.PathStream + "b", standin.BreakBefore, 200, 2},
 		{"stream, broken within an event", "POST", standin.PathStream + "c", standin.BreakMidway, 200, 2},
+		{"stream without length, whole", "POST", standin.PathStream + "d", standin.BreakUnframed, 200, 1},
+		{"stream without length, ends before its first event", "POST", standin.PathStream + "e", standin.BreakUnframedEmpty, 200, 2},
+		{"stream without length, ends within an event", "POST", standin.PathStream + "f", standin.BreakUnframedMidway, 200, 2},
+		{"stream without length, reset after an event", "POST", standin.PathStream + "g", standin.BreakUnframedReset, 200, 2},
+		{"read without length, whole", "GET", standin.PathRead + "d", standin.BreakUnframed, 200, 1},
+		{"read without length, reset", "GET", standin.PathRead + "e", standin.BreakUnframedReset, 200, 2},
+		{"publish without length, whole", "POST", standin.PathPublish + "e", standin.BreakUnframed, 200, 1},
+		{"publish without length, reset", "POST", standin.PathPublish + "f", standin.BreakUnframedReset, 502, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := startSystem(t)
@@ -214,9 +222,53 @@
 			require.NoError(t, r.callErr)
 			require.Equal(t, test.status, r.status, "runs: %v", s.runs.forAttempt(r.attempt))
 			require.Len(t, s.runs.forAttempt(r.attempt), test.runs)
-			if test.status == http.StatusOK && strings.HasPrefix(test.path, standin.PathStream) {
+			if test.status != http.StatusOK {
+				return
+			}
+			if strings.HasPrefix(test.path, standin.PathStream) {
 				require.Equal(t, completeStream(test.path), r.body)
+			} else {
+				require.Equal(t, standin.Body(test.path), r.body)
+			}
+		})
+	}
+}
+
+// An answer without length or chunks may follow one that broke off, and break off as well.
+func TestUnframedResponseAfterRepeat(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		first, second standin.Breakage
+		complete      bool
+	}{
+		{"whole", standin.BreakMidway, standin.BreakUnframed, true},
+		{"whole, after one like it", standin.BreakUnframedMidway, standin.BreakUnframed, true},
+		{"ends within an event", standin.BreakMidway, standin.BreakUnframedMidway, false},
+		{"reset", standin.BreakUnframedReset, standin.BreakUnframedReset, false},
+		{"ends before its first event", standin.BreakUnframedMidway, standin.BreakUnframedEmpty, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startSystem(t)
+			var number atomic.Int64
+			for _, server := range s.Servers {
+				server.SetBroken(func() standin.Breakage {
+					if number.Add(1) == 1 {
+						return test.first
+					}
+					return test.second
+				})
+			}
+			path := standin.PathStream + "r"
+			r := s.call("POST", path, standin.Key)
+			require.Equal(t, http.StatusOK, r.status)
+			require.Len(t, s.runs.forAttempt(r.attempt), 2)
+			if test.complete {
+				require.NoError(t, r.callErr)
+				require.Equal(t, completeStream(path), r.body)
+				return
 			}
+			require.Error(t, r.callErr, "an answer that broke off must not look whole")
+			require.True(t, strings.HasPrefix(completeStream(path), r.body))
 		})
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -206,7 +206,7 @@
 			out.events += batch.count
 			out.lastEvent, out.lastNumber = batch.lastEvent, batch.lastNumber
 		}
-		if err == io.EOF && events.partial() {
+		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -218,6 +218,12 @@
 	}
 }
 
+// unframed reports whether a response has neither a length nor chunks and ends with its
+// connection. If that ends before the first event, the endpoint may have crashed.
+func unframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 func (g *Gateway) endStream(q *request, response *http.Response, out *responseWriter) result {
 	g.recordStream(q)
 	if !out.headerWritten {
