--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -77,6 +77,7 @@
 	case 0, 1:
 		q.path = fmt.Sprintf("%sd%d", standin.PathStream, number)
 		q.want, q.idempotent = streamOf(q.path), true
+		q.parts = c.run.promptParts(c.random, number)
 	case 2:
 		q.path = fmt.Sprintf("%sr%d", standin.PathRead, number)
 		q.want, q.idempotent = standin.Body(q.path), true
@@ -131,6 +132,9 @@
 		c.run.ledger.violate("soak: %v", err)
 		return 0
 	}
+	if len(q.parts) > 0 {
+		standin.SetPrompt(request, q.parts...)
+	}
 	response, err := c.client.Do(request)
 	if err == nil {
 		body, readErr := io.ReadAll(response.Body)
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -38,6 +38,7 @@
 		}
 	}
 	r.checkStops(ctx)
+	r.checkDeadlyPart(ctx)
 	pause(ctx, settleTime)
 	r.checkRecovery()
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -122,6 +122,8 @@
 		return r.signalBackpressure(f)
 	case StateRateLimit:
 		return r.stateRateLimit(f)
+	case MakePartDeadly:
+		return r.makePartDeadly(number)
 	}
 	return func() {}
 }
@@ -228,6 +230,9 @@
 	ids := r.someServers(f)
 	// Whole events that a server makes up can't be distinguished from its answer.
 	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakFastEvents)-1))
+	if unframed := f.pick(3, 12); unframed < 3 {
+		kind = []standin.Breakage{standin.BreakUnframed, standin.BreakUnframedEmpty, standin.BreakUnframedReset}[unframed]
+	}
 	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
 	for _, id := range ids {
 		r.deployment.Servers[id].SetBroken(everyThird(kind))
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -55,11 +55,11 @@
 	behind := func(address string) string { return strings.Replace(address, m.IP, listen, 1) }
 	m.store, m.peers, m.front = newLink("store of "+m.Name), newLink("peers of "+m.Name), newLink("callers of "+m.Name)
 	m.storeAt = fmt.Sprintf("127.%d.%d.%d:8007", m.run.network, 100+m.index/250, 1+m.index%250)
-	if err := m.store.stream(m.storeAt, d.StoreAddress()); err != nil {
+	if _, err := m.store.stream(m.storeAt, d.StoreAddress()); err != nil {
 		return err
 	}
 	peer := d.PeerAddress(m.Machine)
-	if err := m.peers.stream(peer, behind(peer)); err != nil {
+	if _, err := m.peers.stream(peer, behind(peer)); err != nil {
 		return err
 	}
 	if err := m.peers.datagrams(peer, behind(peer)); err != nil {
@@ -69,7 +69,7 @@
 		return nil
 	}
 	for _, address := range []string{d.Front(m.Machine), d.Ready(m.Machine), d.Directory(m.Machine)} {
-		if err := m.front.stream(address, behind(address)); err != nil {
+		if _, err := m.front.stream(address, behind(address)); err != nil {
 			return err
 		}
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"strconv"
@@ -78,30 +79,45 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "proxy")
 	}
-	if err := l.stream(address, hidden.Addr().String()); err != nil {
+	front, err := l.stream(address, hidden.Addr().String())
+	if err != nil {
 		hidden.Close()
 		return nil, err
 	}
-	return hidden, nil
+	return hiddenListener{Listener: hidden, front: front}, nil
+}
+
+// hiddenListener is the listener of a server behind a proxy. A server that is gone refuses
+// connections, so that its proxy ends with it.
+type hiddenListener struct {
+	net.Listener
+	front io.Closer
+}
+
+// Close implements net.Listener.
+func (h hiddenListener) Close() error {
+	return errors.Join(h.front.Close(), h.Listener.Close())
 }
 
 // stream passes TCP connections to an address on to a target.
-func (l *link) stream(address, target string) error {
-	front, err := net.Listen("tcp", address)
+func (l *link) stream(address, target string) (front io.Closer, err error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return eris.Wrap(err, "proxy")
+		return nil, eris.Wrap(err, "proxy")
 	}
-	l.listeners = append(l.listeners, front)
+	l.mu.Lock()
+	l.listeners = append(l.listeners, listener)
+	l.mu.Unlock()
 	go func() {
 		for {
-			caller, err := front.Accept()
+			caller, err := listener.Accept()
 			if err != nil {
-				return // closed with the soak
+				return // closed with the soak, or with the server behind
 			}
 			go l.serve(caller, target)
 		}
 	}()
-	return nil
+	return listener, nil
 }
 
 // datagrams passes datagrams to an address on to a target.
@@ -124,7 +140,7 @@
 		for {
 			n, err := socket.Read(buf)
 			if err != nil {
-				return // closed with the soak
+				return // closed with the soak, or with the server behind
 			}
 			l.forward(socket, to, append([]byte(nil), buf[:n]...))
 		}
@@ -301,7 +317,10 @@
 
 // stop closes the listeners and the connections.
 func (l *link) stop() {
-	for _, c := range l.listeners {
+	l.mu.Lock()
+	listeners := l.listeners
+	l.mu.Unlock()
+	for _, c := range listeners {
 		c.Close()
 	}
 	l.resetAll()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -117,6 +117,7 @@
 	keys       int // that were added; the first is there from the start
 	routes     atomic.Int64
 	attempts   atomic.Int64
+	deadlyPart atomic.Pointer[string] // part of a prompt that crashes engines, nil for none
 
 	mu          sync.Mutex
 	storeFaults []storeFault
@@ -212,6 +213,11 @@
 	if strings.HasSuffix(address, ".0.1:8007") {
 		return net.Listen("tcp", address)
 	}
+	for _, l := range r.hidden {
+		if l.name == serverLink(address) {
+			return l.hide(address) // a server that is back after a crash
+		}
+	}
 	l := newLink(serverLink(address))
 	listener, err := l.hide(address)
 	if err == nil {
