--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -77,3 +77,37 @@
 		require.LessOrEqual(t, granted, slots, "%d entries", entries)
 	}
 }
+
+// What reports of crashes cost: three crashes that ten entries see, of ten attempts with
+// three parts each, then an answer that clears their parts.
+func TestCrashReportsGrowth(t *testing.T) {
+	for _, entries := range []int{30, 100, 300} {
+		f := newSimFleet(9, entries, 3, 0.01)
+		f.run(4 * time.Second)
+		f.bytes, f.messages, f.processing = 0, 0, 0
+		f.mostOfEntry()
+		for n := range 3 {
+			for i := range 10 {
+				parts := []suspects.Key{1, suspects.Key(1000 + 100*n + i), 3}
+				f.entries[(n*10+i)%entries].crash(suspects.Incarnation{Endpoint: uint32(n), Started: 1}, suspects.NewRequest(suspects.Key(n*100+i), parts))
+			}
+			f.run(300 * time.Millisecond)
+		}
+		known := 0
+		for _, e := range f.entries {
+			known += e.traffic.suspects.Quarantines()
+		}
+		require.GreaterOrEqual(t, known, entries)
+		f.entries[0].traffic.suspects.Survived(f.now, suspects.NewRequest(9, []suspects.Key{1, 3}), f.now-time.Millisecond)
+		f.run(time.Second)
+		for _, e := range f.entries {
+			require.Zero(t, e.traffic.suspects.Quarantines())
+		}
+		perEntry := f.bytes / entries
+		t.Logf("%d entries: %d messages, %d bytes an entry, %s of processor time in all, %s at most at one entry", entries, f.messages, perEntry, f.processing, f.mostOfEntry())
+		require.LessOrEqual(t, perEntry, 2*3*10*maxCrashReportBytes+maxCrashReportBytes*entries, "reports are received from those that saw a crash, twice")
+	}
+}
+
+// maxCrashReportBytes is the size of a report in this test.
+const maxCrashReportBytes = 400
