--- a/internal/coordination/suspects/evidence.go
+++ b/internal/coordination/suspects/evidence.go
@@ -84,8 +84,8 @@
 	return func(e *Evidence) { e.trialRank = rank }
 }
 
-// WithNotify sets a function that is called, with the evidence locked for others, when a
-// quarantine begins or ends.
+// WithNotify sets a function that is called when a quarantine begins or ends. The evidence
+// is locked meanwhile; of its methods only Quarantines and Digest may be called.
 func WithNotify(notify func(Change)) EvidenceOption {
 	return func(e *Evidence) { e.notify = notify }
 }
--- a/internal/coordination/suspects/suspects.go
+++ b/internal/coordination/suspects/suspects.go
@@ -1,22 +1,45 @@
 // Package suspects identifies the requests that crash endpoints and stops dispatching
-// them.
+// them. It has a type for each way in which entries share what they know.
 //
-// Every request that is in flight at an endpoint when it crashes becomes a suspect,
+// # Evidence
+//
+// Evidence is for entries that report crashes to each other. Requests are compared by what
+// they share: a Request has a key of its own and those of the parts of its prompt that
+// others have too. An attempt that its endpoint broke off as its answer began, or could
+// begin, is evidence once the endpoint is known to have crashed; an answer that began
+// later clears its keys. From three incidents on, requests that have all of the suspected
+// keys in common are in quarantine, until one that is sent as a trial is answered. The
+// decision follows from the crashes and the clearings alone, so that all entries with the
+// same evidence decide alike.
+//
+// # Registry
+//
+// Registry is for entries that share suspects through table rows. It compares requests as
+// wholes. Every request that is in flight at an endpoint when it crashes becomes a suspect,
 // although most of them are harmless. A suspect is retried only on an endpoint where no
 // other suspect runs, so that the next crash identifies the cause. It is cleared when
 // it completes. A fingerprint that was in flight at two crashes is quarantined: every
 // entry refuses it until the quarantine expires, and the quarantine is renewed as long
 // as callers send the request.
 //
-// Entries share suspects through the table rows suspect/<fingerprint>. Refresh reads
-// them periodically. Admit reads a single row before it admits a known suspect or a
-// request that is not idempotent. An idempotent request is retried only after
-// PropagationDelay, when the other entries have the suspect too, so that the row is
-// read whichever entry its caller retries through. The request path reads a snapshot,
-// an immutable map behind an atomic pointer.
+// The rows are suspect/<fingerprint>. Refresh reads them periodically. Admit reads a single
+// row before it admits a known suspect or a request that is not idempotent. An idempotent
+// request is retried only after PropagationDelay, when the other entries have the suspect
+// too, so that the row is read whichever entry its caller retries through. The request path
+// reads a snapshot, an immutable map behind an atomic pointer.
 //
 // # Usage
 //
+//	e := suspects.NewEvidence(suspects.WithReportDue(wake))
+//	if d := e.Check(now, request); d.Kind() == suspects.Quarantined {
+//		refuse(d.RetryAfter())
+//	}
+//	if e.Break(now, incarnation, attempt) {
+//		check whether the endpoint is there, and if not: e.Confirm(now, incarnation)
+//	}
+//	e.Survived(now, request, begun)
+//	report, next := e.TakeReport(now) // for the others, which pass it to Merge
+//
 //	g := suspects.New(get, compareAndSet, list)
 //	switch decision := g.Admit(ctx, fp, idempotent); decision.Kind() {
 //	case suspects.Quarantined:
