Tests: two checks of the old list of suspects that its removal had lost

Two checks were missing: that fingerprints of different requests differ, although their fields put together are the same text (now TestFingerprint), and that what another entry reports twice counts once (now in TestSupporting).

--- a/internal/coordination/suspects/evidence_test.go
+++ b/internal/coordination/suspects/evidence_test.go
@@ -298,6 +298,7 @@
 	e.play([]evidenceStep{crashed(seconds(1), begun("x", "y")), crashed(seconds(2), begun("r1", "p")), crashed(seconds(3), begun("r2", "p")), crashed(seconds(4), begun("r3", "p"))})
 	started := NewEvidence()
 	started.Merge(seconds(5), e.Supporting())
+	started.Merge(seconds(5), e.Supporting()) // a report that arrives twice counts once
 	require.Len(t, started.crashes, 3)
 	require.Equal(t, Quarantined, started.Check(seconds(5), request("n", "p")).Kind())
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -381,3 +381,11 @@
 		require.Equal(t, test.rest, r.partial(), test.name)
 	}
 }
+
+// Requests that differ in any field have different fingerprints, also where the fields put
+// together are the same text.
+func TestFingerprint(t *testing.T) {
+	f := fingerprint("shop", "POST", "/draft/", []byte("x"))
+	require.Equal(t, f, fingerprint("shop", "POST", "/draft/", []byte("x")))
+	require.NotEqual(t, f, fingerprint("shop", "POST", "/draft/x", nil))
+}
