Log whole copies of tables and copies that differ

Nothing told from whom an entry that starts took its first copy of the list of endpoints, nor of which version, so that three hypotheses on requests for endpoints that had left looked alike. tableCopied (732) names source, version and digest; summaries carry version and digest of the sender's copies, and copiesDiffer (733) says when two copies have the same newest change and other rows. No decision uses the digest.

--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -20,6 +22,21 @@
 	Age time.Duration
 	// Full reports whether Rows has every row of the table, not just changes.
 	Full bool
+	// From is the address of the peer that sent the response, empty for the store.
+	From string
+}
+
+// State identifies what a copy holds.
+type State struct {
+	// Version is the newest version of the store that the copy covers.
+	Version int64
+	// Content is the newest version of a row or of a removal.
+	Content int64
+	// Digest is equal for copies with the same rows. It does not depend on the order in
+	// which the rows arrived.
+	Digest uint64
+	// Rows is the number of rows.
+	Rows int
 }
 
 // maxTombstones bounds the removed rows that a copy records for its peers; a peer
@@ -30,12 +47,14 @@
 // lacks, and reports its own age. It is safe for concurrent use.
 type Table struct {
 	onChange     func(rows map[string]Row)
+	onReplaced   func(s State, from string)
 	now          func() time.Duration
 	removalGrace time.Duration
 	recoveredAt  func() time.Duration // when the store last recovered, 0 for never
 
 	mu             sync.Mutex
 	rows           map[string]Row         // as in the store
+	digest         uint64                 // of rows
 	retained       map[string]retainedRow // removed from the store, still reported
 	tombstones     map[string]int64       // versions of removals after tombstoneFloor
 	tombstoneFloor int64                  // removals up to this version are no longer recorded
@@ -58,6 +77,7 @@
 func newTable(onChange func(rows map[string]Row), now func() time.Duration, removalGrace time.Duration) *Table {
 	return &Table{
 		onChange:     onChange,
+		onReplaced:   func(State, string) {},
 		now:          now,
 		removalGrace: removalGrace,
 		recoveredAt:  func() time.Duration { return 0 },
@@ -99,6 +119,17 @@
 	return t.contentVersion
 }
 
+// State returns what the copy holds.
+func (t *Table) State() State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state()
+}
+
+func (t *Table) state() State {
+	return State{Version: t.version, Content: t.contentVersion, Digest: t.digest, Rows: len(t.rows)}
+}
+
 // Since returns the changes that a copy with the given content version lacks: those
 // after the version, or every row if the version is 0 or not all removals since then are
 // recorded.
@@ -141,6 +172,9 @@
 	changed = t.expireRetained(now) || changed
 	t.version = max(t.version, u.Version)
 	t.synced = true
+	if u.Full {
+		t.onReplaced(t.state(), u.From)
+	}
 	if changed {
 		t.onChange(t.effective())
 	}
@@ -190,7 +224,7 @@
 		} else {
 			delete(t.retained, r.Key)
 			delete(t.tombstones, r.Key)
-			t.rows[r.Key] = r
+			t.setRow(r)
 		}
 		changed = true
 	}
@@ -204,7 +238,7 @@
 	if exists && now < t.retainUntil {
 		t.retained[key] = retainedRow{row: row, until: t.retainUntil}
 	}
-	delete(t.rows, key)
+	t.dropRow(key)
 	t.contentVersion = max(t.contentVersion, version)
 	t.tombstones[key] = version
 	if len(t.tombstones) > maxTombstones {
@@ -213,6 +247,27 @@
 	}
 }
 
+func (t *Table) setRow(r Row) {
+	t.dropRow(r.Key)
+	t.rows[r.Key] = r
+	t.digest ^= rowDigest(r)
+}
+
+func (t *Table) dropRow(key string) {
+	if r, exists := t.rows[key]; exists {
+		t.digest ^= rowDigest(r)
+		delete(t.rows, key)
+	}
+}
+
+// rowDigest returns the hash of a row's key and version, which determine its value.
+func rowDigest(r Row) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(r.Key))
+	h.Write(binary.BigEndian.AppendUint64(nil, uint64(r.Version)))
+	return h.Sum64()
+}
+
 func (t *Table) expireRetained(now time.Duration) bool {
 	changed := false
 	for key, k := range t.retained {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -98,6 +98,12 @@
 	return func(w *Watcher) { w.table.onChange = apply }
 }
 
+// WithOnReplaced sets the function that is called after the copy has been replaced as a
+// whole, with the address of the peer that it came from, empty for the store.
+func WithOnReplaced(replaced func(s State, from string)) Option {
+	return func(w *Watcher) { w.table.onReplaced = replaced }
+}
+
 // WithOutageCallbacks sets two functions: lost is called with the first error after a
 // success, restored at the first success after an error, with the time since the last
 // success.
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -126,7 +126,7 @@
 		gateway.WithLogger(e.logger),
 		gateway.WithMetrics(e.telemetry.Metrics()),
 		gateway.WithPeers(s.Seeds(), e.conn.Send),
-		gateway.WithTables(e.contentVersion, e.syncTable),
+		gateway.WithTables(e.tableState, e.syncTable),
 		gateway.WithAgents(s.PeerAddressOfEndpoint, s.RegionOf),
 		gateway.WithConfirmation(e.operatorWatcher.Table().Confirmed, s.RevocationBound()),
 		gateway.WithVersionBound(s.VersionBound(), e.recordTargetVersion),
@@ -199,7 +199,7 @@
 	return nil
 }
 
-func (e *Entry) contentVersion(name nodev1.Table) int64 { return e.table(name).ContentVersion() }
+func (e *Entry) tableState(name nodev1.Table) watch.State { return e.table(name).State() }
 
 // syncTable updates a cached table from another entry.
 func (e *Entry) syncTable(ctx context.Context, address string, name nodev1.Table) error {
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -134,7 +134,13 @@
 	onRecovery := func(down time.Duration) {
 		telemetry.StoreRegained.Log(context.Background(), p.logger, "table", table, "down", down)
 	}
-	return watch.New(source, append([]watch.Option{watch.WithOnChange(apply), watch.WithOutageCallbacks(onOutage, onRecovery)}, options...)...)
+	onReplaced := func(s watch.State, from string) {
+		telemetry.TableCopied.Log(context.Background(), p.logger, "table", table, "from", from, "version", s.Version,
+			"rows", s.Rows, "digest", s.Digest)
+	}
+	return watch.New(source, append([]watch.Option{
+		watch.WithOnChange(apply), watch.WithOnReplaced(onReplaced), watch.WithOutageCallbacks(onOutage, onRecovery),
+	}, options...)...)
 }
 
 // logDatagramError logs a failed read of a datagram. The caller retries the read.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/coordination/quota"
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/internal/transport/endpoints"
@@ -128,7 +129,7 @@
 	now             func() time.Duration
 	send            func(address string, m *nodev1.Datagram) error
 	syncTable       func(ctx context.Context, address string, table nodev1.Table) error
-	tableRevision   func(table nodev1.Table) int64
+	tableState      func(table nodev1.Table) watch.State
 	agentAddress    func(endpoint string) string
 	region          func(failureDomain string) string
 	confirmedAt     func() time.Duration
@@ -166,29 +167,29 @@
 // New returns a gateway without a configuration, which is not ready.
 func New(self Identity, codec Codec, options ...Option) *Gateway {
 	g := &Gateway{
-		self:          self,
-		codec:         codec,
-		logger:        slog.New(slog.DiscardHandler),
-		metrics:       telemetry.New().Metrics(),
-		now:           boottime.Now,
-		send:          func(string, *nodev1.Datagram) error { return nil },
-		syncTable:     func(context.Context, string, nodev1.Table) error { return nil },
-		tableRevision: func(nodev1.Table) int64 { return 0 },
-		agentAddress:  func(string) string { return "" },
-		region:        func(string) string { return "" },
-		wakeups:       make(chan struct{}, 1),
-		activity:      make(chan struct{}, 1),
-		recordTarget:  func(TargetVersion) {},
-		targets:       newTargetVersions(),
-		notices:       newNoticeList(),
-		backpressure:  admission.NewTracker(),
-		rateLimits:    newRateLimits(),
-		confirmedAt:   func() time.Duration { return 0 },
-		retryRatio:    defaultRetryRatio,
-		maxTTL:        defaultMaxTTL,
-		pool:          endpoints.NewPool(endpoints.WithLimit(maxConnections)),
-		crashes:       newCrashes(),
-		peers:         newPeers(self.PeerAddress, self.Region, self.Incarnation),
+		self:         self,
+		codec:        codec,
+		logger:       slog.New(slog.DiscardHandler),
+		metrics:      telemetry.New().Metrics(),
+		now:          boottime.Now,
+		send:         func(string, *nodev1.Datagram) error { return nil },
+		syncTable:    func(context.Context, string, nodev1.Table) error { return nil },
+		tableState:   func(nodev1.Table) watch.State { return watch.State{} },
+		agentAddress: func(string) string { return "" },
+		region:       func(string) string { return "" },
+		wakeups:      make(chan struct{}, 1),
+		activity:     make(chan struct{}, 1),
+		recordTarget: func(TargetVersion) {},
+		targets:      newTargetVersions(),
+		notices:      newNoticeList(),
+		backpressure: admission.NewTracker(),
+		rateLimits:   newRateLimits(),
+		confirmedAt:  func() time.Duration { return 0 },
+		retryRatio:   defaultRetryRatio,
+		maxTTL:       defaultMaxTTL,
+		pool:         endpoints.NewPool(endpoints.WithLimit(maxConnections)),
+		crashes:      newCrashes(),
+		peers:        newPeers(self.PeerAddress, self.Region, self.Incarnation),
 	}
 	g.snapshot.Store(&snapshot{})
 	g.traffic.services = make(map[string]*serviceTraffic)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
@@ -27,11 +28,11 @@
 	}
 }
 
-// WithTables sets the functions that return the revision of a local copy of a store
-// table and that update it from another entry's copy.
-func WithTables(content func(table nodev1.Table) int64, sync func(ctx context.Context, address string, table nodev1.Table) error) Option {
+// WithTables sets the functions that return what the local copy of a store table holds
+// and that update it from another entry's copy.
+func WithTables(state func(table nodev1.Table) watch.State, sync func(ctx context.Context, address string, table nodev1.Table) error) Option {
 	return func(g *Gateway) {
-		g.tableRevision = content
+		g.tableState = state
 		g.syncTable = sync
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -317,6 +317,8 @@
 	if loaded {
 		g.peerLoadsChanged(now)
 	}
+	g.reportDifference(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), m.GetOperatorCopy())
+	g.reportDifference(ctx, m, nodev1.Table_TABLE_ENDPOINTS, m.GetEndpointsContent(), m.GetEndpointsCopy())
 	g.catchUp(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), now)
 	g.catchUp(ctx, m, nodev1.Table_TABLE_ENDPOINTS, m.GetEndpointsContent(), now)
 }
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -91,6 +91,7 @@
 func (g *Gateway) summary(now time.Duration) *nodev1.EntrySummary {
 	confirmedAt := g.confirmedAt()
 	v := g.snapshot.Load()
+	operator, endpoints := g.tableState(nodev1.Table_TABLE_OPERATOR), g.tableState(nodev1.Table_TABLE_ENDPOINTS)
 	m := &nodev1.EntrySummary{
 		Address:              g.self.PeerAddress,
 		Region:               g.self.Region,
@@ -100,8 +101,10 @@
 		Ready:                g.Ready(),
 		Stamp:                uint64(now),
 		ConfigurationVersion: v.version(),
-		OperatorContent:      g.tableRevision(nodev1.Table_TABLE_OPERATOR),
-		EndpointsContent:     g.tableRevision(nodev1.Table_TABLE_ENDPOINTS),
+		OperatorContent:      operator.Content,
+		EndpointsContent:     endpoints.Content,
+		OperatorCopy:         &nodev1.TableCopy{Version: operator.Version, Digest: operator.Digest},
+		EndpointsCopy:        &nodev1.TableCopy{Version: endpoints.Version, Digest: endpoints.Digest},
 		MilliCores:           uint32(g.self.Cores * 1000),
 		RequestRate:          uint32(math.Round(g.rate.value())),
 		Active:               uint32(max(g.active.Load(), 0)),
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -251,6 +251,14 @@
 		731, "endpointNotChecked", slog.LevelWarn,
 		"Too many endpoints broke off attempts at the same time for each to be checked. The platform's list shows later whether it has crashed.",
 	}
+	TableCopied = Event{
+		732, "tableCopied", slog.LevelInfo,
+		"The process has read a table of the store as a whole, from the store or from the entry that the attribute from names. Copies of one version with the same digest have the same rows.",
+	}
+	CopiesDiffer = Event{
+		733, "copiesDiffer", slog.LevelWarn,
+		"The copies of two entries have the same newest change and other rows: one of them lacks a removal. The line tableCopied of both says where each came from.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -272,6 +280,7 @@
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
+		TableCopied, CopiesDiffer,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -120,6 +120,7 @@
 		Full:      m.GetFull(),
 		StoreTime: time.Duration(m.GetStoreTimeUs()) * time.Microsecond,
 		Age:       time.Duration(m.GetAgeUs()) * time.Microsecond,
+		From:      address,
 	}
 	for _, r := range m.GetRows() {
 		p.Rows = append(p.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
