--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -156,6 +156,17 @@
 	return u
 }
 
+// Sync updates the copy from a peer's copy. Fetch returns the changes that the peer has after
+// a content version, now is read before it is called.
+func (t *Table) Sync(now func() time.Duration, fetch func(after int64) (Update, error)) error {
+	started := now()
+	u, err := fetch(t.ContentVersion())
+	if err != nil {
+		return err
+	}
+	return t.Merge(u, started)
+}
+
 // Merge applies the response to a call that was made at the given time. It returns
 // errStale if the response is older than the copy.
 func (t *Table) Merge(u Update, started time.Duration) error {
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -149,10 +149,5 @@
 // Sync brings a copy up to date with that of the entry at an address. Now is read
 // before the call.
 func (c *Client) Sync(ctx context.Context, address string, name nodev1.Table, t *watch.Table, now func() time.Duration) error {
-	begun := now()
-	p, err := c.FetchRows(ctx, address, name, t.ContentVersion())
-	if err != nil {
-		return err
-	}
-	return t.Merge(p, begun)
+	return t.Sync(now, func(after int64) (watch.Update, error) { return c.FetchRows(ctx, address, name, after) })
 }
