Copies of the endpoint list forget what was removed before an entry started

Cause: a removal leaves no row. An entry that has listed a table answered its peers by changes since their version, and took itself to know all removals since version 0, while it knew none from before its list; a list after a dropped history had the same gap. Copies were compared by the newest version among their rows, which a removal that was never seen does not raise, so that a copy with the row and one without it counted as equal. And rows of a peer up to an earlier version than the own copy's were applied if they were newer than any row of it, which brought removed rows back into a right copy.

Fix: a copy is the state of the table at the version that it covers. An update up to that version has nothing new. A peer asks for the changes since the version that its copy covers, and gets every row unless all removals since then are recorded, gaps of a list included. Summaries name a copy by version and digest, so that entries with equal rows fetch nothing. A difference at the same version can't come up any more; if it does, the table is listed again and copiesDiffer says so. Entries of earlier builds are compared by the version of their newest change, as before.

--- a/internal/coordination/watch/copies_test.go
+++ b/internal/coordination/watch/copies_test.go
@@ -227,7 +227,7 @@
 			u.Rows = nil
 			return u, err
 		},
-		Watch: func(ctx context.Context, after int64, wait time.Duration) (watch.Update, error) {
+		Watch: func(_ context.Context, after int64, wait time.Duration) (watch.Update, error) {
 			time.Sleep(wait)
 			u, _, err := f.store.since(after, false)
 			u.Rows = nil
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -20,8 +20,14 @@
 	// Age is the time from the moment that the response describes until it was
 	// sent; 0 for the store.
 	Age time.Duration
-	// Full reports whether Rows has every row of the table, not just changes.
+	// Full reports whether Rows has every row of the table, not just changes. A peer adds
+	// the removals that it has recorded, so that the copy can pass them on.
 	Full bool
+	// Floor is the version after which all removals are recorded in a full update; the
+	// store's own has none, and its floor is Version.
+	Floor int64
+	// Digest is that of all rows at Version, 0 if unknown.
+	Digest uint64
 	// From is the address of the peer that sent the response, empty for the store.
 	From string
 }
@@ -39,12 +45,18 @@
 	Rows int
 }
 
-// maxTombstones bounds the removed rows that a copy records for its peers; a peer
-// that is further behind is sent every row.
-const maxTombstones = 512
+// Behind reports whether a copy in this state lacks changes that a peer's copy has.
+func (s State) Behind(peer State) bool {
+	return peer.Version > s.Version && peer.Digest != s.Digest
+}
 
 // Table is a copy of one table. It merges updates, returns the changes that a peer
 // lacks, and reports its own age. It is safe for concurrent use.
+//
+// The rows are those of the store at version, so that an update up to version or an
+// earlier one has nothing new. A removal leaves no row behind: who has only the rows
+// can't tell a peer what was removed before. Removals are therefore recorded, and a
+// peer whose copy is older than the record gets every row.
 type Table struct {
 	onChange     func(rows map[string]Row)
 	onReplaced   func(s State, from string)
@@ -53,14 +65,15 @@
 	recoveredAt  func() time.Duration // when the store last recovered, 0 for never
 
 	mu             sync.Mutex
-	rows           map[string]Row         // as in the store
+	rows           map[string]Row         // as in the store at version
 	digest         uint64                 // of rows
 	retained       map[string]retainedRow // removed from the store, still reported
-	tombstones     map[string]int64       // versions of removals after tombstoneFloor
-	tombstoneFloor int64                  // removals up to this version are no longer recorded
-	version        int64                  // newest version covered
-	contentVersion int64                  // newest version of a row or a removal
-	synced         bool                   // an update was merged
+	record         removals
+	version        int64 // newest version covered
+	contentVersion int64 // newest version of a row or a removal
+	synced         bool  // an update was merged
+	diverged       bool  // a peer has other rows at the same version
+	replacedAt     time.Duration
 	retainUntil    time.Duration
 
 	confirmed   atomic.Int64 // boot time as of which the copy is current, 0 for never
@@ -83,7 +96,7 @@
 		recoveredAt:  func() time.Duration { return 0 },
 		rows:         make(map[string]Row),
 		retained:     make(map[string]retainedRow),
-		tombstones:   make(map[string]int64),
+		record:       newRemovals(0),
 	}
 }
 
@@ -111,14 +124,6 @@
 	return t.version, t.synced
 }
 
-// ContentVersion returns the newest version of a row or of a removal. Two copies with
-// the same content version are equal.
-func (t *Table) ContentVersion() int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.contentVersion
-}
-
 // State returns what the copy holds.
 func (t *Table) State() State {
 	t.mu.Lock()
@@ -130,13 +135,12 @@
 	return State{Version: t.version, Content: t.contentVersion, Digest: t.digest, Rows: len(t.rows)}
 }
 
-// Since returns the changes that a copy with the given content version lacks: those
-// after the version, or every row if the version is 0 or not all removals since then are
-// recorded.
+// Since returns the changes that a copy which covers the given version lacks, or every row
+// if the version is 0 or not all removals since then are recorded.
 func (t *Table) Since(after int64) Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := Update{Version: t.version, Full: after < t.tombstoneFloor || after == 0}
+	u := Update{Version: t.version, Floor: t.record.knownAfter(), Digest: t.digest, Full: after == 0 || !t.record.complete(after)}
 	confirmed := t.Confirmed()
 	u.StoreTime = t.StoreTime(confirmed)
 	u.Age = t.now() - confirmed
@@ -145,11 +149,8 @@
 			u.Rows = append(u.Rows, r)
 		}
 	}
-	if u.Full {
-		return u
-	}
-	for key, version := range t.tombstones {
-		if version > after {
+	for key, version := range t.record.versions {
+		if u.Full || version > after {
 			u.Rows = append(u.Rows, Row{Key: key, Version: version, Deleted: true})
 		}
 	}
@@ -157,10 +158,10 @@
 }
 
 // Sync updates the copy from a peer's copy. Fetch returns the changes that the peer has after
-// a content version, now is read before it is called.
+// a version, now is read before it is called.
 func (t *Table) Sync(now func() time.Duration, fetch func(after int64) (Update, error)) error {
 	started := now()
-	u, err := fetch(t.ContentVersion())
+	u, err := fetch(t.State().Version)
 	if err != nil {
 		return err
 	}
@@ -168,28 +169,28 @@
 }
 
 // Merge applies the response to a call that was made at the given time. It returns
-// errStale if the response is older than the copy.
+// errStale if the response is older than the newest change in the copy, and ErrDiverged if
+// a peer has other rows at the same version; the copy is then to be listed again.
 func (t *Table) Merge(u Update, started time.Duration) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u.Version < t.contentVersion {
 		return errStale
 	}
-	now := t.now()
 	if recovered := t.recoveredAt(); recovered > 0 {
 		t.retainUntil = recovered + t.removalGrace
 	}
+	now := t.now()
 	changed := t.mergeRows(u, now)
 	changed = t.expireRetained(now) || changed
-	t.version = max(t.version, u.Version)
-	t.synced = true
-	if u.Full {
-		t.onReplaced(t.state(), u.From)
-	}
 	if changed {
 		t.onChange(t.effective())
 	}
 	t.updateClock(u, started)
+	if u.Digest != 0 && u.Version == t.version && u.Digest != t.digest {
+		t.diverged = true
+		return ErrDiverged
+	}
 	return nil
 }
 
@@ -202,6 +203,14 @@
 	}
 }
 
+// mustList reports whether the copy is to be read from the store as a whole, since it
+// differs from a peer's and nothing tells which of them is right.
+func (t *Table) mustList() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.diverged && t.now()-t.replacedAt >= minListInterval
+}
+
 // Notify calls the change callback again with the current copy.
 func (t *Table) Notify() {
 	t.mu.Lock()
@@ -211,54 +220,87 @@
 	}
 }
 
-func (t *Table) mergeRows(u Update, now time.Duration) bool {
-	changed := u.Full && !t.synced
-	if u.Full {
-		present := make(map[string]bool, len(u.Rows))
-		for _, r := range u.Rows {
-			present[r.Key] = true
-		}
-		for key := range t.rows {
-			if !present[key] {
-				t.remove(key, u.Version, now)
-				changed = true
-			}
+// mergeRows brings the rows to the version of the update and reports whether they have
+// changed. An update up to an earlier version has nothing that the copy lacks; its rows
+// may have been removed since.
+func (t *Table) mergeRows(u Update, now time.Duration) (changed bool) {
+	switch {
+	case u.Full && (u.Version >= t.version || !t.synced):
+		changed = t.replace(u, now)
+	case !u.Full && u.Version > t.version:
+		changed = t.advance(u, now)
+	}
+	return changed
+}
+
+// replace replaces the rows by those of a full update.
+func (t *Table) replace(u Update, now time.Duration) (changed bool) {
+	changed = !t.synced
+	present := make(map[string]bool, len(u.Rows))
+	for _, r := range u.Rows {
+		present[r.Key] = !r.Deleted
+	}
+	record := newRemovals(u.Floor)
+	if u.From == "" {
+		record = t.record.skip(t.version, u.Version)
+	}
+	for key := range t.rows {
+		if !present[key] {
+			t.remove(key, now)
+			record.add(key, u.Version)
+			t.contentVersion = max(t.contentVersion, u.Version)
+			changed = true
 		}
 	}
 	for _, r := range u.Rows {
 		t.contentVersion = max(t.contentVersion, r.Version)
-		if old, exists := t.rows[r.Key]; exists && old.Version >= r.Version {
-			continue
-		}
-		if r.Deleted {
-			t.remove(r.Key, r.Version, now)
-		} else {
-			delete(t.retained, r.Key)
-			delete(t.tombstones, r.Key)
+		switch {
+		case r.Deleted:
+			record.add(r.Key, r.Version)
+		case t.rows[r.Key].Version != r.Version || !t.synced:
 			t.setRow(r)
+			changed = true
+		}
+	}
+	t.record = record
+	t.version, t.synced, t.diverged = u.Version, true, false
+	t.replacedAt = now
+	t.onReplaced(t.state(), u.From)
+	return changed
+}
+
+// advance applies the changes after the copy's version.
+func (t *Table) advance(u Update, now time.Duration) (changed bool) {
+	for _, r := range u.Rows {
+		if r.Version <= t.version {
+			continue // changed before, and perhaps again since
 		}
 		changed = true
+		t.contentVersion = max(t.contentVersion, r.Version)
+		if r.Deleted {
+			t.remove(r.Key, now)
+			t.record.add(r.Key, r.Version)
+			continue
+		}
+		t.setRow(r)
+		t.record.drop(r.Key)
 	}
+	t.version, t.synced = u.Version, true
 	return changed
 }
 
 // remove deletes a row. During the grace period after the store has recovered the row
 // is still reported, since its writer could not renew it during the outage.
-func (t *Table) remove(key string, version int64, now time.Duration) {
+func (t *Table) remove(key string, now time.Duration) {
 	row, exists := t.rows[key]
 	if exists && now < t.retainUntil {
 		t.retained[key] = retainedRow{row: row, until: t.retainUntil}
 	}
 	t.dropRow(key)
-	t.contentVersion = max(t.contentVersion, version)
-	t.tombstones[key] = version
-	if len(t.tombstones) > maxTombstones {
-		clear(t.tombstones)
-		t.tombstoneFloor = t.contentVersion
-	}
 }
 
 func (t *Table) setRow(r Row) {
+	delete(t.retained, r.Key)
 	t.dropRow(r.Key)
 	t.rows[r.Key] = r
 	t.digest ^= rowDigest(r)
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -16,8 +16,8 @@
 //	w := watch.New(watch.Source{List: list, Watch: poll}, watch.WithOnChange(onChange))
 //	done := w.Run(ctx)
 //	age := boottime.Now() - w.Table().Confirmed()
-//	update := w.Table().Since(contentVersion)  // for a peer
-//	err := w.Table().Merge(update, started)    // from a peer
+//	update := w.Table().Since(version)      // for a peer
+//	err := w.Table().Sync(boottime.Now, fetch) // from a peer
 package watch
 
 import (
@@ -39,6 +39,9 @@
 // errStale is returned for a response that is older than the copy.
 var errStale = eris.New("response is older than the copy")
 
+// ErrDiverged is returned for an update of a peer that has other rows at the same version.
+var ErrDiverged = eris.New("copies differ at the same version")
+
 // Row is one row of a table.
 type Row struct {
 	Key     string
@@ -67,6 +70,9 @@
 	outageThreshold = 1500 * time.Millisecond
 	// activeCheckInterval is how often an inactive Watcher checks whether it is active.
 	activeCheckInterval = 100 * time.Millisecond
+	// minListInterval limits how often a copy is listed because it differs from that of a
+	// peer, which may be wrong for longer.
+	minListInterval = 5 * time.Second
 )
 
 // Watcher keeps the copy of one table. Run is called once.
@@ -187,7 +193,7 @@
 		w.lastSuccess = w.now()
 		for ctx.Err() == nil {
 			pause := activeCheckInterval
-			if w.active() {
+			if w.active() || w.table.mustList() {
 				pause = w.nextDelay(w.Poll(ctx))
 			} else {
 				w.table.Expire()
@@ -251,7 +257,7 @@
 func (w *Watcher) fetch(ctx context.Context) (Update, error) {
 	w.calls.Add(1)
 	version, listed := w.table.Version()
-	if w.relist || !listed {
+	if w.relist || !listed || w.table.mustList() {
 		update, err := w.source.List(ctx)
 		update.Full = true
 		return update, err
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -161,19 +161,19 @@
 	source := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
 	peer := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
 	require.NoError(t, source.Merge(Update{Full: true, Version: 5, Rows: []Row{liveRow("a", 1), liveRow("b", 5)}}, 0))
-	require.NoError(t, peer.Merge(source.Since(peer.ContentVersion()), 0))
+	require.NoError(t, peer.Merge(source.Since(peer.State().Version), 0))
 	require.NoError(t, source.Merge(Update{Version: 9, Rows: []Row{deletedRow("a", 7), liveRow("c", 9)}}, 0))
-	p := source.Since(peer.ContentVersion())
+	p := source.Since(peer.State().Version)
 	require.False(t, p.Full)
 	require.Len(t, p.Rows, 2)
 	require.NoError(t, peer.Merge(p, 0))
 	require.Equal(t, source.rows, peer.rows)
-	require.Equal(t, source.ContentVersion(), peer.ContentVersion())
-	for i := range maxTombstones + 1 {
+	require.Equal(t, source.State(), peer.State())
+	for i := range maxRemovals + 1 {
 		v := int64(10 + i)
 		require.NoError(t, source.Merge(Update{Version: v, Rows: []Row{deletedRow("x", v), deletedRow(string(rune('A'+i)), v)}}, 0))
 	}
-	require.True(t, source.Since(peer.ContentVersion()).Full)
+	require.True(t, source.Since(peer.State().Version).Full)
 }
 
 // A Watcher that is not active makes no calls.
@@ -211,3 +211,91 @@
 		}
 	}
 }
+
+// A removal that one copy never saw, since it was listed later, still reaches a copy that
+// was listed before it.
+func TestRemovalBetweenTwoLists(t *testing.T) {
+	first := func(u Update) *Table {
+		table := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
+		u.Full = true
+		require.NoError(t, table.Merge(u, 0))
+		return table
+	}
+	sync := func(to, from *Table) {
+		if to.State().Behind(from.State()) {
+			require.NoError(t, to.Sync(func() time.Duration { return 0 }, func(after int64) (Update, error) {
+				u := from.Since(after)
+				u.From = "peer"
+				return u, nil
+			}))
+		}
+	}
+	for _, test := range []struct {
+		name          string
+		early, late   Update
+		change        Update // at the late copy, before they are compared
+		earlyFromPeer bool   // the early copy answers first
+		wantRows      []string
+	}{
+		{name: "same newest change", early: update(7, liveRow("a", 5), liveRow("b", 6)), late: update(9, liveRow("b", 6)), wantRows: []string{"b"}},
+		{name: "removed row was the newest", early: update(8, liveRow("a", 8), liveRow("b", 6)), late: update(9, liveRow("b", 6)), wantRows: []string{"b"}},
+		{
+			name:  "another change follows",
+			early: update(7, liveRow("a", 5), liveRow("b", 6)), late: update(9, liveRow("b", 6)), change: update(11, liveRow("c", 11)),
+			wantRows: []string{"b", "c"},
+		},
+		{
+			name:  "the early copy answers the late one first",
+			early: update(8, liveRow("a", 8), liveRow("b", 6)), late: update(9, liveRow("b", 6)),
+			earlyFromPeer: true, wantRows: []string{"b"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			early, late := first(test.early), first(test.late)
+			if test.earlyFromPeer {
+				u := early.Since(0)
+				u.From = "peer"
+				require.NoError(t, late.Merge(u, 0), "older rows are not an error")
+			}
+			if test.change.Version > 0 {
+				require.NoError(t, late.Merge(test.change, 0))
+			}
+			sync(late, early)
+			sync(early, late)
+			require.Equal(t, test.wantRows, slices.Sorted(maps.Keys(late.rows)))
+			require.Equal(t, test.wantRows, slices.Sorted(maps.Keys(early.rows)))
+			require.Equal(t, late.State().Digest, early.State().Digest)
+		})
+	}
+}
+
+// What was written and removed while nobody watched is forgotten by a copy that had it in
+// between, and the others need only the changes.
+func TestRemovalInGap(t *testing.T) {
+	table := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
+	require.NoError(t, table.Merge(Update{Full: true, Version: 5, Rows: []Row{liveRow("a", 1), liveRow("b", 2)}}, 0))
+	require.NoError(t, table.Merge(Update{Full: true, Version: 10, Rows: []Row{liveRow("b", 2)}}, 0))
+	for _, test := range []struct {
+		after int64
+		full  bool
+	}{{4, true}, {5, false}, {7, true}, {10, false}} {
+		u := table.Since(test.after)
+		require.Equal(t, test.full, u.Full, test.after)
+		if test.after == 5 {
+			require.Equal(t, []Row{deletedRow("a", 10)}, u.Rows)
+		}
+	}
+}
+
+// A copy that differs from a peer's at the same version is listed again, not more often
+// than the interval allows.
+func TestDivergedCopyIsListedAgain(t *testing.T) {
+	f := newFixture(step{update: update(5, liveRow("a", 1))}, step{update: update(5, liveRow("a", 1))}, step{update: update(6, liveRow("a", 1))})
+	require.NoError(t, f.Poll(t.Context()))
+	wrong := Update{Version: 6, Digest: 1, From: "peer"}
+	require.ErrorIs(t, f.Table().Merge(wrong, f.clock), ErrDiverged)
+	require.NoError(t, f.Poll(t.Context()))
+	f.clock += minListInterval
+	require.NoError(t, f.Poll(t.Context()))
+	require.Equal(t, []string{"list", "watch", "list"}, f.script.calls)
+}
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -2,34 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
-// reportDifference logs that a peer's copy has the same newest change as this entry's and
-// other rows.
-func (g *Gateway) reportDifference(ctx context.Context, m *nodev1.EntrySummary, table nodev1.Table, content int64, c *nodev1.TableCopy) {
-	own := g.tableState(table)
-	if c == nil || content != own.Content || c.GetDigest() == own.Digest || !g.peers.differenceIsNew(table, c.GetDigest()^own.Digest) {
-		return
-	}
-	telemetry.CopiesDiffer.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "content", content,
-		"version", own.Version, "peerVersion", c.GetVersion(), "digest", own.Digest, "peerDigest", c.GetDigest())
-}
-
-// differenceIsNew reports whether a difference of copies, identified by the exclusive or of
-// their digests, is another one than that reported last.
-func (p *peers) differenceIsNew(table nodev1.Table, difference uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.fetch(table)
-	isNew := s.difference != difference
-	s.difference = difference
-	return isNew
-}
-
 // fetch returns the state of fetching a table. The caller holds the mutex.
 func (p *peers) fetch(table nodev1.Table) *fetchState {
 	s := p.fetches[table]
@@ -40,11 +21,23 @@
 	return s
 }
 
+// peerState returns the state of a peer's copy. An entry of an earlier build sends only
+// the version of the newest change in it.
+func peerState(content int64, c *nodev1.TableCopy) watch.State {
+	if c == nil {
+		return watch.State{Version: content, Digest: unknownDigest}
+	}
+	return watch.State{Version: c.GetVersion(), Digest: c.GetDigest()}
+}
+
+// unknownDigest differs from that of any copy but one in 2^64.
+const unknownDigest = math.MaxUint64
+
 // catchUp updates a copy from a peer that has newer rows. A peer of another region is
 // used only if the region of this entry has not had the rows for a while, by one
 // entry after the other.
-func (g *Gateway) catchUp(ctx context.Context, m *nodev1.EntrySummary, table nodev1.Table, revision int64, now time.Duration) {
-	if revision <= g.tableState(table).Content {
+func (g *Gateway) catchUp(ctx context.Context, m *nodev1.EntrySummary, table nodev1.Table, peer watch.State, now time.Duration) {
+	if !g.tableState(table).Behind(peer) {
 		return
 	}
 	delay := time.Duration(0)
@@ -55,7 +48,11 @@
 		return
 	}
 	go func() {
-		if err := g.syncTable(ctx, m.GetAddress(), table); err != nil {
+		err := g.syncTable(ctx, m.GetAddress(), table)
+		switch {
+		case errors.Is(err, watch.ErrDiverged):
+			telemetry.CopiesDiffer.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "version", peer.Version)
+		case err != nil:
 			telemetry.PeerCopyNotFetched.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "error", err)
 		}
 		g.peers.endFetch(table)
@@ -66,7 +63,6 @@
 type fetchState struct {
 	fetching    bool
 	behindSince time.Duration // time since which a peer has newer rows, 0 if none has
-	difference  uint64        // the last one reported, as the exclusive or of two digests
 }
 
 // beginFetch reports whether to fetch the newer rows of a peer now. The rows must
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -317,10 +317,8 @@
 	if loaded {
 		g.peerLoadsChanged(now)
 	}
-	g.reportDifference(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), m.GetOperatorCopy())
-	g.reportDifference(ctx, m, nodev1.Table_TABLE_ENDPOINTS, m.GetEndpointsContent(), m.GetEndpointsCopy())
-	g.catchUp(ctx, m, nodev1.Table_TABLE_OPERATOR, m.GetOperatorContent(), now)
-	g.catchUp(ctx, m, nodev1.Table_TABLE_ENDPOINTS, m.GetEndpointsContent(), now)
+	g.catchUp(ctx, m, nodev1.Table_TABLE_OPERATOR, peerState(m.GetOperatorContent(), m.GetOperatorCopy()), now)
+	g.catchUp(ctx, m, nodev1.Table_TABLE_ENDPOINTS, peerState(m.GetEndpointsContent(), m.GetEndpointsCopy()), now)
 }
 
 // receive records a summary. Returned reports whether the sender was not alive
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -257,7 +257,7 @@
 	}
 	CopiesDiffer = Event{
 		733, "copiesDiffer", slog.LevelWarn,
-		"The copies of two entries have the same newest change and other rows: one of them lacks a removal. The line tableCopied of both says where each came from.",
+		"The copies of two entries have other rows at the same version. This entry reads the table from the store again. The lines tableCopied of both say where each came from.",
 	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -102,7 +102,7 @@
 			}
 			require.NoError(t, err)
 			require.Equal(t, []string{"entry-of-riga"}, learned)
-			require.Equal(t, test.source.ContentVersion(), own.ContentVersion())
+			require.Equal(t, test.source.State(), own.State())
 			require.LessOrEqual(t, own.Confirmed(), test.source.Confirmed(), "a copy of a copy is not younger")
 			require.InDelta(t, float64(50*time.Second), float64(own.Confirmed()), float64(time.Millisecond))
 		})
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -45,10 +45,12 @@
 	if t == nil || t.Confirmed() == 0 {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoCopy)
 	}
-	p := t.Since(q.Msg.GetContent())
+	p := t.Since(q.Msg.GetVersion())
 	answer := &nodev1.FetchRowsResponse{
 		Version:     p.Version,
 		Full:        p.Full,
+		Floor:       p.Floor,
+		Digest:      p.Digest,
 		StoreTimeUs: p.StoreTime.Microseconds(),
 		AgeUs:       p.Age.Microseconds() + 1, // rounded up: an answer must not look younger
 	}
@@ -106,10 +108,11 @@
 	return c
 }
 
-// FetchRows fetches from the entry at an address what a copy with the given content lacks.
-func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, content int64) (watch.Update, error) {
+// FetchRows fetches from the entry at an address what a copy lacks that covers the given
+// version.
+func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, version int64) (watch.Update, error) {
 	service := c.service(address)
-	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Content: content, Region: c.region}))
+	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Version: version, Region: c.region}))
 	if err != nil {
 		return watch.Update{}, err
 	}
@@ -118,10 +121,15 @@
 	p := watch.Update{
 		Version:   m.GetVersion(),
 		Full:      m.GetFull(),
+		Floor:     m.GetFloor(),
+		Digest:    m.GetDigest(),
 		StoreTime: time.Duration(m.GetStoreTimeUs()) * time.Microsecond,
 		Age:       time.Duration(m.GetAgeUs()) * time.Microsecond,
 		From:      address,
 	}
+	if p.Floor == 0 {
+		p.Floor = p.Version // an entry of an earlier build sends no removals with all rows
+	}
 	for _, r := range m.GetRows() {
 		p.Rows = append(p.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
 	}
