What an older copy of the store lacks holds until it is written again

Callers would have met endpoints that leave, and no change of configuration for as long as the store's counter was behind: after the store has come back from an older copy of itself every answer looked older than the copies of the entries and was refused, and versions that were given out again would have been mistaken for those of before.

Lists that show a draining endpoint as ready: TestDrainingRowOutlastsOlderList. The fleet in virtual time of TestRemovedEndpointIsForgottenByAllEntries meets returns, too.

Fix: a position in the store's history is its era and its version, compared in one place. A copy that enters another era is replaced as a whole; a row that was newer, or is missing, is reported as it was known for two seconds or until it is written again, a removal for a minute. The copy confirms nothing in these two seconds, since what was lost may be newer. Draining holds for an incarnation, whether its row or its answers said so. Entries write their own rows again and the times of target versions with the next discovery.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -4,10 +4,11 @@
 //
 // A signal applies to this instance until the endpoint's process ends or the retry
 // time has passed. It is not forwarded to other entries: they receive it with their
-// own first response, and the platform's list marks the endpoints that drain. A row
-// with the state "ready" does not cancel a signal from the endpoint itself, because
-// rows are written on their own schedule. Only a new incarnation of the endpoint,
-// under the same identity or at the same address, starts without signals.
+// own first response, and the platform's list marks the endpoints that drain, which is
+// recorded like a signal. A row with the state "ready" cancels neither: rows are written
+// on their own schedule, and a store that comes back from an older copy shows older ones.
+// Only a new incarnation of the endpoint, under the same identity or at the same address,
+// starts without signals.
 //
 // The package does no I/O and takes the time as an argument.
 //
--- a/internal/coordination/watch/copies_test.go
+++ b/internal/coordination/watch/copies_test.go
@@ -34,11 +34,13 @@
 	delay func() // of a message on its way
 
 	mu      sync.Mutex
-	version int64
+	at      watch.Position
 	rows    map[string]watch.Row
 	history []watch.Row
 	floor   int64
 	changed chan struct{}
+	backup  map[string]watch.Row // rows at an earlier version
+	version int64                // of the backup
 }
 
 func newCopyStore(delay func()) *copyStore {
@@ -48,8 +50,8 @@
 func (s *copyStore) write(r watch.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	r.Version = s.version
+	s.at.Version++
+	r.Version = s.at.Version
 	if r.Deleted {
 		delete(s.rows, r.Key)
 	} else {
@@ -64,7 +66,39 @@
 func (s *copyStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.floor, s.history = s.at.Version, nil
+}
+
+// backUp keeps a copy of the rows.
+func (s *copyStore) backUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backup, s.version = maps.Clone(s.rows), s.at.Version
+}
+
+func (s *copyStore) hasBackup() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backup != nil
+}
+
+// has reports whether the store has a row as it is.
+func (s *copyStore) has(r watch.Row) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[r.Key].Version == r.Version
+}
+
+// restore lets the store come back from its copy, and returns the rows that it had.
+func (s *copyStore) restore() (lost map[string]watch.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost, s.rows = s.rows, maps.Clone(s.backup)
+	s.at = watch.Position{Era: s.at.Era + 1, Version: s.version}
 	s.floor, s.history = s.version, nil
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return lost
 }
 
 // keys returns the keys of the rows in order.
@@ -79,12 +113,12 @@
 func (s *copyStore) since(after int64, full bool) (watch.Update, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := watch.Update{Version: s.version, Full: full, StoreTime: copyTime()}
+	u := watch.Update{Position: s.at, Full: full, StoreTime: copyTime()}
 	if full {
 		u.Rows = slices.Collect(maps.Values(s.rows))
 		return u, nil, nil
 	}
-	if after < s.floor {
+	if after < s.floor || after > s.at.Version {
 		return u, nil, watch.ErrCompacted
 	}
 	for _, r := range s.history {
@@ -205,7 +239,7 @@
 		return nil
 	}
 	fetch := func(_ context.Context, from string, name nodev1.Table) error {
-		return e.watcher(name).Table().Sync(copyTime, func(after int64) (watch.Update, error) {
+		return e.watcher(name).Table().Sync(copyTime, func(after watch.Position) (watch.Update, error) {
 			f.delay()
 			peer := f.entry(from)
 			if peer == nil || peer.watcher(name).Table().Confirmed() == 0 {
@@ -276,7 +310,7 @@
 func (f *copyFleet) step() string {
 	address := f.all[f.random.IntN(len(f.all))]
 	keys := f.store.keys()
-	switch n := f.random.IntN(10); {
+	switch n := f.random.IntN(11); {
 	case n < 4 && len(keys) > 2:
 		key := keys[f.random.IntN(len(keys))]
 		f.store.write(watch.Row{Key: key, Deleted: true})
@@ -288,7 +322,13 @@
 	case n == 7:
 		f.store.compact()
 		return "compact"
+	case n == 8 && f.store.hasBackup():
+		f.restore()
+		return "restore"
 	case n == 8:
+		f.store.backUp()
+		return "back up"
+	case n == 9:
 		f.stop(address)
 		time.Sleep(time.Duration(f.random.IntN(600)) * time.Millisecond)
 		f.start(address)
@@ -298,6 +338,27 @@
 	return "restart all"
 }
 
+// restore lets the store come back from an older copy. What was written since is written
+// again, in any order and not at once.
+func (f *copyFleet) restore() {
+	lost := f.store.restore()
+	keys := slices.Sorted(maps.Keys(lost))
+	f.random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	for _, key := range keys {
+		if f.store.has(lost[key]) {
+			continue
+		}
+		f.store.write(watch.Row{Key: key})
+		time.Sleep(time.Duration(f.random.IntN(40)) * time.Millisecond)
+	}
+	for _, key := range f.store.keys() {
+		if _, existed := lost[key]; !existed {
+			f.store.write(watch.Row{Key: key, Deleted: true})
+			time.Sleep(time.Duration(f.random.IntN(40)) * time.Millisecond)
+		}
+	}
+}
+
 // restartAll stops all entries at once and starts them within 350 ms in any order, while
 // endpoints leave.
 func (f *copyFleet) restartAll() {
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -12,8 +12,8 @@
 // Update is one response of the store, or of a peer that keeps a copy.
 type Update struct {
 	Rows []Row
-	// Version is the newest version that the response covers.
-	Version int64
+	// Position is the newest one that the response covers.
+	Position
 	// StoreTime is the store's monotonic clock at the moment that the response
 	// describes.
 	StoreTime time.Duration
@@ -34,8 +34,8 @@
 
 // State identifies what a copy holds.
 type State struct {
-	// Version is the newest version of the store that the copy covers.
-	Version int64
+	// Position is the newest one of the store that the copy covers.
+	Position
 	// Content is the newest version of a row or of a removal.
 	Content int64
 	// Digest is equal for copies with the same rows. It does not depend on the order in
@@ -47,7 +47,7 @@
 
 // Behind reports whether a copy in this state lacks changes that a peer's copy has.
 func (s State) Behind(peer State) bool {
-	return peer.Version > s.Version && peer.Digest != s.Digest
+	return s.Position.Before(peer.Position) && (peer.Era != s.Era || peer.Digest != s.Digest)
 }
 
 // Table is a copy of one table. It merges updates, returns the changes that a peer
@@ -57,6 +57,11 @@
 // earlier one has nothing new. A removal leaves no row behind: who has only the rows
 // can't tell a peer what was removed before. Removals are therefore recorded, and a
 // peer whose copy is older than the record gets every row.
+//
+// When the store has come back from an older copy of itself, the table is replaced as a
+// whole. What was known and is missing there is written again by its writers. Until then,
+// and for restoreGrace at most, the row that was known is reported instead; one that was
+// known as removed stays so for removedGrace.
 type Table struct {
 	onChange     func(rows map[string]Row)
 	onReplaced   func(s State, from string)
@@ -65,28 +70,40 @@
 	recoveredAt  func() time.Duration // when the store last recovered, 0 for never
 
 	mu             sync.Mutex
-	rows           map[string]Row         // as in the store at version
+	rows           map[string]Row         // as in the store at position
 	digest         uint64                 // of rows
-	retained       map[string]retainedRow // removed from the store, still reported
+	retained       map[string]retainedRow // reported instead of what rows has
 	record         removals
-	version        int64 // newest version covered
-	contentVersion int64 // newest version of a row or a removal
-	synced         bool  // an update was merged
-	diverged       bool  // a peer has other rows at the same version
+	position       Position // newest one covered
+	contentVersion int64    // newest version of a row or a removal
+	synced         bool     // an update was merged
+	diverged       bool     // a peer has other rows at the same version
 	replacedAt     time.Duration
 	retainUntil    time.Duration
+	restoredAt     time.Duration // when the copy entered another era, 0 for never
 
 	confirmed   atomic.Int64 // boot time as of which the copy is current, 0 for never
 	offset      atomic.Int64 // lower bound of the local time at which the store's clock was zero
 	offsetKnown atomic.Bool
 }
 
-// retainedRow is a row that was removed from the store and is still reported.
+// retainedRow is a row that the store does not have, or has in an older version, and that
+// is still reported; a deleted one is reported as absent.
 type retainedRow struct {
 	row   Row
 	until time.Duration
 }
 
+// Times after the return of the store from an older copy.
+const (
+	// restoreGrace is the time in which the operators and the endpoints write again what
+	// was lost.
+	restoreGrace = 2 * time.Second
+	// removedGrace is how long a removal holds that was lost. The platform removes the row
+	// of an endpoint that is gone within this time.
+	removedGrace = time.Minute
+)
+
 func newTable(onChange func(rows map[string]Row), now func() time.Duration, removalGrace time.Duration) *Table {
 	return &Table{
 		onChange:     onChange,
@@ -121,7 +138,7 @@
 func (t *Table) Version() (version int64, listed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.version, t.synced
+	return t.position.Version, t.synced
 }
 
 // State returns what the copy holds.
@@ -132,15 +149,17 @@
 }
 
 func (t *Table) state() State {
-	return State{Version: t.version, Content: t.contentVersion, Digest: t.digest, Rows: len(t.rows)}
+	return State{Position: t.position, Content: t.contentVersion, Digest: t.digest, Rows: len(t.rows)}
 }
 
-// Since returns the changes that a copy which covers the given version lacks, or every row
-// if the version is 0 or not all removals since then are recorded.
-func (t *Table) Since(after int64) Update {
+// Since returns the changes that a copy which covers the given position lacks, or every row
+// if it covers none, is of another era, or not all removals since then are recorded.
+func (t *Table) Since(p Position) Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := Update{Version: t.version, Floor: t.record.knownAfter(), Digest: t.digest, Full: after == 0 || !t.record.complete(after)}
+	after := p.Version
+	full := after == 0 || p.Era != t.position.Era || !t.record.complete(after)
+	u := Update{Position: t.position, Floor: t.record.knownAfter(), Digest: t.digest, Full: full}
 	confirmed := t.Confirmed()
 	u.StoreTime = t.StoreTime(confirmed)
 	u.Age = t.now() - confirmed
@@ -158,10 +177,10 @@
 }
 
 // Sync updates the copy from a peer's copy. Fetch returns the changes that the peer has after
-// a version, now is read before it is called.
-func (t *Table) Sync(now func() time.Duration, fetch func(after int64) (Update, error)) error {
+// a position, now is read before it is called.
+func (t *Table) Sync(now func() time.Duration, fetch func(after Position) (Update, error)) error {
 	started := now()
-	u, err := fetch(t.State().Version)
+	u, err := fetch(t.State().Position)
 	if err != nil {
 		return err
 	}
@@ -169,14 +188,19 @@
 }
 
 // Merge applies the response to a call that was made at the given time. It returns
-// errStale if the response is older than the newest change in the copy, and ErrDiverged if
-// a peer has other rows at the same version; the copy is then to be listed again.
+// errStale if the response is older than the newest change in the copy, errNewEra if the
+// store has come back from an older copy and the response has not every row, and
+// ErrDiverged if a peer has other rows at the same position. After the last two the table
+// is to be listed.
 func (t *Table) Merge(u Update, started time.Duration) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if u.Version < t.contentVersion {
+	if u.Position.Before(Position{Era: t.position.Era, Version: t.contentVersion}) {
 		return errStale
 	}
+	if u.Era != t.position.Era && t.synced && !u.Full {
+		return errNewEra
+	}
 	if recovered := t.recoveredAt(); recovered > 0 {
 		t.retainUntil = recovered + t.removalGrace
 	}
@@ -187,7 +211,7 @@
 		t.onChange(t.effective())
 	}
 	t.updateClock(u, started)
-	if u.Digest != 0 && u.Version == t.version && u.Digest != t.digest {
+	if u.Digest != 0 && u.Position == t.position && u.Digest != t.digest {
 		t.diverged = true
 		return ErrDiverged
 	}
@@ -220,29 +244,72 @@
 	}
 }
 
-// mergeRows brings the rows to the version of the update and reports whether they have
-// changed. An update up to an earlier version has nothing that the copy lacks; its rows
+// mergeRows brings the rows to the position of the update and reports whether they have
+// changed. An update up to an earlier position has nothing that the copy lacks; its rows
 // may have been removed since.
 func (t *Table) mergeRows(u Update, now time.Duration) (changed bool) {
 	switch {
-	case u.Full && (u.Version >= t.version || !t.synced):
+	case !t.synced || u.Era != t.position.Era:
+		changed = t.enterEra(u, now)
+	case u.Full && !u.Position.Before(t.position):
 		changed = t.replace(u, now)
-	case !u.Full && u.Version > t.version:
+	case !u.Full && t.position.Before(u.Position):
 		changed = t.advance(u, now)
 	}
 	return changed
 }
 
-// replace replaces the rows by those of a full update.
+// enterEra replaces the rows by those of the first full update, or of the first one of
+// another era.
+func (t *Table) enterEra(u Update, now time.Duration) (changed bool) {
+	known, removed := maps.Clone(t.effective()), t.removed()
+	restored := t.synced
+	t.rows, t.digest, t.record = make(map[string]Row, len(u.Rows)), 0, newRemovals(u.Version)
+	t.position, t.contentVersion, t.synced = Position{Era: u.Era}, 0, true
+	t.replace(u, now)
+	if restored {
+		t.restoredAt = now
+		t.offsetKnown.Store(false)
+		t.retainLost(known, removed, now)
+	}
+	return true
+}
+
+// removed returns the versions of the removals that are recorded or still hold.
+func (t *Table) removed() map[string]int64 {
+	versions := maps.Clone(t.record.versions)
+	for key, k := range t.retained {
+		if k.row.Deleted {
+			versions[key] = k.row.Version
+		}
+	}
+	return versions
+}
+
+// retainLost reports what was known in the era before and is missing in this one.
+func (t *Table) retainLost(known map[string]Row, removed map[string]int64, now time.Duration) {
+	for key, r := range known {
+		if t.rows[key].Version < r.Version {
+			t.retained[key] = retainedRow{row: r, until: now + restoreGrace}
+		}
+	}
+	for key, version := range removed {
+		_, reported := known[key]
+		if r, exists := t.rows[key]; exists && !reported && r.Version < version {
+			t.retained[key] = retainedRow{row: Row{Key: key, Version: version, Deleted: true}, until: now + removedGrace}
+		}
+	}
+}
+
+// replace replaces the rows by those of a full update of the same era.
 func (t *Table) replace(u Update, now time.Duration) (changed bool) {
-	changed = !t.synced
 	present := make(map[string]bool, len(u.Rows))
 	for _, r := range u.Rows {
 		present[r.Key] = !r.Deleted
 	}
 	record := newRemovals(u.Floor)
 	if u.From == "" {
-		record = t.record.skip(t.version, u.Version)
+		record = t.record.skip(t.position.Version, u.Version)
 	}
 	for key := range t.rows {
 		if !present[key] {
@@ -257,13 +324,13 @@
 		switch {
 		case r.Deleted:
 			record.add(r.Key, r.Version)
-		case t.rows[r.Key].Version != r.Version || !t.synced:
+		case t.rows[r.Key].Version != r.Version:
 			t.setRow(r)
 			changed = true
 		}
 	}
 	t.record = record
-	t.version, t.synced, t.diverged = u.Version, true, false
+	t.position, t.diverged = u.Position, false
 	t.replacedAt = now
 	t.onReplaced(t.state(), u.From)
 	return changed
@@ -272,7 +339,7 @@
 // advance applies the changes after the copy's version.
 func (t *Table) advance(u Update, now time.Duration) (changed bool) {
 	for _, r := range u.Rows {
-		if r.Version <= t.version {
+		if r.Version <= t.position.Version {
 			continue // changed before, and perhaps again since
 		}
 		changed = true
@@ -285,7 +352,7 @@
 		t.setRow(r)
 		t.record.drop(r.Key)
 	}
-	t.version, t.synced = u.Version, true
+	t.position = u.Position
 	return changed
 }
 
@@ -339,6 +406,10 @@
 	}
 	rows := maps.Clone(t.rows)
 	for key, k := range t.retained {
+		if k.row.Deleted {
+			delete(rows, key)
+			continue
+		}
 		rows[key] = k.row
 	}
 	return rows
@@ -349,11 +420,17 @@
 // less the response's age. The difference of this bound and the store's time bounds the
 // clock offset from below. The largest bound so far converts the store's time of each
 // response to local time, also of a response that the store delayed for seconds.
+//
+// After the store has come back from an older copy, what it lost may be newer than all
+// that it has. The copy counts as current again when that had time to be written again.
 func (t *Table) updateClock(u Update, started time.Duration) {
 	if offset := int64(started - u.Age - u.StoreTime); !t.offsetKnown.Load() || offset > t.offset.Load() {
 		t.offset.Store(offset)
 		t.offsetKnown.Store(true)
 	}
+	if t.restoredAt > 0 && t.now()-t.restoredAt < restoreGrace {
+		return
+	}
 	at := int64(u.StoreTime) + t.offset.Load()
 	if at > t.confirmed.Load() {
 		t.confirmed.Store(at)
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -16,7 +16,7 @@
 //	w := watch.New(watch.Source{List: list, Watch: poll}, watch.WithOnChange(onChange))
 //	done := w.Run(ctx)
 //	age := boottime.Now() - w.Table().Confirmed()
-//	update := w.Table().Since(version)      // for a peer
+//	update := w.Table().Since(position)     // for a peer
 //	err := w.Table().Sync(boottime.Now, fetch) // from a peer
 package watch
 
@@ -39,6 +39,10 @@
 // errStale is returned for a response that is older than the copy.
 var errStale = eris.New("response is older than the copy")
 
+// errNewEra is returned for changes of a store that has come back from an older copy of
+// itself.
+var errNewEra = eris.New("store has come back from an older copy")
+
 // ErrDiverged is returned for an update of a peer that has other rows at the same version.
 var ErrDiverged = eris.New("copies differ at the same version")
 
@@ -234,7 +238,7 @@
 		}
 		err = w.table.Merge(update, started)
 	}
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, errNewEra) {
 		w.relist = true
 		return err
 	}
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -55,7 +55,9 @@
 	return f
 }
 
-func update(version int64, rows ...Row) Update { return Update{Version: version, Rows: rows} }
+func at(version int64) Position { return Position{Version: version} }
+
+func update(version int64, rows ...Row) Update { return Update{Position: at(version), Rows: rows} }
 
 func liveRow(key string, version int64) Row { return Row{Key: key, Version: version} }
 
@@ -128,7 +130,7 @@
 func TestRareMergesAreNoOutage(t *testing.T) {
 	f := newFixture()
 	take := func(p Update) { require.NoError(t, f.Table().Merge(p, f.clock)) }
-	take(Update{Full: true, Version: 2, Rows: []Row{liveRow("a", 1), liveRow("b", 2)}})
+	take(Update{Full: true, Position: at(2), Rows: []Row{liveRow("a", 1), liveRow("b", 2)}})
 	f.clock += 20 * time.Second
 	take(update(3, deletedRow("a", 3)))
 	require.Equal(t, []string{"b"}, f.applied)
@@ -160,10 +162,10 @@
 func TestSince(t *testing.T) {
 	source := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
 	peer := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
-	require.NoError(t, source.Merge(Update{Full: true, Version: 5, Rows: []Row{liveRow("a", 1), liveRow("b", 5)}}, 0))
-	require.NoError(t, peer.Merge(source.Since(peer.State().Version), 0))
-	require.NoError(t, source.Merge(Update{Version: 9, Rows: []Row{deletedRow("a", 7), liveRow("c", 9)}}, 0))
-	p := source.Since(peer.State().Version)
+	require.NoError(t, source.Merge(Update{Full: true, Position: at(5), Rows: []Row{liveRow("a", 1), liveRow("b", 5)}}, 0))
+	require.NoError(t, peer.Merge(source.Since(peer.State().Position), 0))
+	require.NoError(t, source.Merge(Update{Position: at(9), Rows: []Row{deletedRow("a", 7), liveRow("c", 9)}}, 0))
+	p := source.Since(peer.State().Position)
 	require.False(t, p.Full)
 	require.Len(t, p.Rows, 2)
 	require.NoError(t, peer.Merge(p, 0))
@@ -171,9 +173,9 @@
 	require.Equal(t, source.State(), peer.State())
 	for i := range maxRemovals + 1 {
 		v := int64(10 + i)
-		require.NoError(t, source.Merge(Update{Version: v, Rows: []Row{deletedRow("x", v), deletedRow(string(rune('A'+i)), v)}}, 0))
+		require.NoError(t, source.Merge(Update{Position: at(v), Rows: []Row{deletedRow("x", v), deletedRow(string(rune('A'+i)), v)}}, 0))
 	}
-	require.True(t, source.Since(peer.State().Version).Full)
+	require.True(t, source.Since(peer.State().Position).Full)
 }
 
 // A Watcher that is not active makes no calls.
@@ -223,7 +225,7 @@
 	}
 	sync := func(to, from *Table) {
 		if to.State().Behind(from.State()) {
-			require.NoError(t, to.Sync(func() time.Duration { return 0 }, func(after int64) (Update, error) {
+			require.NoError(t, to.Sync(func() time.Duration { return 0 }, func(after Position) (Update, error) {
 				u := from.Since(after)
 				u.From = "peer"
 				return u, nil
@@ -253,7 +255,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			early, late := first(test.early), first(test.late)
 			if test.earlyFromPeer {
-				u := early.Since(0)
+				u := early.Since(Position{})
 				u.From = "peer"
 				require.NoError(t, late.Merge(u, 0), "older rows are not an error")
 			}
@@ -273,13 +275,13 @@
 // between, and the others need only the changes.
 func TestRemovalInGap(t *testing.T) {
 	table := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
-	require.NoError(t, table.Merge(Update{Full: true, Version: 5, Rows: []Row{liveRow("a", 1), liveRow("b", 2)}}, 0))
-	require.NoError(t, table.Merge(Update{Full: true, Version: 10, Rows: []Row{liveRow("b", 2)}}, 0))
+	require.NoError(t, table.Merge(Update{Full: true, Position: at(5), Rows: []Row{liveRow("a", 1), liveRow("b", 2)}}, 0))
+	require.NoError(t, table.Merge(Update{Full: true, Position: at(10), Rows: []Row{liveRow("b", 2)}}, 0))
 	for _, test := range []struct {
 		after int64
 		full  bool
 	}{{4, true}, {5, false}, {7, true}, {10, false}} {
-		u := table.Since(test.after)
+		u := table.Since(at(test.after))
 		require.Equal(t, test.full, u.Full, test.after)
 		if test.after == 5 {
 			require.Equal(t, []Row{deletedRow("a", 10)}, u.Rows)
@@ -292,10 +294,79 @@
 func TestDivergedCopyIsListedAgain(t *testing.T) {
 	f := newFixture(step{update: update(5, liveRow("a", 1))}, step{update: update(5, liveRow("a", 1))}, step{update: update(6, liveRow("a", 1))})
 	require.NoError(t, f.Poll(t.Context()))
-	wrong := Update{Version: 6, Digest: 1, From: "peer"}
+	wrong := Update{Position: at(6), Digest: 1, From: "peer"}
 	require.ErrorIs(t, f.Table().Merge(wrong, f.clock), ErrDiverged)
 	require.NoError(t, f.Poll(t.Context()))
 	f.clock += minListInterval
 	require.NoError(t, f.Poll(t.Context()))
 	require.Equal(t, []string{"list", "watch", "list"}, f.script.calls)
 }
+
+// The store comes back from an older copy of itself: what was known holds until its writer
+// has written it again, or had the time to; versions that are given out again are not
+// mistaken for those of before.
+func TestStoreFromOlderCopy(t *testing.T) {
+	in := func(era, version int64, rows ...Row) Update {
+		return Update{Position: Position{Era: era, Version: version}, Rows: rows, Full: true}
+	}
+	before := in(1, 100, liveRow("kept", 10), liveRow("changed", 95), liveRow("new", 97))
+	removal := Update{Position: Position{Era: 1, Version: 101}, Rows: []Row{deletedRow("gone", 101)}}
+	restored := in(2, 91, liveRow("kept", 10), liveRow("changed", 40), liveRow("gone", 50))
+	for _, test := range []struct {
+		name  string
+		after []Update      // in the new era
+		wait  time.Duration // since the return
+		want  []Row
+	}{
+		{"at once", nil, 0, []Row{liveRow("changed", 95), liveRow("kept", 10), liveRow("new", 97)}},
+		{"written again", []Update{{Position: Position{Era: 2, Version: 93}, Rows: []Row{liveRow("changed", 92), liveRow("gone", 93)}}}, 0, []Row{liveRow("changed", 92), liveRow("gone", 93), liveRow("kept", 10), liveRow("new", 97)}},
+		{"never written again", nil, restoreGrace, []Row{liveRow("changed", 40), liveRow("kept", 10)}},
+		{"still listed after a minute", nil, removedGrace, []Row{liveRow("changed", 40), liveRow("gone", 50), liveRow("kept", 10)}},
+		{"a late answer of the era before", []Update{in(1, 120, liveRow("late", 120))}, 0, []Row{liveRow("changed", 95), liveRow("kept", 10), liveRow("new", 97)}},
+		{"once more", []Update{in(3, 88, liveRow("kept", 10))}, 0, []Row{liveRow("changed", 95), liveRow("kept", 10), liveRow("new", 97)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			clock := time.Minute
+			var reported map[string]Row
+			table := newTable(func(rows map[string]Row) { reported = maps.Clone(rows) }, func() time.Duration { return clock }, 0)
+			require.NoError(t, table.Merge(before, clock))
+			require.NoError(t, table.Merge(removal, clock))
+			changes := Update{Position: Position{Era: 2, Version: 120}, Rows: []Row{liveRow("other", 120)}}
+			require.ErrorIs(t, table.Merge(changes, clock), errNewEra, "changes since a version of another era")
+			require.NoError(t, table.Merge(restored, clock))
+			for _, u := range test.after {
+				if err := table.Merge(u, clock); err != nil {
+					require.ErrorIs(t, err, errStale)
+				}
+			}
+			clock += test.wait
+			table.Expire()
+			var got []Row
+			for _, key := range slices.Sorted(maps.Keys(reported)) {
+				got = append(got, reported[key])
+			}
+			require.Equal(t, test.want, got)
+		})
+	}
+}
+
+// What the store has lost may be newer than all that it has: after a return from an older
+// copy, the copy does not count as current before that had time to be written again.
+func TestRestoredStoreConfirmsLater(t *testing.T) {
+	clock := time.Minute
+	table := newTable(func(map[string]Row) {}, func() time.Duration { return clock }, 0)
+	merge := func(era, version int64) {
+		u := Update{Position: Position{Era: era, Version: version}, Full: true, StoreTime: clock}
+		require.NoError(t, table.Merge(u, clock))
+	}
+	merge(1, 100)
+	before := table.Confirmed()
+	clock += time.Second
+	merge(2, 90)
+	clock += restoreGrace - time.Millisecond
+	merge(2, 91)
+	require.Equal(t, before, table.Confirmed())
+	clock += time.Millisecond
+	merge(2, 92)
+	require.Equal(t, clock, table.Confirmed())
+}
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -239,7 +239,8 @@
 }
 
 // discover writes the row of this entry and periodically reads the rows of the others. It
-// also reads the target versions that were set before this process started.
+// also reads the target versions that were set before this process started. After the store
+// has come back from an older copy of itself, what this process wrote is written again.
 func (e *Entry) discover(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -247,10 +248,19 @@
 		rowWritten, versionsRead, entriesRead := false, false, false
 		retry := minDiscoverRetry
 		rowWritten = e.writeEntryRow(ctx)
+		era := e.operatorWatcher.Table().State().Era
 		if !sleep(ctx, e.gateway.StartDelay()) {
 			return
 		}
 		for {
+			if now := e.operatorWatcher.Table().State().Era; now != era {
+				// The first era that this process knows is not a return.
+				rowWritten = rowWritten && era == 0
+				if era > 0 {
+					e.gateway.RecordTargets()
+				}
+				era = now
+			}
 			versionsRead = versionsRead || e.readTargetVersions(ctx)
 			rowWritten = rowWritten || e.writeEntryRow(ctx)
 			if !entriesRead || e.gateway.LeadsRegion() {
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -135,7 +135,7 @@
 		telemetry.StoreRegained.Log(context.Background(), p.logger, "table", table, "down", down)
 	}
 	onReplaced := func(s watch.State, from string) {
-		telemetry.TableCopied.Log(context.Background(), p.logger, "table", table, "from", from, "version", s.Version,
+		telemetry.TableCopied.Log(context.Background(), p.logger, "table", table, "from", from, "era", s.Era, "version", s.Version,
 			"rows", s.Rows, "digest", s.Digest)
 	}
 	return watch.New(source, append([]watch.Option{
--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -100,3 +100,29 @@
 	r.feed(chunk, 0)
 	require.True(t, r.tooLong())
 }
+
+// An endpoint whose row said that it drains gets no request although a later list, of a store
+// that has come back from an older copy, shows it as ready. Another incarnation does.
+func TestDrainingRowOutlastsOlderList(t *testing.T) {
+	c := &clock{at: time.Minute}
+	g := newGateway(c)
+	g.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s"))), nil)
+	service := g.Configuration().Services()["s"]
+	endpoint := func(started int64, draining bool) *fleet.Endpoint {
+		return fleet.NewEndpoint("e", "s", "10.0.0.9:1", fleet.WithStarted(started), fleet.WithDraining(draining))
+	}
+	for _, test := range []struct {
+		name   string
+		listed *fleet.Endpoint
+		usable bool
+	}{
+		{"ready", endpoint(5, false), true},
+		{"draining", endpoint(5, true), false},
+		{"ready again", endpoint(5, false), false},
+		{"another incarnation", endpoint(6, false), true},
+	} {
+		g.ApplyEndpoints([]*fleet.Endpoint{test.listed})
+		_, usable := g.candidate(service, test.listed, c.at)
+		require.Equal(t, test.usable, usable && !test.listed.Draining(), test.name)
+	}
+}
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -25,9 +25,9 @@
 // the version of the newest change in it.
 func peerState(content int64, c *nodev1.TableCopy) watch.State {
 	if c == nil {
-		return watch.State{Version: content, Digest: unknownDigest}
+		return watch.State{Position: watch.Position{Version: content}, Digest: unknownDigest}
 	}
-	return watch.State{Version: c.GetVersion(), Digest: c.GetDigest()}
+	return watch.State{Position: watch.Position{Era: c.GetEra(), Version: c.GetVersion()}, Digest: c.GetDigest()}
 }
 
 // unknownDigest differs from that of any copy but one in 2^64.
@@ -51,7 +51,7 @@
 		err := g.syncTable(ctx, m.GetAddress(), table)
 		switch {
 		case errors.Is(err, watch.ErrDiverged):
-			telemetry.CopiesDiffer.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "version", peer.Version)
+			telemetry.CopiesDiffer.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "era", peer.Era, "version", peer.Version)
 		case err != nil:
 			telemetry.PeerCopyNotFetched.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "error", err)
 		}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/admission"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -62,12 +63,24 @@
 		next.byHash[endpointHash(e.ID())] = e
 	}
 	next.listed = true
+	g.recordDraining(list)
 	g.logEndpoints(old.endpoints, list)
 	g.snapshot.Store(&next)
 	g.confirmMissing(&next)
 	g.updatePlacement(&next, g.activeByDomain(g.now()))
 }
 
+// recordDraining records which incarnations of endpoints are draining. A list that shows one
+// of them as ready later is an older one: an endpoint that drains exits.
+func (g *Gateway) recordDraining(list []*fleet.Endpoint) {
+	now := g.now()
+	for _, e := range list {
+		if e.Draining() && e.Started() != 0 {
+			g.backpressure.Record(now, admission.Incarnation{ID: e.ID(), Started: e.Started()}, admission.Backpressure{Draining: true})
+		}
+	}
+}
+
 // Refresh updates placement for changes that depend on the time, such as a target
 // version of weights that becomes required.
 func (g *Gateway) Refresh() { g.refreshFor(g.activeByDomain(g.now())) }
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
@@ -103,8 +104,8 @@
 		ConfigurationVersion: v.version(),
 		OperatorContent:      operator.Content,
 		EndpointsContent:     endpoints.Content,
-		OperatorCopy:         &nodev1.TableCopy{Version: operator.Version, Digest: operator.Digest},
-		EndpointsCopy:        &nodev1.TableCopy{Version: endpoints.Version, Digest: endpoints.Digest},
+		OperatorCopy:         copyMessage(operator),
+		EndpointsCopy:        copyMessage(endpoints),
 		MilliCores:           uint32(g.self.Cores * 1000),
 		RequestRate:          uint32(math.Round(g.rate.value())),
 		Active:               uint32(max(g.active.Load(), 0)),
@@ -127,6 +128,10 @@
 	return m
 }
 
+func copyMessage(s watch.State) *nodev1.TableCopy {
+	return &nodev1.TableCopy{Era: s.Era, Version: s.Version, Digest: s.Digest}
+}
+
 // target is a peer to send a summary to, with the stamp to echo to it.
 type target struct {
 	address     string
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -123,6 +123,19 @@
 	return list
 }
 
+// exact returns the newest target version of each model whose time is exact.
+func (t *targetVersions) exact() []TargetVersion {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []TargetVersion
+	for model, versions := range t.byModel {
+		if n := versions[len(versions)-1]; n.exact {
+			list = append(list, TargetVersion{Model: model, Version: n.version, SetAt: n.setAt, Exact: true})
+		}
+	}
+	return list
+}
+
 // observeTargets records the newest target versions that the store shows.
 func (g *Gateway) observeTargets(versions map[string]int64, started bool) {
 	now := g.now()
@@ -145,6 +158,17 @@
 	}
 }
 
+// RecordTargets stores again when the newest target versions were set, where that is known
+// exactly. Only the first entries do so.
+func (g *Gateway) RecordTargets() {
+	if g.rank().all >= recorders {
+		return
+	}
+	for _, v := range g.targets.exact() {
+		g.recordTarget(v)
+	}
+}
+
 // targetSetAt returns the time at which a target version that is first observed now
 // was set. The store confirmed the state without the version at the given time, and
 // the version can't have been set before: an entry whose process was paused observes
--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -65,7 +65,7 @@
 	t.Helper()
 	w := watch.New(watch.Source{}, watch.WithClock(func() time.Duration { return time.Minute }))
 	if len(rows) > 0 {
-		require.NoError(t, w.Table().Merge(watch.Update{Full: true, Version: 9, Rows: rows, StoreTime: time.Second}, 50*time.Second))
+		require.NoError(t, w.Table().Merge(watch.Update{Full: true, Position: watch.Position{Version: 9}, Rows: rows, StoreTime: time.Second}, 50*time.Second))
 	}
 	return w.Table()
 }
@@ -117,7 +117,7 @@
 	defer server.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	_, err := NewClient().FetchRows(ctx, strings.TrimPrefix(server.URL, "http://"), nodev1.Table_TABLE_ENDPOINTS, 0)
+	_, err := NewClient().FetchRows(ctx, strings.TrimPrefix(server.URL, "http://"), nodev1.Table_TABLE_ENDPOINTS, watch.Position{})
 	require.Error(t, err)
 	require.NoError(t, ctx.Err())
 	require.Less(t, endless.Sent(), int64(mostSent))
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -45,8 +45,9 @@
 	if t == nil || t.Confirmed() == 0 {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoCopy)
 	}
-	p := t.Since(q.Msg.GetVersion())
+	p := t.Since(watch.Position{Era: q.Msg.GetEra(), Version: q.Msg.GetVersion()})
 	answer := &nodev1.FetchRowsResponse{
+		Era:         p.Era,
 		Version:     p.Version,
 		Full:        p.Full,
 		Floor:       p.Floor,
@@ -109,17 +110,17 @@
 }
 
 // FetchRows fetches from the entry at an address what a copy lacks that covers the given
-// version.
-func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, version int64) (watch.Update, error) {
+// position.
+func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, after watch.Position) (watch.Update, error) {
 	service := c.service(address)
-	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Version: version, Region: c.region}))
+	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Era: after.Era, Version: after.Version, Region: c.region}))
 	if err != nil {
 		return watch.Update{}, err
 	}
 	m := answer.Msg
 	c.learn(m.GetEntries())
 	p := watch.Update{
-		Version:   m.GetVersion(),
+		Position:  watch.Position{Era: m.GetEra(), Version: m.GetVersion()},
 		Full:      m.GetFull(),
 		Floor:     m.GetFloor(),
 		Digest:    m.GetDigest(),
@@ -157,5 +158,5 @@
 // Sync brings a copy up to date with that of the entry at an address. Now is read
 // before the call.
 func (c *Client) Sync(ctx context.Context, address string, name nodev1.Table, t *watch.Table, now func() time.Duration) error {
-	return t.Sync(now, func(after int64) (watch.Update, error) { return c.FetchRows(ctx, address, name, after) })
+	return t.Sync(now, func(after watch.Position) (watch.Update, error) { return c.FetchRows(ctx, address, name, after) })
 }
