Tests: two runs of fleetprocess at a time

Each deployment took the next address block without a look at whether another run has it, so that two runs on one machine failed with address already in use. A block that is taken is passed over; nothing else changes.

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,14 +76,27 @@
 	next          int
 }
 
-// network is the address block of the latest deployment; each deployment has its own.
+// network is the address block of the latest deployment; each deployment has its own, also
+// of other runs of these tests at the same time.
 var network byte = 100
 
+// startDeployment starts a deployment in the next address block that is free.
+func startDeployment(options ...standin.DeploymentOption) (*standin.Deployment, error) {
+	const blocks = 150
+	for range blocks {
+		network = 100 + (network-99)%blocks
+		d, err := standin.StartDeployment(append(options, standin.WithNetwork(network))...)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return d, err
+		}
+	}
+	return nil, errors.New("no address block is free")
+}
+
 func startSystem(t *testing.T, options ...standin.DeploymentOption) *system {
 	t.Helper()
-	network++
 	s := &system{t: t, runs: &runLog{}, logs: &logBuffer{}}
-	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
+	d, err := startDeployment(append(options, standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
 	require.NoError(t, err)
 	s.Deployment = d
 	ctx, cancel := context.WithCancel(context.Background())
