Test of a store that rejects one entry: the entry is rejected

TestStoreRejectsOneEntry told the entry's calls by the address that connects, which is the same for all on loopback, so that nothing was ever rejected and the test passed without the fault. Each machine now has an address of the store of its own, and the test waits until a call was rejected.

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -73,6 +73,7 @@
 	logs          *logBuffer
 	cancel        context.CancelFunc
 	processErrors []chan error
+	stores        []*http.Server
 	next          int
 }
 
@@ -115,18 +116,35 @@
 }
 
 func (s *system) start(ctx context.Context, m standin.Machine, run func(context.Context, *platform.Settings, *slog.Logger) error) {
-	settings, err := platform.ParseSettings(s.Settings(m, s.StoreAddress()))
+	settings, err := platform.ParseSettings(s.Settings(m, s.serveStore(m)))
 	require.NoError(s.t, err)
 	result := make(chan error, 1)
 	s.processErrors = append(s.processErrors, result)
 	go func() { result <- run(ctx, settings, slog.New(slog.NewJSONHandler(s.logs, nil))) }()
 }
 
+// storePort is the port of the store's address for one machine.
+const storePort = ":8007"
+
+// serveStore opens an address of the store for one machine and returns it. It tells the
+// calls of machines apart: all come from the same address on loopback.
+func (s *system) serveStore(m standin.Machine) string {
+	l, err := net.Listen("tcp", m.IP+storePort)
+	require.NoError(s.t, err)
+	server := &http.Server{Handler: s.Store}
+	s.stores = append(s.stores, server)
+	go func() { _ = server.Serve(l) }() // ends with stop
+	return m.IP + storePort
+}
+
 func (s *system) stop() {
 	s.cancel()
 	for _, result := range s.processErrors {
 		require.NoError(s.t, <-result)
 	}
+	for _, server := range s.stores {
+		server.Close()
+	}
 	s.Close()
 	if s.t.Failed() {
 		s.t.Logf("log lines:\n%s", s.logs)
@@ -308,13 +326,15 @@
 // receives the configuration from it.
 func TestStoreRejectsOneEntry(t *testing.T) {
 	s := startSystem(t, standin.WithSize(2, 1, 1, 1))
-	rejectedIP := s.Entries[0].IP
+	var rejected atomic.Int64
 	s.Store.SetFault(func(r *http.Request) standin.Fault {
-		if strings.HasPrefix(r.RemoteAddr, rejectedIP+":") {
-			return standin.FaultBusy
+		if r.Host != s.Entries[0].IP+storePort {
+			return standin.FaultNone
 		}
-		return standin.FaultNone
+		rejected.Add(1)
+		return standin.FaultBusy
 	})
+	require.Eventually(t, func() bool { return rejected.Load() > 0 }, 4*time.Second, 10*time.Millisecond)
 	s.SetKeys("new-key")
 	require.Eventually(t, func() bool {
 		return s.call("GET", standin.PathRead, "new-key").status == http.StatusOK &&
