A row of the store that can't be read does not affect the others

Callers would have got 503 once the last confirmation was too old, and endpoints would have vanished: one row with broken base64, a value of another type or a version out of range made a whole answer of the store unreadable. The feed returns it again and again, and so does a list, so that no entry followed any change, for good. Besides, rows of other parts of a table, which the feed returns too, replaced or removed the row with the same key; a row version of 2^63-1 made every later answer look stale.

Cause: an answer was decoded as one value, and the part was not looked at.

Fix: rows are decoded one by one. One without a readable key or version is left out and logged once (735, rowNotRead); one whose value can't be read, or is larger than the rows of its table are, is there without content, so that it replaces the row before. Keys that are not UTF-8 can't be told apart in JSON and can't be passed on to peers; they are left out, and the next page of a list starts after their bytes. The bound of a table counts the bytes that were sent.

--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -55,13 +55,16 @@
 	if s.MemoryBytes() > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes())))
 	}
-	return &process{
+	p := &process{
 		settings:       s,
 		logger:         logger.With("process", s.Name()),
 		telemetry:      telemetry.New(),
-		store:          platform.NewStore(s.StoreAddress()),
 		listenerErrors: make(chan error, 8), // at most one for each listener
 	}
+	p.store = platform.NewStore(s.StoreAddress(), platform.WithOnOddRow(func(table string, err error) {
+		telemetry.RowNotRead.Log(context.Background(), p.logger, "table", table, "error", err)
+	}))
+	return p
 }
 
 // serve serves HTTP/1.1 at an address. The error of a failed listener is sent to
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -259,6 +259,10 @@
 		733, "copiesDiffer", slog.LevelWarn,
 		"The copies of two entries have other rows at the same version. This entry reads the table from the store again. The lines tableCopied of both say where each came from.",
 	}
+	RowNotRead = Event{
+		735, "rowNotRead", slog.LevelWarn,
+		"A row of the store has no key or version that can be read. It is left out, and all other rows hold. Look at who wrote it.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -280,7 +284,7 @@
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
-		TableCopied, CopiesDiffer,
+		TableCopied, CopiesDiffer, RowNotRead,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
