Updates of a copy that are out of bounds change nothing

Callers could have been answered with revoked keys, and entries could have followed no change any more: an update of a peer, of another build for example, was merged whatever it said. A row newer than the update itself made all later answers look stale; a version of 2^63-1 made all later ones look old; both were passed on to other entries. A negative age, or a clock that is ahead, dated the confirmation of the configuration in the future, so that it never got too old; ages and clocks near 2^63 overflowed.

Cause: Table.Merge compared versions and added times without bounds.

Fix: Merge rejects versions, floors, row versions and times that are out of bounds with ErrInvalidUpdate, and peers then copy from another entry or the store. An age below 0 counts as 0, since clocks differ a little. A confirmation is never later than the time at which it is merged.

TestConfirmed merged updates that were requested at 100 s on a clock that stood at 0, which no process can; its clock now stands at an hour. All its assertions are as before.

--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -169,9 +169,15 @@
 }
 
 // Merge applies the response to a call that was made at the given time. It returns
-// errStale if the response is older than the newest change in the copy, and ErrDiverged if
-// a peer has other rows at the same version; the copy is then to be listed again.
+// errStale if the response is older than the newest change in the copy, an error that wraps
+// ErrInvalidUpdate if the response is out of bounds, and ErrDiverged if a peer has other
+// rows at the same version; the copy is then to be listed again.
 func (t *Table) Merge(u Update, started time.Duration) error {
+	if err := u.check(); err != nil {
+		return err
+	}
+	// The age of a copy is below 0 where the store's clock is faster than the peer's.
+	u.Age = max(u.Age, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u.Version < t.contentVersion {
@@ -348,13 +354,14 @@
 // call was made, so the moment that it describes is no earlier than the time of the call
 // less the response's age. The difference of this bound and the store's time bounds the
 // clock offset from below. The largest bound so far converts the store's time of each
-// response to local time, also of a response that the store delayed for seconds.
+// response to local time, also of a response that the store delayed for seconds. No copy is
+// current as of a time to come, whatever the clocks say.
 func (t *Table) updateClock(u Update, started time.Duration) {
 	if offset := int64(started - u.Age - u.StoreTime); !t.offsetKnown.Load() || offset > t.offset.Load() {
 		t.offset.Store(offset)
 		t.offsetKnown.Store(true)
 	}
-	at := int64(u.StoreTime) + t.offset.Load()
+	at := min(int64(u.StoreTime)+t.offset.Load(), int64(t.now()))
 	if at > t.confirmed.Load() {
 		t.confirmed.Store(at)
 	}
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -137,7 +137,7 @@
 // The time as of which the copy is current follows the store's clock, also for a response
 // that was delayed for seconds, and is never later than the moment that it describes.
 func TestConfirmed(t *testing.T) {
-	table := newTable(func(map[string]Row) {}, func() time.Duration { return 0 }, 0)
+	table := newTable(func(map[string]Row) {}, func() time.Duration { return time.Hour }, 0)
 	for _, test := range []struct {
 		name    string
 		update  Update
