A list of staged chunks with odd indexes does not end the agent

Callers lost the streams at an endpoint whose agent ended, and no agent was left to bring weights there: one negative index in the list of staged chunks that an endpoint reports ended the process. A repeated index read the chunk again each time.

Cause: indexes were compared with the number of chunks only.

Evidence: TestListOfStagedChunksIsOdd on the code before: "panic: runtime error: index out of range [-1]" in verifyStaged, which runs in a goroutine of its own.

Fix: indexes that the manifest does not have are ignored, others read once.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -20,6 +20,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -292,8 +293,9 @@
 	if err != nil {
 		return err
 	}
-	for _, i := range list {
-		if i < len(s.staged) {
+	slices.Sort(list)
+	for _, i := range slices.Compact(list) {
+		if i >= 0 && i < len(s.staged) {
 			s.staged[i] = r.chunkIntact(ctx, t.model, s.manifest, i)
 		}
 	}
