A peer that asks for bytes beyond a chunk holds no upload

Weights arrived late: after two requests of a peer with an offset beyond 2^63 an agent sent no chunk to anyone any more.

Cause: the offset became negative, the handler failed while it cut the data, and the upload that it had admitted was never released; an agent admits two.

Evidence: TestFetchChunkBeyondItsEnd on the code before: "http: panic serving ...: runtime error: slice bounds out of range [-1:]" in FetchChunk.

Fix: an offset beyond the end is refused before an upload is admitted.

--- a/internal/replica/bounds_test.go
+++ b/internal/replica/bounds_test.go
@@ -3,9 +3,17 @@
 import (
 	"context"
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/swarm"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
+	"github.com/primrosetally/primrosetally/internal/state/digest"
 )
 
 // Staged chunks that the endpoint lists and the manifest does not have are ignored, and
@@ -27,3 +35,39 @@
 	require.Equal(t, []bool{false, false}, s.staged)
 	require.Equal(t, 1, reads)
 }
+
+// A peer that asks for bytes beyond a chunk is refused and holds no upload.
+func TestFetchChunkBeyondItsEnd(t *testing.T) {
+	const content = "abcdef"
+	m := manifest(t, 2, content)
+	r := New(agent(1), Callbacks{
+		ReadStaged: func(context.Context, string, int) ([]byte, error) { return []byte(content), nil },
+	})
+	r.staging = stagingState{manifest: m, staged: []bool{true}, index: map[digest.Digest]int{m.Chunk(0).Digest(): 0}}
+	r.uploads = swarm.NewUploadLimiter(m.Size(), swarm.WithSlots(uploadSlots))
+	mux := http.NewServeMux()
+	r.Register(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	client := nodev1connect.NewAgentServiceClient(server.Client(), server.URL)
+	fetch := func(offset uint64) ([]byte, error) {
+		stream, err := client.FetchChunk(t.Context(), connect.NewRequest(&nodev1.FetchChunkRequest{Digest: m.Chunk(0).Digest().Bytes(), Offset: offset}))
+		require.NoError(t, err)
+		defer stream.Close()
+		var data []byte
+		for stream.Receive() {
+			data = append(data, stream.Msg().GetData()...)
+		}
+		return data, stream.Err()
+	}
+	for _, offset := range []uint64{math.MaxUint64, 1 << 63, 7, math.MaxInt64} {
+		for range uploadSlots + 1 {
+			_, err := fetch(offset)
+			require.Equal(t, connect.CodeInvalidArgument, connect.CodeOf(err), "offset %d: %v", offset, err)
+		}
+	}
+	data, err := fetch(2)
+	require.NoError(t, err)
+	require.Equal(t, content[2:], string(data))
+	require.Zero(t, r.uploads.ActiveInRegion())
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -164,8 +164,12 @@
 	if !found {
 		return connect.NewError(connect.CodeNotFound, swarm.ErrMissing)
 	}
+	size := staging.manifest.Chunk(i).Size()
+	if q.Msg.GetOffset() > uint64(size) {
+		return connect.NewError(connect.CodeInvalidArgument, errOffset)
+	}
 	offset := int64(q.Msg.GetOffset())
-	remaining := staging.manifest.Chunk(i).Size() - offset
+	remaining := size - offset
 	admission := uploads.Admit(remaining, false)
 	if !admission.Admitted {
 		return chunks.Refuse(admission.RetryAfter)
@@ -184,6 +188,9 @@
 	return err
 }
 
+// errOffset is returned to a peer that requests bytes beyond the end of a chunk.
+var errOffset = eris.New("offset is beyond the end of the chunk")
+
 // maxLinkWait limits how long an upload waits for the link's rate limiter.
 const maxLinkWait = 700 * time.Millisecond
 
