A manifest of another version from a peer is not used

An endpoint could have been ordered to load a version with the chunks of another: an agent took the manifest that a peer sent without looking whether it is that of the version it had asked for.

Fix: such a peer counts as one without the manifest, and the next is asked.

--- a/internal/replica/bounds_test.go
+++ b/internal/replica/bounds_test.go
@@ -14,6 +14,8 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/model"
 )
 
 // Staged chunks that the endpoint lists and the manifest does not have are ignored, and
@@ -71,3 +73,25 @@
 	require.Equal(t, content[2:], string(data))
 	require.Zero(t, r.uploads.ActiveInRegion())
 }
+
+// A manifest that a peer sends for another one is not used.
+func TestOtherManifestFromPeer(t *testing.T) {
+	self := agent(1)
+	var peers []member.Member
+	for i := 2; rankAmong(self.Name(), peers, 2) < 2; i++ {
+		peers = append(peers, agent(i))
+	}
+	answers := []*model.Manifest{manifest(t, 1, "a"), manifest(t, 3, "a"), manifest(t, 2, "b")}
+	r := New(self, Callbacks{
+		ListPeers: func(context.Context) ([]member.Member, error) { return peers, nil },
+		PeerManifest: func(context.Context, member.Member, string, int64) (*model.Manifest, error) {
+			m := answers[0]
+			answers = answers[1:]
+			return m, nil
+		},
+	})
+	r.target = target{model: "m", version: 2}
+	m, err := r.fetchManifest(t.Context(), r.target)
+	require.NoError(t, err)
+	require.Equal(t, "2", m.Version())
+}
--- a/internal/replica/manifest.go
+++ b/internal/replica/manifest.go
@@ -39,10 +39,11 @@
 	started := r.now()
 	for attempt := 0; r.now()-started < timeout && ctx.Err() == nil; attempt++ {
 		m, err := r.callbacks.PeerManifest(ctx, peers[peerIndex(attempt, len(peers))], t.model, t.version)
-		if err == nil && m != nil {
+		if err == nil && m != nil && m.Name() == t.model && m.Version() == formatVersion(t.version) {
 			return m, nil
 		}
-		// A peer that cannot be reached is treated as one without the manifest.
+		// A peer that cannot be reached, or sends another manifest, is treated as one
+		// without the manifest.
 		r.sleep(ctx, peerRetryInterval)
 		if r.superseded(t) {
 			return nil, errSuperseded
