An agent takes only target versions of its endpoint's models, not set in the future

An endpoint could have been left without weights, or on old ones: the age in a notice was converted without bounds, so that a large one became negative and the version counted as set in the future, whose bound never comes; and a notice for any other model, which anyone may send, replaced the target.

Fix: ages of messages have a largest value, and a version is never set in the future. Notices without a valid version, or for a model that the service does not run, are dropped like datagrams that do not decode. Until an agent knows the configuration, it takes notices for any model as before.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -5,11 +5,13 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/swarm"
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -110,9 +112,12 @@
 			if !ok {
 				return
 			}
-			a.tables.setEntries(notice.Weights.GetEntries())
 			w := notice.Weights.GetWeights()
-			age := time.Duration(w.GetAgeUs()) * time.Microsecond
+			if !ownTarget(w, a.fleet.Load(), a.settings.Service()) {
+				return
+			}
+			a.tables.setEntries(notice.Weights.GetEntries())
+			age := boottime.AgeFromMicros(w.GetAgeUs())
 			a.replica.SetTarget(replica.Target{Model: w.GetModel(), Version: w.GetVersion(), Age: age, Exact: w.GetExact()})
 		}, a.logDatagramError)
 		if ctx.Err() == nil {
@@ -123,6 +128,20 @@
 	return done
 }
 
+// ownTarget reports whether a notice names a version of a model that the agent's endpoint
+// runs. Anyone may send a datagram. Before the configuration c is known, any model is
+// accepted, since the agent learns of the target sooner from the notice.
+func ownTarget(w *nodev1.NamedWeights, c *fleet.Configuration, service string) bool {
+	if w.GetModel() == "" || !platform.ValidVersion(w.GetVersion()) {
+		return false
+	}
+	if c == nil {
+		return true
+	}
+	s := c.Services()[service]
+	return s != nil && s.Engine() != nil && slices.Contains(s.Engine().Models, w.GetModel())
+}
+
 func (a *Agent) memberAt(address, failureDomain string) member.Member {
 	return member.New(address, member.RoleAgent, address,
 		member.WithPlace(a.settings.RegionOf(failureDomain), failureDomain),
--- a/internal/replica/bounds_test.go
+++ b/internal/replica/bounds_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
@@ -27,7 +28,7 @@
 		ListStaged: func(context.Context, string) ([]int, error) {
 			return []int{-1, math.MinInt, 1, 2, math.MaxInt, 1, 1, 1}, nil
 		},
-		ReadStaged: func(_ context.Context, _ string, i int) ([]byte, error) {
+		ReadStaged: func(context.Context, string, int) ([]byte, error) {
 			reads++
 			return []byte("wrong"), nil
 		},
@@ -95,3 +96,21 @@
 	require.NoError(t, err)
 	require.Equal(t, "2", m.Version())
 }
+
+// An age that is out of bounds leaves the time of a version between the bound and now.
+func TestTargetWithOddAge(t *testing.T) {
+	const now, bound = time.Minute, 8 * time.Second
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		want time.Duration
+	}{
+		{"negative", -time.Hour, now},
+		{"smallest", math.MinInt64, now},
+		{"largest", math.MaxInt64, now - bound},
+	} {
+		r := New(agent(1), Callbacks{}, WithVersionBound(bound), WithClock(func() time.Duration { return now }))
+		r.SetTarget(Target{Model: "m", Version: 2, Age: test.age})
+		require.Equal(t, test.want, r.currentTarget().setAt, test.name)
+	}
+}
--- a/internal/replica/target.go
+++ b/internal/replica/target.go
@@ -34,8 +34,10 @@
 func (r *Replica) SetTarget(v Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// An age above the version bound means that the time is unknown.
-	t := target{model: v.Model, version: v.Version, setAt: r.now() - min(v.Age, r.versionBound), exact: v.Exact, initial: v.Initial}
+	// An age above the version bound means that the time is unknown. No version is set in
+	// the future.
+	age := max(min(v.Age, r.versionBound), 0)
+	t := target{model: v.Model, version: v.Version, setAt: r.now() - age, exact: v.Exact, initial: v.Initial}
 	if r.refineSetAt(t) || r.target.model == v.Model && v.Version <= r.target.version {
 		return
 	}
