Addresses of peers that are none do not keep summaries from being sent

Callers would have got 503, and requests would have been placed without the load of others: an entry advertises 16 addresses of peers with its summaries. An address is whatever a summary says, 8 KB long for example; 16 of them do not fit in a datagram, and the summaries are not sent, to no one. The entry then counts as gone.

Evidence: TestOddAddressesInSummary on the code before: ""32145" is not less than "8192"", the size of a summary after addresses of 2000 bytes.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -103,12 +103,13 @@
 	}
 }
 
-// add adds addresses of peers to send summaries to.
+// add adds addresses of peers to send summaries to. Texts that can't be addresses are
+// ignored.
 func (p *peers) add(addresses ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range addresses {
-		if a != p.self && a != "" && p.known[a] == nil {
+		if a != p.self && validAddress(a) && p.known[a] == nil {
 			p.known[a] = &peer{}
 		}
 	}
@@ -302,7 +303,7 @@
 // ReceiveSummary processes a summary from another entry.
 func (g *Gateway) ReceiveSummary(ctx context.Context, m *nodev1.EntrySummary) {
 	now := g.now()
-	if m.GetAddress() == g.self.PeerAddress || m.GetAddress() == "" {
+	if m.GetAddress() == g.self.PeerAddress || !validAddress(m.GetAddress()) {
 		return
 	}
 	g.peers.add(m.GetAddress())
