Numbers out of bounds in summaries are not taken over

Callers could have been answered with revoked keys or old weights, or refused while there was room: an age of 2^64-1 microseconds became -1, which dates a confirmation or a target version in the future; an age of 2^63 overflowed later; a version of 2^63-1 was required of every endpoint, for good; a peer that names an interval of weeks was not missed for months; and sums of loads near 2^32 made the predicted time of the first event negative. All take an entry of another build, or a datagram of somebody else.

Evidence, on the code before: TestOddAgesInSummary "age -1µs", TestOddVersionsInSummary "Should be zero, but was", TestOddIntervalInSummary "Should be empty, but was [10.0.0.2:1]" an hour later, TestOddLoadsInSummary ""-1544956h9m48.709551616s" is not positive".

Fix: named bounds, checked where summaries are read. An age that an entry sends itself is never negative.

--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
@@ -25,7 +26,7 @@
 	if !p.echoes(m, now) || m.ConfirmedAgeUs == nil {
 		return
 	}
-	at := time.Duration(m.GetEcho()) - time.Duration(m.GetConfirmedAgeUs())*time.Microsecond
+	at := time.Duration(m.GetEcho()) - boottime.AgeFromMicros(m.GetConfirmedAgeUs())
 	if at > p.confirmedAt {
 		p.confirmedAt = at
 		p.confirmedVersion = m.GetConfigurationVersion()
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -72,7 +72,10 @@
 	load := make(map[uint32]placement.Load, len(m.GetEndpoints()))
 	for i, h := range m.GetEndpoints() {
 		if i < len(m.GetInFlight()) && i < len(m.GetUnread()) {
-			load[h] = placement.Load{InFlight: int(m.GetInFlight()[i]), PrefillTokens: int(m.GetUnread()[i])}
+			load[h] = placement.Load{
+				InFlight:      int(min(m.GetInFlight()[i], maxPeerRequests)),
+				PrefillTokens: int(min(m.GetUnread()[i], maxPeerTokens)),
+			}
 		}
 	}
 	return load
--- a/internal/gateway/odddatagrams_test.go
+++ b/internal/gateway/odddatagrams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,48 @@
 	require.Equal(t, []string{"10.0.0.2:1"}, p.live(time.Minute))
 }
 
+// Ages out of bounds never date anything in the future.
+func TestOddAgesInSummary(t *testing.T) {
+	const now = time.Minute
+	for _, us := range []uint64{math.MaxUint64, 1 << 63, math.MaxInt64, uint64(now/time.Microsecond) + 1} {
+		g := newGateway(&clock{at: now}, WithVersionBound(8*time.Second, func(TargetVersion) {}))
+		g.ReceiveSummary(t.Context(), &nodev1.EntrySummary{
+			Address: "10.0.0.2:1", Echo: uint64(now), EchoIncarnation: 7, ConfirmedAgeUs: &us,
+			Weights: []*nodev1.NamedWeights{{Model: "m", Version: 2, AgeUs: us, Exact: true}},
+		})
+		age, known := g.age()
+		require.True(t, !known || age >= 0, "age %v", age)
+		require.Equal(t, int64(2), g.targets.required("m", now), "%d: set long ago", us)
+		newest := g.targets.newest(now)
+		require.Len(t, newest, 1)
+		require.Less(t, newest[0].GetAgeUs(), uint64(1<<62), "%d", us)
+	}
+}
+
+// Versions that no model can have are not required.
+func TestOddVersionsInSummary(t *testing.T) {
+	const now = time.Minute
+	for _, version := range []int64{math.MaxInt64, 1<<53 + 1, 0, -1, math.MinInt64} {
+		g := newGateway(&clock{at: now}, WithVersionBound(8*time.Second, func(TargetVersion) {}))
+		g.ReceiveSummary(t.Context(), &nodev1.EntrySummary{
+			Address: "10.0.0.2:1", Echo: uint64(now), EchoIncarnation: 7,
+			Weights: []*nodev1.NamedWeights{{Model: "m", Version: version, AgeUs: 50_000_000, Exact: true}},
+		})
+		require.Zero(t, g.targets.required("m", now), "%d", version)
+		require.Empty(t, g.targets.newest(now), "%d", version)
+	}
+}
+
+// A peer that names an interval of weeks is missed within minutes.
+func TestOddIntervalInSummary(t *testing.T) {
+	c := &clock{at: time.Minute}
+	g := newGateway(c)
+	g.ReceiveSummary(t.Context(), &nodev1.EntrySummary{Address: "10.0.0.2:1", Region: "liepaja", FarIntervalMs: math.MaxUint32, Ready: true})
+	require.Len(t, g.peers.live(c.at), 1)
+	c.at += time.Hour
+	require.Empty(t, g.peers.live(c.at))
+}
+
 // Addresses that are none, however long, do not keep summaries from being sent.
 func TestOddAddressesInSummary(t *testing.T) {
 	const maxDatagram = 8 << 10
@@ -40,3 +83,17 @@
 	require.Positive(t, largest)
 	require.Less(t, largest, maxDatagram)
 }
+
+// Counts near the largest do not overflow when they are added up.
+func TestOddLoadsInSummary(t *testing.T) {
+	g := newGateway(&clock{at: time.Minute})
+	for n := range 300 {
+		g.ReceiveSummary(t.Context(), &nodev1.EntrySummary{
+			Address: fmt.Sprintf("10.0.0.%d:1", n+2), Endpoints: []uint32{1}, InFlight: []uint32{math.MaxUint32}, Unread: []uint32{math.MaxUint32},
+		})
+	}
+	load := g.peers.load()[1]
+	delay := latencyModelOf(nil).FirstEventDelay(load.InFlight, load.PrefillTokens, 1)
+	require.Positive(t, delay)
+	require.Less(t, delay, 365*24*time.Hour)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -166,7 +166,7 @@
 		return p.reporting && (p.reportingSince == 0 || now-p.reportingSince >= d)
 	}
 	if !q.sameRegion {
-		interval := time.Duration(q.summary.GetFarIntervalMs()) * time.Millisecond
+		interval := min(time.Duration(q.summary.GetFarIntervalMs())*time.Millisecond, maxSummaryInterval)
 		if broadcast := p.broadcastInterval(); !reportingFor(broadcast) {
 			interval = max(interval, broadcast)
 		}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
@@ -117,7 +118,7 @@
 	var list []*nodev1.NamedWeights
 	for model, versions := range t.byModel {
 		n := versions[len(versions)-1]
-		age := uint64((now - n.setAt) / time.Microsecond)
+		age := uint64(max(now-n.setAt, 0) / time.Microsecond)
 		list = append(list, &nodev1.NamedWeights{Model: model, Version: n.version, AgeUs: age, Exact: n.exact})
 	}
 	return list
@@ -194,8 +195,8 @@
 		return
 	}
 	for _, n := range m.GetWeights() {
-		setAt := time.Duration(m.GetEcho()) - time.Duration(n.GetAgeUs())*time.Microsecond
-		if n.GetExact() {
+		setAt := time.Duration(m.GetEcho()) - boottime.AgeFromMicros(n.GetAgeUs())
+		if n.GetExact() && validVersion(n.GetVersion()) {
 			g.addExactTarget(n.GetModel(), n.GetVersion(), setAt, m.GetAddress())
 		}
 	}
