Ages and clocks in answers for rows do not overflow

Callers could have been answered with revoked keys: the microseconds of an answer were converted without bounds, so that an age of hundreds of thousands of years became one of a second, and the copy counted as just confirmed.

Evidence: TestOddAnswers, in a first form that compared the time of the confirmation, on the code before: "expected: 50s actual: 1m0s", the time of the confirmation after an answer of that age; "Expected error with "update is invalid" in chain but got nil" for a clock that overflows.

Fix: larger values become the largest duration, which Merge rejects.

--- a/internal/transport/entries/entries_test.go
+++ b/internal/transport/entries/entries_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/protocol/nodev1/nodev1connect"
 	"github.com/primrosetally/primrosetally/internal/standin"
 )
 
@@ -122,3 +125,53 @@
 	require.NoError(t, ctx.Err())
 	require.Less(t, endless.Sent(), int64(mostSent))
 }
+
+// answers is an entry that sends one answer to every question for rows.
+type answers struct {
+	nodev1connect.UnimplementedEntryServiceHandler
+	answer *nodev1.FetchRowsResponse
+}
+
+func (a answers) FetchRows(context.Context, *connect.Request[nodev1.FetchRowsRequest]) (*connect.Response[nodev1.FetchRowsResponse], error) {
+	return connect.NewResponse(a.answer), nil
+}
+
+// An answer that is out of bounds is not merged, and never makes a copy look newer than it
+// is.
+func TestOddAnswers(t *testing.T) {
+	const now = time.Minute
+	for _, test := range []struct {
+		name   string
+		answer *nodev1.FetchRowsResponse
+		merged bool
+	}{
+		{"empty", &nodev1.FetchRowsResponse{}, true},
+		{"age of 292,000 years", &nodev1.FetchRowsResponse{Version: 9, StoreTimeUs: 1_000_000, AgeUs: math.MaxInt64}, false},
+		{"age that overflows to a second", &nodev1.FetchRowsResponse{Version: 9, StoreTimeUs: 1_000_000, AgeUs: 18446744073709552 + 1_000_000}, false},
+		{"negative age", &nodev1.FetchRowsResponse{Version: 9, StoreTimeUs: 1_000_000, AgeUs: math.MinInt64}, true},
+		{"clock that overflows to a second", &nodev1.FetchRowsResponse{Version: 9, StoreTimeUs: 18446744073709552 + 1_000_000}, false},
+		{"negative clock", &nodev1.FetchRowsResponse{Version: 9, StoreTimeUs: math.MinInt64}, false},
+		{"version of the largest number", &nodev1.FetchRowsResponse{Version: math.MaxInt64, Full: true}, false},
+		{"row newer than the answer", &nodev1.FetchRowsResponse{Version: 9, Rows: []*nodev1.TableRow{{Key: "a", Version: math.MaxInt64}}}, false},
+		{"null rows", &nodev1.FetchRowsResponse{Version: 9, Full: true, Rows: []*nodev1.TableRow{nil, {}}}, false},
+		{"floor above the version", &nodev1.FetchRowsResponse{Version: 9, Full: true, Floor: 10}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			mux := http.NewServeMux()
+			mux.Handle(nodev1connect.NewEntryServiceHandler(answers{answer: test.answer}))
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			own := tableOf(t, watch.Row{Key: "b", Version: 9})
+			confirmed := own.Confirmed()
+			clock := func() time.Duration { return now }
+			err := NewClient().Sync(t.Context(), server.Listener.Addr().String(), nodev1.Table_TABLE_OPERATOR, own, clock)
+			if !test.merged {
+				require.ErrorIs(t, err, watch.ErrInvalidUpdate)
+				require.Equal(t, confirmed, own.Confirmed())
+			}
+			require.LessOrEqual(t, own.Confirmed(), now)
+			require.NoError(t, own.Merge(watch.Update{Version: 10, StoreTime: time.Second, Rows: []watch.Row{{Key: "c", Version: 10}}}, now))
+			require.Equal(t, 2, own.State().Rows)
+		})
+	}
+}
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -123,8 +124,8 @@
 		Full:      m.GetFull(),
 		Floor:     m.GetFloor(),
 		Digest:    m.GetDigest(),
-		StoreTime: time.Duration(m.GetStoreTimeUs()) * time.Microsecond,
-		Age:       time.Duration(m.GetAgeUs()) * time.Microsecond,
+		StoreTime: microseconds(m.GetStoreTimeUs()),
+		Age:       microseconds(m.GetAgeUs()),
 		From:      address,
 	}
 	if p.Floor == 0 {
@@ -136,6 +137,13 @@
 	return p, nil
 }
 
+// microseconds returns a duration of a message, as the largest one if it is larger: the
+// copy then rejects it.
+func microseconds(us int64) time.Duration {
+	const largest = math.MaxInt64 / int64(time.Microsecond)
+	return time.Duration(max(min(us, largest), -largest)) * time.Microsecond
+}
+
 func (c *Client) service(address string) nodev1connect.EntryServiceClient {
 	// The rows stay uncompressed: entries of one region are near each other, and
 	// compressing costs each more processor time than the bytes cost the link.
