--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -188,11 +188,16 @@
 }
 
 // Merge applies the response to a call that was made at the given time. It returns
-// errStale if the response is older than the newest change in the copy, errNewEra if the
-// store has come back from an older copy and the response has not every row, and
-// ErrDiverged if a peer has other rows at the same position. After the last two the table
-// is to be listed.
+// errStale if the response is older than the newest change in the copy, an error that wraps
+// ErrInvalidUpdate if the response is out of bounds, errNewEra if the store has come back
+// from an older copy and the response has not every row, and ErrDiverged if a peer has
+// other rows at the same position. After the last two the table is to be listed.
 func (t *Table) Merge(u Update, started time.Duration) error {
+	if err := u.check(); err != nil {
+		return err
+	}
+	// The age of a copy is below 0 where the store's clock is faster than the peer's.
+	u.Age = max(u.Age, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u.Position.Before(Position{Era: t.position.Era, Version: t.contentVersion}) {
@@ -419,7 +424,8 @@
 // call was made, so the moment that it describes is no earlier than the time of the call
 // less the response's age. The difference of this bound and the store's time bounds the
 // clock offset from below. The largest bound so far converts the store's time of each
-// response to local time, also of a response that the store delayed for seconds.
+// response to local time, also of a response that the store delayed for seconds. No copy is
+// current as of a time to come, whatever the clocks say.
 //
 // After the store has come back from an older copy, what it lost may be newer than all
 // that it has. The copy counts as current again when that had time to be written again.
@@ -431,7 +437,7 @@
 	if t.restoredAt > 0 && t.now()-t.restoredAt < restoreGrace {
 		return
 	}
-	at := int64(u.StoreTime) + t.offset.Load()
+	at := min(int64(u.StoreTime)+t.offset.Load(), int64(t.now()))
 	if at > t.confirmed.Load() {
 		t.confirmed.Store(at)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -103,12 +103,13 @@
 	}
 }
 
-// add adds addresses of peers to send summaries to.
+// add adds addresses of peers to send summaries to. Texts that can't be addresses are
+// ignored.
 func (p *peers) add(addresses ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, a := range addresses {
-		if a != p.self && a != "" && p.known[a] == nil {
+		if a != p.self && validAddress(a) && p.known[a] == nil {
 			p.known[a] = &peer{}
 		}
 	}
@@ -165,7 +166,7 @@
 		return p.reporting && (p.reportingSince == 0 || now-p.reportingSince >= d)
 	}
 	if !q.sameRegion {
-		interval := time.Duration(q.summary.GetFarIntervalMs()) * time.Millisecond
+		interval := min(time.Duration(q.summary.GetFarIntervalMs())*time.Millisecond, maxSummaryInterval)
 		if broadcast := p.broadcastInterval(); !reportingFor(broadcast) {
 			interval = max(interval, broadcast)
 		}
@@ -302,7 +303,7 @@
 // ReceiveSummary processes a summary from another entry.
 func (g *Gateway) ReceiveSummary(ctx context.Context, m *nodev1.EntrySummary) {
 	now := g.now()
-	if m.GetAddress() == g.self.PeerAddress || m.GetAddress() == "" {
+	if m.GetAddress() == g.self.PeerAddress || !validAddress(m.GetAddress()) {
 		return
 	}
 	g.peers.add(m.GetAddress())
@@ -327,6 +328,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.known[m.GetAddress()]
+	if q == nil { // forgotten since it was added
+		q = &peer{}
+		p.known[m.GetAddress()] = q
+	}
 	returned = !p.alive(q, now)
 	if q.summary.GetIncarnation() == m.GetIncarnation() && m.GetStamp() < q.summary.GetStamp() {
 		return false, false // a newer datagram arrived before this one
