Order an endpoint to load only what was read back just before

Callers could get tokens made with chunks that had been corrupt for seconds: the staged chunks were read back one after the other, announced, and ordered to be loaded without looking at the time, so that a suspension of the agent or slow reads in between made the check as old as they lasted.

Fix: the age of the oldest read, on the clock that goes on during a suspension, is bounded by 2 s and checked as the last step before the body of the order is written, once the connection is there. Otherwise all chunks are read again.

What remains: a suspension of the agent between this check and the write, or of the endpoint with the order in its buffers, lets it accept the order later. Then the platform may have made a chunk corrupt since; no call of the protocol makes an order depend on the content of chunks.

--- /dev/null
+++ b/internal/replica/endpoint_test.go
@@ -0,0 +1,304 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/state/digest"
+	"github.com/primrosetally/primrosetally/internal/state/member"
+	"github.com/primrosetally/primrosetally/internal/state/model"
+)
+
+// Figures of the endpoint of the tests.
+const (
+	testChunks   = 12
+	testLoadTime = 50 * time.Millisecond
+	// excusedAge is the time before an accepted order within which a chunk may have become
+	// corrupt without fault of the agent.
+	excusedAge = 3 * time.Second
+)
+
+// content returns the content of a chunk of a version. Every third chunk is the same in
+// all versions.
+func content(version int64, chunk int) string {
+	if chunk%3 == 0 {
+		version = 0
+	}
+	return fmt.Sprintf("version %d chunk %d", version, chunk)
+}
+
+// testEndpoint is an endpoint with a staging area, and the origin of its weights, in
+// virtual time.
+type testEndpoint struct {
+	t   *testing.T
+	now func() time.Duration // the boottime clock
+
+	running sync.WaitGroup // what the endpoint does by itself
+
+	mu        sync.Mutex
+	suspended time.Duration // of the boottime clock, besides the time that timers count
+	started   int64
+	version   int64
+	busy      bool
+	staged    map[int]string
+	spoiltAt  map[int]time.Duration
+	loads     []int64 // the versions of the accepted orders
+	faults    []string
+
+	// Hooks of the tests, called before the endpoint carries out a call.
+	onRead     func(chunk int)
+	onAnnounce func()
+	onOrder    func()
+}
+
+func newTestEndpoint(t *testing.T, version int64) *testEndpoint {
+	e := &testEndpoint{
+		t: t, started: 1, version: version, staged: make(map[int]string), spoiltAt: make(map[int]time.Duration),
+		onRead: func(int) {}, onAnnounce: func() {}, onOrder: func() {},
+	}
+	for i := range testChunks {
+		if version > 0 {
+			e.staged[i] = content(version, i)
+		}
+	}
+	started := time.Now()
+	e.now = func() time.Duration {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return time.Minute + time.Since(started) + e.suspended
+	}
+	return e
+}
+
+// suspendAgent makes the boottime clock go on, while timers stand still.
+func (e *testEndpoint) suspendAgent(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspended += d
+}
+
+// start runs a Replica at the endpoint until the test ends.
+func (e *testEndpoint) start() *Replica {
+	r := New(agent(1), e.callbacks(), WithVersionBound(8*time.Second), WithClock(e.now))
+	ctx, cancel := context.WithCancel(e.t.Context())
+	done := r.Start(ctx)
+	e.t.Cleanup(func() {
+		cancel()
+		<-done
+		e.running.Wait()
+	})
+	r.SetTarget(Target{Model: "m", Version: 1, Initial: true})
+	return r
+}
+
+// spoil makes a staged chunk corrupt.
+func (e *testEndpoint) spoil(chunk int) {
+	at := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[chunk] += " corrupt"
+	e.spoiltAt[chunk] = at
+}
+
+// accept carries out an order. It records a fault for each chunk that is not that of the
+// version and did not become corrupt just before.
+func (e *testEndpoint) accept(o Order) error {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy {
+		return eris.New("busy")
+	}
+	for i := range testChunks {
+		if at, spoilt := e.spoiltAt[i]; e.staged[i] == content(o.Version, i) || spoilt && now-at < excusedAge {
+			continue
+		}
+		e.faults = append(e.faults, fmt.Sprintf("version %d was loaded with %q as chunk %d", o.Version, e.staged[i], i))
+	}
+	e.loads = append(e.loads, o.Version)
+	e.busy = true
+	e.running.Go(func() {
+		time.Sleep(testLoadTime)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.version, e.busy = o.Version, false
+	})
+	return nil
+}
+
+func (e *testEndpoint) put(chunk int, data string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[chunk] = data
+	delete(e.spoiltAt, chunk)
+}
+
+// state returns the loaded version, the versions of the accepted orders and the faults.
+func (e *testEndpoint) state() (version int64, loads []int64, faults []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version, append([]int64(nil), e.loads...), append([]string(nil), e.faults...)
+}
+
+// requireLoaded requires the version to be loaded within a time, without any fault.
+func (e *testEndpoint) requireLoaded(version int64, within time.Duration, name string) {
+	e.t.Helper()
+	deadline := time.Now().Add(within)
+	for {
+		loaded, loads, faults := e.state()
+		require.Empty(e.t, faults, name)
+		if loaded == version {
+			return
+		}
+		require.True(e.t, time.Now().Before(deadline), "%s: version %d is not loaded, orders %v", name, version, loads)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (e *testEndpoint) callbacks() Callbacks {
+	self := agent(1)
+	return Callbacks{
+		Status: func(context.Context, string) (Status, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return Status{Started: e.started, Version: e.version, Busy: e.busy}, nil
+		},
+		ListStaged: func(context.Context, string) ([]int, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			var list []int
+			for i := range e.staged {
+				list = append(list, i)
+			}
+			return list, nil
+		},
+		ReadStaged: func(_ context.Context, _ string, chunk int) ([]byte, error) {
+			e.onRead(chunk)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			data, found := e.staged[chunk]
+			if !found {
+				return nil, eris.New("missing")
+			}
+			return []byte(data), nil
+		},
+		Stage: func(_ context.Context, _ string, chunk int, data []byte) error {
+			e.put(chunk, string(data))
+			return nil
+		},
+		Load: func(_ context.Context, o Order) error {
+			e.onOrder()
+			if err := o.Check(); err != nil {
+				return err
+			}
+			return e.accept(o)
+		},
+		Announce: func(context.Context, string, int64, bool) { e.onAnnounce() },
+		OriginManifest: func(_ context.Context, _ string, version int64) (*model.Manifest, error) {
+			var list []string
+			for i := range testChunks {
+				list = append(list, content(version, i))
+			}
+			return manifest(e.t, version, list...), nil
+		},
+		OriginChunk: func(_ context.Context, _ string, version int64, chunk int) (io.ReadCloser, error) {
+			return io.NopCloser(bytes.NewReader([]byte(content(version, chunk)))), nil
+		},
+		ListPeers:    func(context.Context) ([]member.Member, error) { return []member.Member{self}, nil },
+		OriginRegion: func() string { return self.Region() },
+		FetchPeer: func(context.Context, member.Member, digest.Digest, int64) (io.ReadCloser, error) {
+			return nil, eris.New("no peers")
+		},
+	}
+}
+
+// A chunk may become corrupt while the agent is suspended between its read and the order:
+// all are read again then.
+func TestOrderRestsOnRecentReads(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		hook func(e *testEndpoint, suspend func())
+	}{
+		{"suspended between reads", func(e *testEndpoint, suspend func()) {
+			e.onRead = func(chunk int) {
+				if chunk == 5 {
+					suspend()
+				}
+			}
+		}},
+		{"suspended after the last read", func(e *testEndpoint, suspend func()) {
+			e.onRead = func(chunk int) {
+				if chunk == testChunks-1 {
+					suspend()
+				}
+			}
+		}},
+		{"suspended in the announcement", func(e *testEndpoint, suspend func()) { e.onAnnounce = suspend }},
+		{"suspended as the connection is opened", func(e *testEndpoint, suspend func()) { e.onOrder = suspend }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEndpoint(t, 1)
+				var armed atomic.Bool
+				test.hook(e, func() {
+					if armed.Swap(false) {
+						e.spoil(1)
+						e.suspendAgent(4 * time.Second)
+					}
+				})
+				r := e.start()
+				time.Sleep(2 * time.Second)
+				armed.Store(true)
+				r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+				e.requireLoaded(2, 8*time.Second, test.name)
+			})
+		})
+	}
+}
+
+// Reads that are too slow one after the other are made concurrently. An endpoint that is too
+// slow for that as well is not ordered, and is as soon as it is fast again.
+func TestSlowReadsBeforeOrder(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		read   time.Duration
+		within time.Duration
+		loads  bool
+	}{
+		{"fast", time.Millisecond, 4 * time.Second, true},
+		{"one after the other too slow", 400 * time.Millisecond, 12 * time.Second, true},
+		{"concurrently too slow", 2500 * time.Millisecond, time.Minute, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestEndpoint(t, 1)
+				var read atomic.Int64
+				read.Store(int64(time.Millisecond))
+				e.onRead = func(int) { time.Sleep(time.Duration(read.Load())) }
+				r := e.start()
+				time.Sleep(2 * time.Second)
+				read.Store(int64(test.read))
+				r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+				if test.loads {
+					e.requireLoaded(2, test.within, test.name)
+					return
+				}
+				time.Sleep(test.within)
+				_, loads, _ := e.state()
+				require.Empty(t, loads, test.name)
+				read.Store(int64(time.Millisecond))
+				e.requireLoaded(2, 10*time.Second, test.name+", then fast")
+			})
+		})
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,6 +44,16 @@
 	Busy bool
 }
 
+// Order is an order to load the staged chunks as they are when it is accepted.
+type Order struct {
+	// Model and Version are what the staged chunks are loaded as.
+	Model   string
+	Version int64
+	// Check must be called as the last step before the order is sent, after any wait for a
+	// connection. The order must not be sent if it returns an error.
+	Check func() error
+}
+
 // Callbacks are the functions through which a Replica calls the endpoint, the origin,
 // the peers and the entries.
 type Callbacks struct {
@@ -54,8 +64,8 @@
 	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back.
 	Stage      func(ctx context.Context, model string, chunk int, data []byte) error
 	ReadStaged func(ctx context.Context, model string, chunk int) ([]byte, error)
-	// Load orders the endpoint to load the staged chunks as a version.
-	Load func(ctx context.Context, model string, version int64) error
+	// Load gives the endpoint an order.
+	Load func(ctx context.Context, o Order) error
 	// OriginManifest and OriginChunk read from the origin.
 	OriginManifest func(ctx context.Context, model string, version int64) (*model.Manifest, error)
 	OriginChunk    func(ctx context.Context, model string, version int64, chunk int) (io.ReadCloser, error)
@@ -89,6 +99,8 @@
 	targets []target // every target so far, oldest first
 	staging stagingState
 	uploads *swarm.UploadLimiter
+
+	verification verification // used by the goroutine of Start only
 }
 
 // stagingState records which chunks of a manifest are verified and staged.
@@ -134,6 +146,8 @@
 		now:       boottime.Now,
 		uplink:    rate.NewLimiter(rate.Inf, 0),
 		wake:      make(chan struct{}, 1),
+
+		verification: verification{readers: 1},
 	}
 	for _, o := range options {
 		o(r)
@@ -285,26 +299,6 @@
 	}
 }
 
-// verifyStaged reads back the staged chunks, of any version, and marks those that match
-// the manifest's chunk at the same index.
-func (r *Replica) verifyStaged(ctx context.Context, t target, s stagingState) error {
-	list, err := r.callbacks.ListStaged(ctx, t.model)
-	if err != nil {
-		return err
-	}
-	for _, i := range list {
-		if i < len(s.staged) {
-			s.staged[i] = r.chunkIntact(ctx, t.model, s.manifest, i)
-		}
-	}
-	return nil
-}
-
-func (r *Replica) chunkIntact(ctx context.Context, model string, m *model.Manifest, chunk int) bool {
-	data, err := r.callbacks.ReadStaged(ctx, model, chunk)
-	return err == nil && digest.Of(data) == m.Chunk(chunk).Digest()
-}
-
 func (r *Replica) fullyStaged(m *model.Manifest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -319,64 +313,6 @@
 	return true
 }
 
-// verifyAll reads back and verifies every chunk, clears the mark of corrupt ones so that
-// they are fetched again, and reports whether all are intact.
-func (r *Replica) verifyAll(ctx context.Context, t target) bool {
-	r.mu.Lock()
-	s := r.staging
-	r.mu.Unlock()
-	intact := true
-	for i := range s.staged {
-		if r.chunkIntact(ctx, t.model, s.manifest, i) {
-			continue
-		}
-		intact = false
-		telemetry.StagedChunkSpoilt.Log(ctx, r.logger, "model", t.model, "version", t.version, "chunk", i)
-		r.mu.Lock()
-		s.staged[i] = false
-		r.mu.Unlock()
-	}
-	return intact
-}
-
-// load orders the endpoint to load the staged version when its wave is due, and waits
-// until the endpoint has loaded it.
-func (r *Replica) load(ctx context.Context, t target) error {
-	if err := r.awaitWave(ctx, t); err != nil {
-		return err
-	}
-	if !r.verifyAll(ctx, t) {
-		return eris.New("staged chunks are corrupt")
-	}
-	r.callbacks.Announce(ctx, t.model, t.version, true)
-	r.sleep(ctx, announceDelay)
-	if err := r.callbacks.Load(ctx, t.model, t.version); err != nil {
-		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
-		return err
-	}
-	telemetry.EndpointOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt)
-	deadline := r.now() + loadTimeout
-	for r.now() < deadline {
-		r.sleep(ctx, loadPollInterval)
-		status, err := r.callbacks.Status(ctx, t.model)
-		if err != nil {
-			return err
-		}
-		if status.Version >= t.version {
-			r.callbacks.Announce(ctx, t.model, status.Version, false)
-			telemetry.WeightsInService.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt)
-			return nil
-		}
-		if !status.Busy {
-			return eris.New("endpoint is not loading")
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	return eris.New("endpoint did not load before the timeout")
-}
-
 func (r *Replica) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
