Keep the staged version while an order to load it may still be accepted

Callers could get tokens made on chunks of two versions: an endpoint that was suspended, or whose answer was lost, accepts an order after the agent has given it up, and by then the agent had staged chunks of the next version over those of the order. It could also be set back to an older version that way.

Fix: an order carries as its precondition the number of orders that the endpoint's process has accepted, from a status that is read before the staged chunks are. One whose outcome is unknown is recorded with that number and the start of the process. Until the endpoint has accepted an order, was started again or was seen running for 10 s without accepting it, the order's version stays what is staged, and it is ordered again under the same precondition, so that one of both is accepted at most, with its own chunks in either case. An error of an order says whether the endpoint has rejected it; orders are no longer canceled by a stop of the agent.

What remains: an order that an endpoint accepts after 10 s in which it answered and did not accept it, if its own chunks could not be repaired so long.

--- a/internal/replica/endpoint_test.go
+++ b/internal/replica/endpoint_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,8 +53,12 @@
 	busy      bool
 	staged    map[int]string
 	spoiltAt  map[int]time.Duration
-	loads     []int64 // the versions of the accepted orders
+	sequence  int64   // orders accepted since the start
+	loads     []int64 // the versions of all accepted orders
 	faults    []string
+	lost      int64                  // version that the origin has no more
+	keepCalls func(call string) bool // into the buffers instead of carrying them out
+	kept      []func()               // calls in the buffers
 
 	// Hooks of the tests, called before the endpoint carries out a call.
 	onRead     func(chunk int)
@@ -64,7 +69,8 @@
 func newTestEndpoint(t *testing.T, version int64) *testEndpoint {
 	e := &testEndpoint{
 		t: t, started: 1, version: version, staged: make(map[int]string), spoiltAt: make(map[int]time.Duration),
-		onRead: func(int) {}, onAnnounce: func() {}, onOrder: func() {},
+		keepCalls: func(string) bool { return false },
+		onRead:    func(int) {}, onAnnounce: func() {}, onOrder: func() {},
 	}
 	for i := range testChunks {
 		if version > 0 {
@@ -110,14 +116,68 @@
 	e.spoiltAt[chunk] = at
 }
 
+// callTimeout is after how long the agent gives up a call without an answer.
+const callTimeout = 3 * time.Second
+
+// keep keeps a call in the buffers, if it is to be kept, and returns an error after the
+// timeout of the call.
+func (e *testEndpoint) keep(call string, carryOut func()) error {
+	e.mu.Lock()
+	kept := e.keepCalls(call)
+	if kept {
+		e.kept = append(e.kept, carryOut)
+	}
+	e.mu.Unlock()
+	if !kept {
+		return nil
+	}
+	time.Sleep(callTimeout)
+	return eris.New("no answer")
+}
+
+// setKept sets which calls are kept in the buffers from now on.
+func (e *testEndpoint) setKept(keep func(call string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keepCalls = keep
+}
+
+// release carries out the calls in the buffers, in the order of their arrival or the
+// reverse, and keeps no more.
+func (e *testEndpoint) release(reverse bool) {
+	e.mu.Lock()
+	kept := e.kept
+	e.kept = nil
+	e.keepCalls = func(string) bool { return false }
+	e.mu.Unlock()
+	if reverse {
+		slices.Reverse(kept)
+	}
+	for _, carryOut := range kept {
+		carryOut()
+	}
+}
+
+// restart starts the endpoint's process again under its identity. What was in its buffers
+// is lost, and so are the staged chunks if it lost power.
+func (e *testEndpoint) restart(lostPower bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.started++
+	e.sequence, e.version, e.busy, e.kept = 0, 0, false, nil
+	if lostPower {
+		clear(e.staged)
+	}
+}
+
 // accept carries out an order. It records a fault for each chunk that is not that of the
 // version and did not become corrupt just before.
 func (e *testEndpoint) accept(o Order) error {
 	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.busy {
-		return eris.New("busy")
+	if e.busy || o.Sequence != e.sequence {
+		return eris.Wrapf(ErrRejected, "busy %v, sequence %d", e.busy, e.sequence)
 	}
 	for i := range testChunks {
 		if at, spoilt := e.spoiltAt[i]; e.staged[i] == content(o.Version, i) || spoilt && now-at < excusedAge {
@@ -126,12 +186,16 @@
 		e.faults = append(e.faults, fmt.Sprintf("version %d was loaded with %q as chunk %d", o.Version, e.staged[i], i))
 	}
 	e.loads = append(e.loads, o.Version)
+	e.sequence++
 	e.busy = true
+	started := e.started
 	e.running.Go(func() {
 		time.Sleep(testLoadTime)
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.version, e.busy = o.Version, false
+		if e.started == started {
+			e.version, e.busy = o.Version, false
+		}
 	})
 	return nil
 }
@@ -169,9 +233,12 @@
 	self := agent(1)
 	return Callbacks{
 		Status: func(context.Context, string) (Status, error) {
+			if err := e.keep("status", func() {}); err != nil {
+				return Status{}, err
+			}
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return Status{Started: e.started, Version: e.version, Busy: e.busy}, nil
+			return Status{Started: e.started, Version: e.version, Busy: e.busy, Sequence: e.sequence}, nil
 		},
 		ListStaged: func(context.Context, string) ([]int, error) {
 			e.mu.Lock()
@@ -184,6 +251,9 @@
 		},
 		ReadStaged: func(_ context.Context, _ string, chunk int) ([]byte, error) {
 			e.onRead(chunk)
+			if err := e.keep("read", func() {}); err != nil {
+				return nil, err
+			}
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			data, found := e.staged[chunk]
@@ -193,7 +263,11 @@
 			return []byte(data), nil
 		},
 		Stage: func(_ context.Context, _ string, chunk int, data []byte) error {
-			e.put(chunk, string(data))
+			text := string(data)
+			if err := e.keep("stage", func() { e.put(chunk, text) }); err != nil {
+				return err
+			}
+			e.put(chunk, text)
 			return nil
 		},
 		Load: func(_ context.Context, o Order) error {
@@ -201,6 +275,9 @@
 			if err := o.Check(); err != nil {
 				return err
 			}
+			if err := e.keep("order", func() { _ = e.accept(o) }); err != nil {
+				return err
+			}
 			return e.accept(o)
 		},
 		Announce: func(context.Context, string, int64, bool) { e.onAnnounce() },
@@ -212,6 +289,11 @@
 			return manifest(e.t, version, list...), nil
 		},
 		OriginChunk: func(_ context.Context, _ string, version int64, chunk int) (io.ReadCloser, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if version == e.lost {
+				return nil, eris.New("gone")
+			}
 			return io.NopCloser(bytes.NewReader([]byte(content(version, chunk)))), nil
 		},
 		ListPeers:    func(context.Context) ([]member.Member, error) { return []member.Member{self}, nil },
@@ -302,3 +384,84 @@
 		})
 	}
 }
+
+// startAndArm runs a Replica, which calls atOrder as it gives its next order.
+func (e *testEndpoint) startAndArm(atOrder func()) *Replica {
+	var armed atomic.Bool
+	e.onOrder = func() {
+		if armed.Swap(false) {
+			atOrder()
+		}
+	}
+	r := e.start()
+	time.Sleep(2 * time.Second)
+	armed.Store(true)
+	return r
+}
+
+// keeps returns a function that keeps the named calls.
+func keeps(calls ...string) func(string) bool {
+	return func(call string) bool { return slices.Contains(calls, call) }
+}
+
+// An order without an answer may be accepted later, when another version is the target. The
+// chunks that are staged by then must be those of the order.
+func TestOrderWithoutAnswerIsAcceptedLater(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		kept    []string
+		next    time.Duration // from the order until the next version is set
+		release time.Duration // and until the endpoint carries out what is in its buffers
+		calls   func(e *testEndpoint)
+	}{
+		{"the order is late", []string{"order"}, 100 * time.Millisecond, 4 * time.Second, nil},
+		{"the order is later than the wave of the next version", []string{"order"}, 100 * time.Millisecond, 6 * time.Second, nil},
+		{"the order and the next version are late", []string{"order"}, 4 * time.Second, 6 * time.Second, nil},
+		{"the endpoint is suspended", []string{"order", "status", "read", "stage"}, 100 * time.Millisecond, 5 * time.Second, nil},
+		{"the endpoint is suspended for long", []string{"order", "status", "read", "stage"}, time.Second, 25 * time.Second, nil},
+		{"a chunk becomes corrupt", []string{"order"}, 100 * time.Millisecond, 7 * time.Second, func(e *testEndpoint) { e.spoil(4) }},
+		{"the endpoint restarts", []string{"order"}, 100 * time.Millisecond, 5 * time.Second, func(e *testEndpoint) { e.restart(false) }},
+		{"the endpoint loses power", []string{"order", "status"}, 100 * time.Millisecond, 5 * time.Second, func(e *testEndpoint) { e.restart(true) }},
+	} {
+		for _, reverse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, newest call first %v", test.name, reverse), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestEndpoint(t, 1)
+					ordered := make(chan struct{})
+					r := e.startAndArm(func() {
+						e.setKept(keeps(test.kept...))
+						close(ordered)
+					})
+					r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+					<-ordered
+					time.Sleep(test.next)
+					r.SetTarget(Target{Model: "m", Version: 3, Exact: true})
+					if test.calls != nil {
+						test.calls(e)
+					}
+					time.Sleep(test.release - test.next)
+					e.release(reverse)
+					e.requireLoaded(3, 20*time.Second, test.name)
+				})
+			})
+		}
+	}
+}
+
+// An order that is never accepted does not keep the endpoint from later versions, not even
+// if its chunks can't be had any more.
+func TestOrderWithoutAnswerIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEndpoint(t, 1)
+		r := e.startAndArm(func() { e.setKept(keeps("order")) })
+		r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+		time.Sleep(4 * time.Second)
+		e.spoil(4)
+		e.mu.Lock()
+		e.kept, e.keepCalls = nil, keeps() // the order is lost
+		e.lost = 2
+		e.mu.Unlock()
+		r.SetTarget(Target{Model: "m", Version: 3, Exact: true})
+		e.requireLoaded(3, time.Minute, "given up")
+	})
+}
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -14,30 +14,50 @@
 const maxOrderAttempts = 4
 
 // load orders the endpoint to load the staged version when its wave is due, and waits
-// until the endpoint has loaded it.
+// until the endpoint has loaded it. A pinned version was due before.
 func (r *Replica) load(ctx context.Context, t target) error {
-	if err := r.awaitWave(ctx, t); err != nil {
-		return err
-	}
-	err := errStaleReads
-	for n := 0; errors.Is(err, errStaleReads) && n < maxOrderAttempts; n++ {
-		err = r.verifyAndOrder(ctx, t)
+	if !t.pinned {
+		if err := r.awaitWave(ctx, t); err != nil {
+			return err
+		}
 	}
+	status, err := r.callbacks.Status(ctx, t.model)
 	if err != nil {
 		return err
 	}
+	if t.pinned && r.pending.settled(status) {
+		return errSuperseded // by the target, which may be another version
+	}
+	if status.Version >= t.version {
+		return nil
+	}
+	if !status.Busy {
+		if err := r.orderVerified(ctx, t, status); err != nil {
+			return err
+		}
+	}
 	return r.awaitLoaded(ctx, t)
 }
 
+// orderVerified orders the endpoint, as it is by its status, to load the staged chunks. They
+// are read back again if the reads become stale before the order is sent.
+func (r *Replica) orderVerified(ctx context.Context, t target, s Status) error {
+	err := errStaleReads
+	for n := 0; errors.Is(err, errStaleReads) && n < maxOrderAttempts; n++ {
+		err = r.verifyAndOrder(ctx, t, s)
+	}
+	return err
+}
+
 // verifyAndOrder reads back the staged chunks and orders the endpoint to load them. The
 // error wraps errStaleReads if that took too long, as after a suspension of the process.
-func (r *Replica) verifyAndOrder(ctx context.Context, t target) error {
+func (r *Replica) verifyAndOrder(ctx context.Context, t target, s Status) error {
 	if err := r.verifyInTime(ctx, t); err != nil {
 		return err
 	}
 	r.callbacks.Announce(ctx, t.model, t.version, true)
 	r.sleep(ctx, announceDelay)
-	if err := r.callbacks.Load(ctx, Order{Model: t.model, Version: t.version, Check: r.checkReadAge}); err != nil {
+	if err := r.order(ctx, t, s); err != nil {
 		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
 		return err
 	}
@@ -45,6 +65,20 @@
 	return nil
 }
 
+// order gives the order and records it as pending if its outcome is unknown. It is not
+// canceled with ctx, since that would leave its outcome unknown.
+func (r *Replica) order(ctx context.Context, t target, s Status) error {
+	o := Order{Model: t.model, Version: t.version, Sequence: s.Sequence, Check: r.checkReadAge}
+	err := r.callbacks.Load(context.WithoutCancel(ctx), o)
+	switch {
+	case err == nil:
+		r.pending = nil
+	case !errors.Is(err, ErrRejected) && !errors.Is(err, errStaleReads):
+		r.pending = newPendingOrder(t, s)
+	}
+	return err
+}
+
 // awaitLoaded waits until the endpoint has loaded the version that it was ordered to load.
 func (r *Replica) awaitLoaded(ctx context.Context, t target) error {
 	deadline := r.now() + loadTimeout
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -42,6 +43,8 @@
 	Version int64
 	// Busy reports whether an order is in progress.
 	Busy bool
+	// Sequence is the number of orders that this process has accepted.
+	Sequence int64
 }
 
 // Order is an order to load the staged chunks as they are when it is accepted.
@@ -49,6 +52,10 @@
 	// Model and Version are what the staged chunks are loaded as.
 	Model   string
 	Version int64
+	// Sequence is a precondition: the endpoint rejects the order if it has accepted another
+	// number of orders. So at most one of several orders with the same number is accepted,
+	// however late.
+	Sequence int64
 	// Check must be called as the last step before the order is sent, after any wait for a
 	// connection. The order must not be sent if it returns an error.
 	Check func() error
@@ -64,7 +71,9 @@
 	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back.
 	Stage      func(ctx context.Context, model string, chunk int, data []byte) error
 	ReadStaged func(ctx context.Context, model string, chunk int) ([]byte, error)
-	// Load gives the endpoint an order.
+	// Load gives the endpoint an order. The error wraps ErrRejected, or is that of the
+	// order's Check, if the order was not accepted and will not be; any other error says
+	// that it may be accepted later.
 	Load func(ctx context.Context, o Order) error
 	// OriginManifest and OriginChunk read from the origin.
 	OriginManifest func(ctx context.Context, model string, version int64) (*model.Manifest, error)
@@ -100,7 +109,9 @@
 	staging stagingState
 	uploads *swarm.UploadLimiter
 
-	verification verification // used by the goroutine of Start only
+	// Used by the goroutine of Start only.
+	verification verification
+	pending      *pendingOrder // nil for none
 }
 
 // stagingState records which chunks of a manifest are verified and staged.
@@ -169,6 +180,10 @@
 	loadTimeout = 12 * time.Second
 )
 
+// ErrRejected is wrapped by the error of a call that the endpoint has not carried out and
+// will not carry out.
+var ErrRejected = eris.New("endpoint rejected the call")
+
 // errSuperseded is returned for a version that is no longer the target.
 var errSuperseded = eris.New("target version was superseded")
 
@@ -207,11 +222,12 @@
 		telemetry.EndpointNotReached.Log(ctx, r.logger, "error", err)
 		return retryInterval
 	}
+	t = r.pinPending(t, status)
 	err = r.stageAll(ctx, t)
 	if err == nil && status.Version < t.version {
 		err = r.load(ctx, t)
 	}
-	if err == errSuperseded {
+	if errors.Is(err, errSuperseded) {
 		return 0
 	}
 	if err != nil && ctx.Err() == nil {
@@ -221,7 +237,8 @@
 	return checkInterval
 }
 
-// stageAll stages every chunk of the target version.
+// stageAll stages every chunk of the target version. For a pinned version it takes
+// pinnedStagingTime at most, since its chunks may not be available any more.
 func (r *Replica) stageAll(ctx context.Context, t target) error {
 	m, err := r.manifest(ctx, t)
 	if err != nil {
@@ -230,7 +247,7 @@
 	if r.fullyStaged(m) {
 		return nil
 	}
-	run, cancel := context.WithCancel(ctx)
+	run, cancel := stagingContext(ctx, t)
 	defer cancel()
 	ended := make(chan error, 1)
 	exchange := r.newExchange(m, t)
@@ -254,6 +271,14 @@
 	}
 }
 
+// stagingContext returns the context in which a version is staged.
+func stagingContext(ctx context.Context, t target) (context.Context, context.CancelFunc) {
+	if t.pinned {
+		return context.WithTimeout(ctx, pinnedStagingTime)
+	}
+	return context.WithCancel(ctx)
+}
+
 // manifest returns the manifest of the target version and initializes the record of its
 // staged chunks.
 func (r *Replica) manifest(ctx context.Context, t target) (*model.Manifest, error) {
--- a/internal/replica/target.go
+++ b/internal/replica/target.go
@@ -15,6 +15,7 @@
 	setAt   time.Duration
 	exact   bool // an entry observed when the version was set
 	initial bool // the initial version, without a version bound
+	pinned  bool // an order to load it may still be accepted, so it is not superseded
 }
 
 // Target describes a version that the operators have set.
@@ -68,8 +69,11 @@
 	return true
 }
 
-// superseded reports whether the target is another version now.
+// superseded reports whether the target is another version now and t is not pinned.
 func (r *Replica) superseded(t target) bool {
+	if t.pinned {
+		return false
+	}
 	now := r.currentTarget()
 	return now.model != t.model || now.version != t.version
 }
