--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,9 +18,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +43,22 @@
 	Version int64
 	// Busy reports whether an order is in progress.
 	Busy bool
+	// Sequence is the number of orders that this process has accepted.
+	Sequence int64
+}
+
+// Order is an order to load the staged chunks as they are when it is accepted.
+type Order struct {
+	// Model and Version are what the staged chunks are loaded as.
+	Model   string
+	Version int64
+	// Sequence is a precondition: the endpoint rejects the order if it has accepted another
+	// number of orders. So at most one of several orders with the same number is accepted,
+	// however late.
+	Sequence int64
+	// Check must be called as the last step before the order is sent, after any wait for a
+	// connection. The order must not be sent if it returns an error.
+	Check func() error
 }
 
 // Callbacks are the functions through which a Replica calls the endpoint, the origin,
@@ -55,8 +71,10 @@
 	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back.
 	Stage      func(ctx context.Context, model string, chunk int, data []byte) error
 	ReadStaged func(ctx context.Context, model string, chunk int) ([]byte, error)
-	// Load orders the endpoint to load the staged chunks as a version.
-	Load func(ctx context.Context, model string, version int64) error
+	// Load gives the endpoint an order. The error wraps ErrRejected, or is that of the
+	// order's Check, if the order was not accepted and will not be; any other error says
+	// that it may be accepted later.
+	Load func(ctx context.Context, o Order) error
 	// OriginManifest and OriginChunk read from the origin.
 	OriginManifest func(ctx context.Context, model string, version int64) (*model.Manifest, error)
 	OriginChunk    func(ctx context.Context, model string, version int64, chunk int) (io.ReadCloser, error)
@@ -90,6 +108,10 @@
 	targets []target // every target so far, oldest first
 	staging stagingState
 	uploads *swarm.UploadLimiter
+
+	// Used by the goroutine of Start only.
+	verification verification
+	pending      *pendingOrder // nil for none
 }
 
 // stagingState records which chunks of a manifest are verified and staged.
@@ -135,6 +157,8 @@
 		now:       boottime.Now,
 		uplink:    rate.NewLimiter(rate.Inf, 0),
 		wake:      make(chan struct{}, 1),
+
+		verification: verification{readers: 1},
 	}
 	for _, o := range options {
 		o(r)
@@ -156,6 +180,10 @@
 	loadTimeout = 12 * time.Second
 )
 
+// ErrRejected is wrapped by the error of a call that the endpoint has not carried out and
+// will not carry out.
+var ErrRejected = eris.New("endpoint rejected the call")
+
 // errSuperseded is returned for a version that is no longer the target.
 var errSuperseded = eris.New("target version was superseded")
 
@@ -194,11 +222,12 @@
 		telemetry.EndpointNotReached.Log(ctx, r.logger, "error", err)
 		return retryInterval
 	}
+	t = r.pinPending(t, status)
 	err = r.stageAll(ctx, t)
 	if err == nil && status.Version < t.version {
 		err = r.load(ctx, t)
 	}
-	if err == errSuperseded {
+	if errors.Is(err, errSuperseded) {
 		return 0
 	}
 	if err != nil && ctx.Err() == nil {
@@ -208,7 +237,8 @@
 	return checkInterval
 }
 
-// stageAll stages every chunk of the target version.
+// stageAll stages every chunk of the target version. For a pinned version it takes
+// pinnedStagingTime at most, since its chunks may not be available any more.
 func (r *Replica) stageAll(ctx context.Context, t target) error {
 	m, err := r.manifest(ctx, t)
 	if err != nil {
@@ -217,7 +247,7 @@
 	if r.fullyStaged(m) {
 		return nil
 	}
-	run, cancel := context.WithCancel(ctx)
+	run, cancel := stagingContext(ctx, t)
 	defer cancel()
 	ended := make(chan error, 1)
 	exchange := r.newExchange(m, t)
@@ -241,6 +271,14 @@
 	}
 }
 
+// stagingContext returns the context in which a version is staged.
+func stagingContext(ctx context.Context, t target) (context.Context, context.CancelFunc) {
+	if t.pinned {
+		return context.WithTimeout(ctx, pinnedStagingTime)
+	}
+	return context.WithCancel(ctx)
+}
+
 // manifest returns the manifest of the target version and initializes the record of its
 // staged chunks.
 func (r *Replica) manifest(ctx context.Context, t target) (*model.Manifest, error) {
@@ -286,27 +324,6 @@
 	}
 }
 
-// verifyStaged reads back the staged chunks, of any version, and marks those that match
-// the manifest's chunk at the same index.
-func (r *Replica) verifyStaged(ctx context.Context, t target, s stagingState) error {
-	list, err := r.callbacks.ListStaged(ctx, t.model)
-	if err != nil {
-		return err
-	}
-	slices.Sort(list)
-	for _, i := range slices.Compact(list) {
-		if i >= 0 && i < len(s.staged) {
-			s.staged[i] = r.chunkIntact(ctx, t.model, s.manifest, i)
-		}
-	}
-	return nil
-}
-
-func (r *Replica) chunkIntact(ctx context.Context, model string, m *model.Manifest, chunk int) bool {
-	data, err := r.callbacks.ReadStaged(ctx, model, chunk)
-	return err == nil && digest.Of(data) == m.Chunk(chunk).Digest()
-}
-
 func (r *Replica) fullyStaged(m *model.Manifest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -321,64 +338,6 @@
 	return true
 }
 
-// verifyAll reads back and verifies every chunk, clears the mark of corrupt ones so that
-// they are fetched again, and reports whether all are intact.
-func (r *Replica) verifyAll(ctx context.Context, t target) bool {
-	r.mu.Lock()
-	s := r.staging
-	r.mu.Unlock()
-	intact := true
-	for i := range s.staged {
-		if r.chunkIntact(ctx, t.model, s.manifest, i) {
-			continue
-		}
-		intact = false
-		telemetry.StagedChunkSpoilt.Log(ctx, r.logger, "model", t.model, "version", t.version, "chunk", i)
-		r.mu.Lock()
-		s.staged[i] = false
-		r.mu.Unlock()
-	}
-	return intact
-}
-
-// load orders the endpoint to load the staged version when its wave is due, and waits
-// until the endpoint has loaded it.
-func (r *Replica) load(ctx context.Context, t target) error {
-	if err := r.awaitWave(ctx, t); err != nil {
-		return err
-	}
-	if !r.verifyAll(ctx, t) {
-		return eris.New("staged chunks are corrupt")
-	}
-	r.callbacks.Announce(ctx, t.model, t.version, true)
-	r.sleep(ctx, announceDelay)
-	if err := r.callbacks.Load(ctx, t.model, t.version); err != nil {
-		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
-		return err
-	}
-	telemetry.EndpointOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt)
-	deadline := r.now() + loadTimeout
-	for r.now() < deadline {
-		r.sleep(ctx, loadPollInterval)
-		status, err := r.callbacks.Status(ctx, t.model)
-		if err != nil {
-			return err
-		}
-		if status.Version >= t.version {
-			r.callbacks.Announce(ctx, t.model, status.Version, false)
-			telemetry.WeightsInService.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt)
-			return nil
-		}
-		if !status.Busy {
-			return eris.New("endpoint is not loading")
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	return eris.New("endpoint did not load before the timeout")
-}
-
 func (r *Replica) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
