Wait for writes without an answer before chunks are read back

Callers could get tokens made with a chunk of an older version: a write to the staging area that was cut off by a newer target version, or whose answer never came, may be carried out after the chunk of the newer version was staged in its place and read back. The record of staged chunks says "staged" for it all the while. An agent that starts knows nothing of such writes, nor of orders, of its predecessor. And an endpoint that lost its staged chunks in a restart between the reads and the order accepted the order, as both its starts had accepted none.

Evidence: without the wait, TestWriteWithoutAnswerIsCarriedOutLater says "version 3 was loaded with "version 2 chunk 2" as chunk 2" and all four cases of TestCallsOfEarlierProcessAreCarriedOutLater fail with chunks of two versions; without the last look at the status, TestEndpointRestartsDuringRollout/as_it_is_announced,_lost_power_true loads missing chunks. The other five cases of it pass on either: the read-back finds what a restart has lost, and the record is corrected by it.

Fix: a write is no longer canceled, and one without an answer is recorded with its version. Before the staged chunks are read back for another version, the endpoint must have been seen running for 3 s since, or be another process. The same holds, for 1 s, for what an earlier process of the agent may have left; meanwhile nothing is overwritten unless the staging area was empty. The status is read once more just before the order.

What remains: a write or an order of an earlier process that the endpoint carries out after it has answered for 3 s (1 s), and a restart in the milliseconds between the last status and the order, which the bound on the age of the reads excuses.

Result: go test -race -count=5 ./internal/replica passes, and TestEngineAcceptsOrderLate, TestWeightsReachEveryEndpoint and TestRequestsOfEachKind.

--- a/internal/replica/endpoint_test.go
+++ b/internal/replica/endpoint_test.go
@@ -59,6 +59,7 @@
 	lost      int64                  // version that the origin has no more
 	keepCalls func(call string) bool // into the buffers instead of carrying them out
 	kept      []func()               // calls in the buffers
+	late      func()                 // call that is carried out just before an order
 
 	// Hooks of the tests, called before the endpoint carries out a call.
 	onRead     func(chunk int)
@@ -121,7 +122,7 @@
 
 // keep keeps a call in the buffers, if it is to be kept, and returns an error after the
 // timeout of the call.
-func (e *testEndpoint) keep(call string, carryOut func()) error {
+func (e *testEndpoint) keep(ctx context.Context, call string, carryOut func()) error {
 	e.mu.Lock()
 	kept := e.keepCalls(call)
 	if kept {
@@ -131,8 +132,10 @@
 	if !kept {
 		return nil
 	}
-	time.Sleep(callTimeout)
-	return eris.New("no answer")
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 // setKept sets which calls are kept in the buffers from now on.
@@ -158,6 +161,28 @@
 	}
 }
 
+// setLate makes a call be carried out as late as that can be: between the verification of
+// the staged chunks and the order, or at the latest after a time.
+func (e *testEndpoint) setLate(call func(), latest time.Duration) {
+	e.mu.Lock()
+	e.late = call
+	e.mu.Unlock()
+	e.running.Go(func() {
+		time.Sleep(latest)
+		e.carryOutLate()
+	})
+}
+
+func (e *testEndpoint) carryOutLate() {
+	e.mu.Lock()
+	call := e.late
+	e.late = nil
+	e.mu.Unlock()
+	if call != nil {
+		call()
+	}
+}
+
 // restart starts the endpoint's process again under its identity. What was in its buffers
 // is lost, and so are the staged chunks if it lost power.
 func (e *testEndpoint) restart(lostPower bool) {
@@ -170,6 +195,18 @@
 	}
 }
 
+// excuseMissing excuses the agent for chunks that are lost just now.
+func (e *testEndpoint) excuseMissing() {
+	now := e.now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range testChunks {
+		if _, found := e.staged[i]; !found {
+			e.spoiltAt[i] = now
+		}
+	}
+}
+
 // accept carries out an order. It records a fault for each chunk that is not that of the
 // version and did not become corrupt just before.
 func (e *testEndpoint) accept(o Order) error {
@@ -232,8 +269,8 @@
 func (e *testEndpoint) callbacks() Callbacks {
 	self := agent(1)
 	return Callbacks{
-		Status: func(context.Context, string) (Status, error) {
-			if err := e.keep("status", func() {}); err != nil {
+		Status: func(ctx context.Context, _ string) (Status, error) {
+			if err := e.keep(ctx, "status", func() {}); err != nil {
 				return Status{}, err
 			}
 			e.mu.Lock()
@@ -249,9 +286,9 @@
 			}
 			return list, nil
 		},
-		ReadStaged: func(_ context.Context, _ string, chunk int) ([]byte, error) {
+		ReadStaged: func(ctx context.Context, _ string, chunk int) ([]byte, error) {
 			e.onRead(chunk)
-			if err := e.keep("read", func() {}); err != nil {
+			if err := e.keep(ctx, "read", func() {}); err != nil {
 				return nil, err
 			}
 			e.mu.Lock()
@@ -262,25 +299,28 @@
 			}
 			return []byte(data), nil
 		},
-		Stage: func(_ context.Context, _ string, chunk int, data []byte) error {
+		Stage: func(ctx context.Context, _ string, chunk int, data []byte) error {
 			text := string(data)
-			if err := e.keep("stage", func() { e.put(chunk, text) }); err != nil {
+			if err := e.keep(ctx, "stage", func() { e.put(chunk, text) }); err != nil {
 				return err
 			}
 			e.put(chunk, text)
 			return nil
 		},
-		Load: func(_ context.Context, o Order) error {
+		Load: func(ctx context.Context, o Order) error {
 			e.onOrder()
 			if err := o.Check(); err != nil {
 				return err
 			}
-			if err := e.keep("order", func() { _ = e.accept(o) }); err != nil {
+			if err := e.keep(ctx, "order", func() { _ = e.accept(o) }); err != nil {
 				return err
 			}
 			return e.accept(o)
 		},
-		Announce: func(context.Context, string, int64, bool) { e.onAnnounce() },
+		Announce: func(context.Context, string, int64, bool) {
+			e.onAnnounce()
+			e.carryOutLate()
+		},
 		OriginManifest: func(_ context.Context, _ string, version int64) (*model.Manifest, error) {
 			var list []string
 			for i := range testChunks {
@@ -465,3 +505,102 @@
 		e.requireLoaded(3, time.Minute, "given up")
 	})
 }
+
+// A write without an answer may be carried out later, when a chunk of the next version was
+// staged in the same place, and read back. An endpoint that runs carries out what is in its
+// buffers within settleTime.
+func TestWriteWithoutAnswerIsCarriedOutLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEndpoint(t, 1)
+		r := e.start()
+		time.Sleep(2 * time.Second)
+		e.setKept(keeps("stage"))
+		r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+		time.Sleep(100 * time.Millisecond)
+		e.mu.Lock()
+		require.NotEmpty(t, e.kept)
+		writes := e.kept
+		e.kept, e.keepCalls = nil, keeps()
+		e.mu.Unlock()
+		e.setLate(func() {
+			for _, w := range writes {
+				w()
+			}
+		}, callTimeout+settleTime-100*time.Millisecond)
+		r.SetTarget(Target{Model: "m", Version: 3, Exact: true})
+		e.requireLoaded(3, 15*time.Second, "late write")
+	})
+}
+
+// An agent that starts knows nothing of the calls of its predecessor, which may be carried
+// out when it has begun to stage another version.
+func TestCallsOfEarlierProcessAreCarriedOutLater(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		call func(e *testEndpoint)
+	}{
+		{"an order", func(e *testEndpoint) { _ = e.accept(Order{Model: "m", Version: 2}) }},
+		{"a write", func(e *testEndpoint) { e.put(4, content(2, 4)) }},
+	} {
+		for _, loaded := range []int64{0, 1} {
+			t.Run(fmt.Sprintf("%s, version %d is loaded", test.name, loaded), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestEndpoint(t, 2)
+					e.version = loaded
+					e.setLate(func() { test.call(e) }, startSettleTime/2)
+					r := e.start()
+					r.SetTarget(Target{Model: "m", Version: 3, Age: 5 * time.Second, Exact: true})
+					e.requireLoaded(3, 12*time.Second, test.name)
+				})
+			})
+		}
+	}
+}
+
+// An endpoint that is started again, with or without its staged chunks, loads the whole
+// target version, at whatever moment of a rollout that is.
+func TestEndpointRestartsDuringRollout(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		hook func(e *testEndpoint, restart func() bool)
+	}{
+		{"while chunks are read back", func(e *testEndpoint, restart func() bool) {
+			e.onRead = func(chunk int) {
+				if chunk == 7 {
+					restart()
+				}
+			}
+		}},
+		{"as it is announced", func(e *testEndpoint, restart func() bool) { e.onAnnounce = func() { restart() } }},
+		{"as it is ordered", func(e *testEndpoint, restart func() bool) {
+			e.onOrder = func() {
+				if restart() {
+					e.excuseMissing()
+				}
+			}
+		}},
+	} {
+		for _, lostPower := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, lost power %v", test.name, lostPower), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := newTestEndpoint(t, 1)
+					var armed atomic.Bool
+					test.hook(e, func() bool {
+						if !armed.Swap(false) {
+							return false
+						}
+						e.restart(lostPower)
+						return true
+					})
+					r := e.start()
+					time.Sleep(2 * time.Second)
+					armed.Store(true)
+					r.SetTarget(Target{Model: "m", Version: 2, Exact: true})
+					e.requireLoaded(2, 12*time.Second, test.name)
+					e.restart(lostPower)
+					e.requireLoaded(2, 4*time.Second, "once more")
+				})
+			})
+		}
+	}
+}
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -90,7 +91,7 @@
 		if m.Chunk(i).Digest() != c.Digest() {
 			continue
 		}
-		if err := r.callbacks.Stage(ctx, t.model, i, data); err != nil {
+		if err := r.stageAt(ctx, t, i, data); err != nil {
 			return err
 		}
 		r.mu.Lock()
@@ -102,6 +103,21 @@
 	return nil
 }
 
+// stageAt writes a chunk and records a write without an answer. The write is not canceled
+// with ctx, since that would leave its outcome unknown.
+func (r *Replica) stageAt(ctx context.Context, t target, chunk int, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	err := r.callbacks.Stage(context.WithoutCancel(ctx), t.model, chunk, data)
+	if err != nil && !errors.Is(err, ErrRejected) {
+		r.mu.Lock()
+		r.unanswered.add(t.version)
+		r.mu.Unlock()
+	}
+	return err
+}
+
 func (r *Replica) stagedDigests(m *model.Manifest) []digest.Digest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -9,6 +9,10 @@
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 )
 
+// errEndpointChanged is returned if the endpoint was started again or has accepted an order
+// while its staged chunks were read back.
+var errEndpointChanged = eris.New("endpoint has changed since its status was read")
+
 // maxOrderAttempts limits how often an order whose reads became stale is prepared again
 // before the next call of reconcile.
 const maxOrderAttempts = 4
@@ -16,12 +20,16 @@
 // load orders the endpoint to load the staged version when its wave is due, and waits
 // until the endpoint has loaded it. A pinned version was due before.
 func (r *Replica) load(ctx context.Context, t target) error {
+	// A write that is carried out after the chunks are read back would not be noticed.
+	if err := r.awaitSettled(ctx, t, func(u *unansweredCalls) bool { return u.includesOther(t.version) }); err != nil {
+		return err
+	}
 	if !t.pinned {
 		if err := r.awaitWave(ctx, t); err != nil {
 			return err
 		}
 	}
-	status, err := r.callbacks.Status(ctx, t.model)
+	status, err := r.status(ctx, t.model)
 	if err != nil {
 		return err
 	}
@@ -57,6 +65,13 @@
 	}
 	r.callbacks.Announce(ctx, t.model, t.version, true)
 	r.sleep(ctx, announceDelay)
+	now, err := r.status(ctx, t.model)
+	if err != nil {
+		return err
+	}
+	if now.Started != s.Started || now.Sequence != s.Sequence {
+		return errEndpointChanged
+	}
 	if err := r.order(ctx, t, s); err != nil {
 		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
 		return err
@@ -68,7 +83,13 @@
 // order gives the order and records it as pending if its outcome is unknown. It is not
 // canceled with ctx, since that would leave its outcome unknown.
 func (r *Replica) order(ctx context.Context, t target, s Status) error {
-	o := Order{Model: t.model, Version: t.version, Sequence: s.Sequence, Check: r.checkReadAge}
+	check := func() error {
+		if err := ctx.Err(); err != nil {
+			return eris.Wrapf(ErrRejected, "the agent stops: %v", err)
+		}
+		return r.checkReadAge()
+	}
+	o := Order{Model: t.model, Version: t.version, Sequence: s.Sequence, Check: check}
 	err := r.callbacks.Load(context.WithoutCancel(ctx), o)
 	switch {
 	case err == nil:
@@ -84,7 +105,7 @@
 	deadline := r.now() + loadTimeout
 	for r.now() < deadline {
 		r.sleep(ctx, loadPollInterval)
-		status, err := r.callbacks.Status(ctx, t.model)
+		status, err := r.status(ctx, t.model)
 		if err != nil {
 			return err
 		}
--- a/internal/replica/pending.go
+++ b/internal/replica/pending.go
@@ -15,12 +15,12 @@
 }
 
 // pinnedStagingTime limits an attempt to replace corrupt chunks of a pending order.
-const pinnedStagingTime = 2 * time.Second
+const pinnedStagingTime = time.Second
 
 // maxPendingTime is how long an endpoint has to be seen running before an order that it has
 // not accepted by then is given up. Without it an order whose chunks can't be had any more
 // would keep the endpoint from all later versions.
-const maxPendingTime = 10 * time.Second
+const maxPendingTime = 5 * time.Second
 
 func newPendingOrder(t target, s Status) *pendingOrder {
 	t.pinned = true
@@ -39,26 +39,9 @@
 	if r.pending == nil {
 		return t
 	}
-	r.pending.running.observe(r.now())
 	if r.pending.settled(s) {
 		r.pending = nil
 		return t
 	}
 	return r.pending.target
 }
-
-// runningTime sums up for how long an endpoint was seen running, by the times at which it
-// answered.
-type runningTime struct {
-	total, last time.Duration
-	observed    bool
-}
-
-// observe records an answer. A gap since the previous one counts as checkInterval at most,
-// because the endpoint may have been suspended in between.
-func (t *runningTime) observe(now time.Duration) {
-	if t.observed {
-		t.total += min(now-t.last, checkInterval)
-	}
-	t.last, t.observed = now, true
-}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,7 +68,8 @@
 	Status func(ctx context.Context, model string) (Status, error)
 	// ListStaged lists the indexes of the staged chunks, of any version.
 	ListStaged func(ctx context.Context, model string) ([]int, error)
-	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back.
+	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back. The
+	// error of Stage wraps ErrRejected if the chunk will not be written any more.
 	Stage      func(ctx context.Context, model string, chunk int, data []byte) error
 	ReadStaged func(ctx context.Context, model string, chunk int) ([]byte, error)
 	// Load gives the endpoint an order. The error wraps ErrRejected, or is that of the
@@ -109,6 +110,8 @@
 	staging stagingState
 	uploads *swarm.UploadLimiter
 
+	unanswered unansweredCalls
+
 	// Used by the goroutine of Start only.
 	verification verification
 	pending      *pendingOrder // nil for none
@@ -158,6 +161,7 @@
 		uplink:    rate.NewLimiter(rate.Inf, 0),
 		wake:      make(chan struct{}, 1),
 
+		unanswered:   newUnansweredCalls(),
 		verification: verification{readers: 1},
 	}
 	for _, o := range options {
@@ -214,14 +218,14 @@
 // the delay until the next call.
 func (r *Replica) reconcile(ctx context.Context) time.Duration {
 	t := r.currentTarget()
-	if t.model == "" {
-		return checkInterval
-	}
-	status, err := r.callbacks.Status(ctx, t.model)
+	status, err := r.status(ctx, t.model)
 	if err != nil {
 		telemetry.EndpointNotReached.Log(ctx, r.logger, "error", err)
 		return retryInterval
 	}
+	if t.model == "" {
+		return r.idleInterval()
+	}
 	t = r.pinPending(t, status)
 	err = r.stageAll(ctx, t)
 	if err == nil && status.Version < t.version {
@@ -234,7 +238,19 @@
 		telemetry.WeightsIncomplete.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
 		return retryInterval
 	}
-	return checkInterval
+	return r.idleInterval()
+}
+
+// idleInterval returns the delay until the next call of reconcile while there is nothing to
+// do. The endpoint is observed until all calls are settled, so that the next target need
+// not wait for that.
+func (r *Replica) idleInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unanswered.empty() {
+		return checkInterval
+	}
+	return settleInterval
 }
 
 // stageAll stages every chunk of the target version. For a pinned version it takes
@@ -247,6 +263,10 @@
 	if r.fullyStaged(m) {
 		return nil
 	}
+	// An order of an earlier process takes what is staged when it is accepted.
+	if err := r.awaitSettled(ctx, t, (*unansweredCalls).includesOrder); err != nil {
+		return err
+	}
 	run, cancel := stagingContext(ctx, t)
 	defer cancel()
 	ended := make(chan error, 1)
--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -50,6 +50,11 @@
 	if err != nil {
 		return err
 	}
+	if len(list) == 0 {
+		r.mu.Lock()
+		r.unanswered.orders = false // an order would have needed staged chunks
+		r.mu.Unlock()
+	}
 	for _, i := range list {
 		if i < len(s.staged) {
 			s.staged[i] = r.chunkIntact(ctx, t.model, s.manifest, i)
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -74,7 +74,7 @@
 // awaitWave waits until the endpoint's wave starts. An endpoint without a loaded version
 // loads at once. It returns errSuperseded if the target changes.
 func (r *Replica) awaitWave(ctx context.Context, t target) error {
-	status, err := r.callbacks.Status(ctx, t.model)
+	status, err := r.status(ctx, t.model)
 	if err != nil {
 		return err
 	}
