Agents that stop keep their port until their calls to the engine have ended

An agent that stops closed its listener at once, while an order to its engine was still without an answer. A process that is started meanwhile in its place could then stage chunks of another version while the engine accepts that order.

Its successor listens before it makes any call, so that both never call at once.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -71,15 +71,24 @@
 	if err := a.serveMetrics(); err != nil {
 		return err
 	}
-	stopped := []<-chan struct{}{a.tables.run(ctx), a.receive(ctx), a.replica.Start(ctx)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopped := []<-chan struct{}{a.tables.run(ctx), a.receive(ctx)}
+	replicaStopped := a.replica.Start(ctx)
 	telemetry.ProcessStarted.Log(ctx, a.logger, "role", "agent", "endpoint", s.EndpointAddress())
 	select {
 	case <-ctx.Done():
 	case err = <-a.listenerErrors:
+	}
+	cancel()
+	// The port is kept until the calls to the engine have ended, so that the next process of
+	// this agent, which listens before it makes any, makes none beside them.
+	<-replicaStopped
+	if err != nil {
 		return err
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-	defer cancel()
+	shutdownCtx, cancelShutdown := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancelShutdown()
 	a.shutdown(shutdownCtx)
 	for _, done := range stopped {
 		<-done
--- a/internal/fleetprocess/lateorder_test.go
+++ b/internal/fleetprocess/lateorder_test.go
@@ -1,6 +1,7 @@
 package fleetprocess
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -43,3 +44,24 @@
 		})
 	}
 }
+
+// An agent that stops keeps its port, and so the next process of it from running, until the
+// calls to its engine have ended.
+func TestStoppingAgentKeepsPortDuringOrder(t *testing.T) {
+	s := startSystem(t, standin.WithSize(1, 1, 1, 1))
+	engine := s.Servers["i-engine-1-1"]
+	engine.DelayCalls("order")
+	s.NameWeights(2)
+	require.Eventually(t, func() bool { return engine.DelayedCalls() == 1 }, 9*time.Second, time.Millisecond)
+	s.cancel()
+	canListen := func() bool {
+		l, err := net.Listen("tcp", s.PeerAddress(s.Agents[0]))
+		if err != nil {
+			return false
+		}
+		return l.Close() == nil
+	}
+	require.Never(t, canListen, time.Second, 10*time.Millisecond)
+	engine.ReleaseCalls(false)
+	require.Eventually(t, canListen, 5*time.Second, 10*time.Millisecond)
+}
