--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -51,6 +51,11 @@
 	if err != nil {
 		return err
 	}
+	if len(list) == 0 {
+		r.mu.Lock()
+		r.unanswered.orders = false // an order would have needed staged chunks
+		r.mu.Unlock()
+	}
 	slices.Sort(list)
 	for _, i := range slices.Compact(list) {
 		if i >= 0 && i < len(s.staged) {
