Rows of entries name peers only with a peer address; malformed rows are forgotten

Callers would have been refused while there was room: any text in the row of an entry became a peer, to which summaries are sent in vain, and which counts as an entry for 5 s each time it is read, so that quotas and limits are divided by more. Malformed rows of entries were logged again with each read, and the versions of malformed rows of endpoints were kept for good, by key.

Evidence: TestOddRowsOfEntries with the condition before (any JSON object): "Not equal: expected: []string{"10.0.0.2:7700"} actual: []string{ "10.0.0.2:7700", "", ...", 14 odd rows accepted. TestRowReports tests a new type.

Fix: an address of a peer is an address to connect to, on the port that all machines use for peers. rowReports knows the malformed rows of a table as it is now, and says which of them are new.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/gateway"
@@ -71,7 +73,8 @@
 	rowsMu       sync.Mutex
 	rows         map[string]watch.Row
 	decoder      platform.EndpointDecoder
-	reportedRows map[string]int64 // versions of the malformed rows that were logged, by key
+	endpointRows rowReports
+	entryRows    rowReports
 }
 
 // RunEntry runs an entry until ctx is done or a listener fails, and then drains it. It
@@ -81,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient(), reportedRows: make(map[string]int64)}
+	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient()}
 	watchOperator := watch.WithActive(func() bool { return e.gateway.Watching() })
 	retryDelay := watch.WithMinRetryDelay(func() time.Duration { return e.gateway.StoreRetryDelay() })
 	e.operatorWatcher = e.newWatcher(platform.TableOperator, e.applyOperator, watch.WithLongPollTimeout(operatorPollTimeout), watchOperator, retryDelay)
@@ -178,11 +181,7 @@
 		return
 	}
 	list, failures := e.decoder.Decode(e.rows, c)
-	for _, f := range failures {
-		if e.reportedRows[f.Key] == f.Version {
-			continue
-		}
-		e.reportedRows[f.Key] = f.Version
+	for _, f := range e.endpointRows.update(failures) {
 		telemetry.EndpointRowMalformed.Log(context.Background(), e.logger, "endpoint", f.Key, "rowVersion", f.Version, "error", f.Err)
 	}
 	e.gateway.ApplyEndpoints(list)
@@ -288,17 +287,38 @@
 		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableEntries, "error", err)
 		return false
 	}
-	for _, r := range page.Rows {
+	addresses, failures := decodeEntries(page.Rows, e.settings.PeerAddressOfEndpoint)
+	for _, f := range e.entryRows.update(failures) {
+		telemetry.EndpointRowMalformed.Log(ctx, e.logger, "entry", f.Key, "rowVersion", f.Version, "error", f.Err)
+	}
+	for _, address := range addresses {
+		e.gateway.AddPeer(address)
+	}
+	return true
+}
+
+// decodeEntries returns the peer addresses in the rows of entries, and the rows without
+// one. The function peerAddress returns the peer address of the machine that has an
+// address, which it is equal to if it is one.
+func decodeEntries(rows []watch.Row, peerAddress func(address string) string) (addresses []string, failures []platform.RowError) {
+	for _, r := range rows {
 		var row entryRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			telemetry.EndpointRowMalformed.Log(ctx, e.logger, "entry", r.Key, "error", err)
+		err := json.Unmarshal(r.Value, &row)
+		if err == nil && (!platform.ValidAddress(row.PeerAddress) || peerAddress(row.PeerAddress) != row.PeerAddress) {
+			err = eris.Wrapf(platform.ErrMalformed, "no peer address: %.*q", maxLoggedText, row.PeerAddress)
+		}
+		if err != nil {
+			failures = append(failures, platform.RowError{Key: r.Key, Version: r.Version, Err: err})
 			continue
 		}
-		e.gateway.AddPeer(row.PeerAddress)
+		addresses = append(addresses, row.PeerAddress)
 	}
-	return true
+	return addresses, failures
 }
 
+// maxLoggedText bounds texts of a row in errors, in characters.
+const maxLoggedText = 100
+
 // stop drains the entry within the stop timeout. For drainTime it still accepts requests
 // of callers with cached addresses. Then the listeners close, and requests in progress
 // may continue until exitMargin before the end of the stop timeout.
