Rows of target versions that no entry has written set no time

Callers would have been refused for as long as the entries ran: a row of the table of target versions with a version that the operators have not set made it required at once, and no endpoint has it. A time in the future replaced that of a version that is set, since the latest exact time is taken, so that its bound never came; large times overflowed. A row that can't be read was logged with each read.

Evidence: TestStoredVersionIsNotSet on the code before: "Should be zero, but was 2".

Fix: a row must have the key that its content gives, a valid version and a time that the store's clock has reached, 5 s for slow responses apart; a time is never later than the response. A version newer than all that are known is ignored, since the operators' row shows it first.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -75,6 +75,7 @@
 	decoder      platform.EndpointDecoder
 	endpointRows rowReports
 	entryRows    rowReports
+	weightsRows  rowReports
 }
 
 // RunEntry runs an entry until ctx is done or a listener fails, and then drains it. It
--- a/internal/fleetprocess/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/gateway"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/platform"
@@ -61,20 +64,57 @@
 		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableWeights, "error", err)
 		return false
 	}
-	for _, r := range page.Rows {
-		var row targetVersionRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			telemetry.OperatorRowMalformed.Log(ctx, e.logger, "weights", r.Key, "error", err)
-			continue
-		}
-		setAt := time.Duration(row.SetAtMS) * time.Millisecond
-		if page.StoreTime-setAt > targetVersionTTL {
+	rows, failures := decodeTargetVersions(page)
+	for _, f := range e.weightsRows.update(failures) {
+		telemetry.OperatorRowMalformed.Log(ctx, e.logger, "weights", f.Key, "rowVersion", f.Version, "error", f.Err)
+	}
+	for _, r := range rows {
+		if r.age > targetVersionTTL {
 			// Another entry may have removed the row; if the call failed, the next read
 			// removes it.
-			_ = e.store.Remove(ctx, platform.TableWeights, r.Key, r.Version)
+			_ = e.store.Remove(ctx, platform.TableWeights, r.row.key(), r.rowVersion)
 			continue
 		}
-		e.gateway.ApplyTargetVersion(row.Model, row.Version, e.operatorWatcher.Table().LocalTime(setAt))
+		e.gateway.ApplyTargetVersion(r.row.Model, r.row.Version, e.operatorWatcher.Table().LocalTime(page.StoreTime-r.age))
 	}
 	return true
 }
+
+// maxClockError is by how much the time in a row may be later than the store's clock: it
+// is derived from a response that may have taken this long.
+const maxClockError = 5 * time.Second
+
+// recordedVersion is a row with the time at which a target version was set.
+type recordedVersion struct {
+	row        targetVersionRow
+	rowVersion int64
+	age        time.Duration // since the version was set, by the store's clock
+}
+
+// decodeTargetVersions returns the rows of a page, and those that no entry has written.
+func decodeTargetVersions(page watch.Update) (rows []recordedVersion, failures []platform.RowError) {
+	for _, r := range page.Rows {
+		row, err := decodeTargetVersion(r, page.StoreTime)
+		if err != nil {
+			failures = append(failures, platform.RowError{Key: r.Key, Version: r.Version, Err: err})
+			continue
+		}
+		age := page.StoreTime - time.Duration(row.SetAtMS)*time.Millisecond
+		rows = append(rows, recordedVersion{row: row, rowVersion: r.Version, age: max(age, 0)})
+	}
+	return rows, failures
+}
+
+func decodeTargetVersion(r watch.Row, storeTime time.Duration) (targetVersionRow, error) {
+	var row targetVersionRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return row, eris.Wrapf(platform.ErrMalformed, "%.*v", maxLoggedText, err)
+	}
+	if row.Model == "" || !platform.ValidVersion(row.Version) || row.key() != r.Key {
+		return row, eris.Wrapf(platform.ErrMalformed, "version %d of model %.*q", row.Version, maxLoggedText, row.Model)
+	}
+	if row.SetAtMS < 0 || row.SetAtMS > (storeTime+maxClockError).Milliseconds() {
+		return row, eris.Wrapf(platform.ErrMalformed, "set at %d ms of the store's clock", row.SetAtMS)
+	}
+	return row, nil
+}
--- a/internal/gateway/odddatagrams_test.go
+++ b/internal/gateway/odddatagrams_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
 
 // A summary may arrive just as its sender is forgotten.
@@ -97,3 +98,18 @@
 	require.Positive(t, delay)
 	require.Less(t, delay, 365*24*time.Hour)
 }
+
+// A stored time of a version that the operators have not set yet does not make it
+// required.
+func TestStoredVersionIsNotSet(t *testing.T) {
+	const now = time.Minute
+	g := newGateway(&clock{at: now}, WithVersionBound(8*time.Second, func(TargetVersion) {}))
+	g.ApplyConfiguration(fleet.NewConfiguration(1), map[string]int64{"m": 3})
+	g.ApplyTargetVersion("m", 9, now-time.Minute)
+	g.ApplyTargetVersion("n", 2, now-time.Minute)
+	require.Zero(t, g.targets.required("n", now))
+	require.Equal(t, int64(3), g.targets.required("m", now))
+	g.ApplyTargetVersion("m", 3, now-time.Second)
+	g.ApplyTargetVersion("m", 2, now-20*time.Second)
+	require.Equal(t, int64(2), g.targets.required("m", now), "older versions have a time too")
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -84,6 +84,17 @@
 	return slices.ContainsFunc(t.byModel[model], func(n versionTime) bool { return n.version == version })
 }
 
+// newestOf returns the newest target version of a model, 0 if none is known.
+func (t *targetVersions) newestOf(model string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.byModel[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
 // improve replaces the recorded time if the other one is a better bound.
 func (n *versionTime) improve(setAt time.Duration, exact bool) {
 	if exact == n.exact {
@@ -173,8 +184,12 @@
 }
 
 // ApplyTargetVersion records the earliest time, in boottime, at which a target version was
-// set, as stored by an entry.
+// set, as stored by an entry. A version that is newer than all that are known is ignored:
+// the operators' row shows it first.
 func (g *Gateway) ApplyTargetVersion(model string, version int64, setAt time.Duration) {
+	if version > g.targets.newestOf(model) {
+		return
+	}
 	g.addExactTarget(model, version, setAt, "record")
 }
 
