--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -49,6 +49,7 @@
 	store          *platform.Store
 	servers        []*http.Server
 	listenerErrors chan error
+	operatorRows   rowReports
 }
 
 func newProcess(s *platform.Settings, logger *slog.Logger) *process {
@@ -151,12 +152,12 @@
 	telemetry.DatagramNotRead.Log(context.Background(), p.logger, "address", p.settings.PeerAddress(), "error", err)
 }
 
-// decodeOperatorTable decodes the operator table, logs an error and passes the result to
-// apply.
+// decodeOperatorTable decodes the operator table, logs each malformed row once and passes
+// the result to apply.
 func (p *process) decodeOperatorTable(rows map[string]watch.Row, apply func(platform.OperatorTable)) {
-	o, err := platform.DecodeOperatorTable(rows)
-	if err != nil {
-		telemetry.OperatorRowMalformed.Log(context.Background(), p.logger, "error", err)
+	o, _ := platform.DecodeOperatorTable(rows) // the error is that of one of the rows in Malformed
+	for _, f := range p.operatorRows.update(o.Malformed) {
+		telemetry.OperatorRowMalformed.Log(context.Background(), p.logger, "row", f.Key, "rowVersion", f.Version, "error", f.Err)
 	}
 	apply(o)
 }
