An entry is ready only once placement has the endpoints

Callers whose first request arrived at the moment at which an entry became ready were refused with "no endpoint can take it" and a Retry-After of a second, although all endpoints were there.

A request in between found a pool without endpoints, which refuses at once.

Evidence: TestNotReadyBeforeEndpointsArePlaced asks for Ready while placement is updated. On the old code: "[]bool{true} should not contain true".

Fix: Ready follows from placement. The entry takes part in the division of endpoints before that, so that its first request finds its preferred ones.

--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -22,7 +22,7 @@
 // and how long they may cache them. The list is never empty: an entry without ready
 // peers returns its own address.
 func (g *Gateway) Addresses(domain string) ([]string, time.Duration) {
-	selections := g.selections(g.now())
+	selections := g.selections(g.now(), g.Ready())
 	chosen := selections[domain].Selected()
 	if len(chosen) < minDomainEntries {
 		chosen = nil
@@ -40,14 +40,14 @@
 	return list[:min(len(list), maxAddresses)], min(addressTTL, g.maxTTL)
 }
 
-// selections returns the live and ready entries by failure domain, this entry
-// included.
-func (g *Gateway) selections(now time.Duration) map[string]placement.EntrySelection {
+// selections returns the live and ready entries by failure domain, and this entry too
+// if withSelf is set.
+func (g *Gateway) selections(now time.Duration, withSelf bool) map[string]placement.EntrySelection {
 	byDomain := make(map[string][]placement.Entry)
 	for _, e := range g.peers.ready(now) {
 		byDomain[e.Domain] = append(byDomain[e.Domain], e)
 	}
-	if g.Ready() {
+	if withSelf {
 		byDomain[g.self.FailureDomain] = append(byDomain[g.self.FailureDomain], g.selfEntry())
 	}
 	slots := make(map[string]int)
@@ -79,7 +79,7 @@
 // progress: it places the last ones on the endpoints it used before.
 func (g *Gateway) activeByDomain(now time.Duration) map[string][]string {
 	byDomain := make(map[string][]string)
-	for domain, r := range g.selections(now) {
+	for domain, r := range g.selections(now, g.joined()) {
 		for _, e := range r.Active() {
 			byDomain[domain] = append(byDomain[domain], e.Address)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	notifiedAt   time.Duration // last time agents were notified; used only by run
 	started      time.Duration
 	draining     atomic.Bool
+	placed       atomic.Bool  // placement has the list of endpoints
 	lastOutage   atomic.Int64 // boottime nanoseconds of the last time the store was unreachable
 	active       atomic.Int64
 	// loadsStale is set while placement lacks the latest load of other entries.
@@ -287,9 +288,13 @@
 	}
 }
 
-// Ready reports whether callers should use this entry. Before the list of endpoints
-// has been read, every request would be refused.
-func (g *Gateway) Ready() bool {
+// Ready reports whether callers should use this entry. Before placement has the list of
+// endpoints, every request would be refused.
+func (g *Gateway) Ready() bool { return g.joined() && g.placed.Load() }
+
+// joined reports whether this entry takes part in the division of the endpoints. It does
+// so before it is ready, so that its first request finds the endpoints that it prefers.
+func (g *Gateway) joined() bool {
 	v := g.snapshot.Load()
 	return !g.draining.Load() && v.configuration != nil && v.listed
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -341,6 +341,25 @@
 	require.False(t, g.Ready())
 }
 
+// Callers whose requests arrive as soon as an entry is ready must not be refused because
+// placement has not received the endpoints yet.
+func TestNotReadyBeforeEndpointsArePlaced(t *testing.T) {
+	var g *Gateway
+	var ready []bool // while endpoints are passed to placement
+	region := func(string) string {
+		ready = append(ready, g.Ready())
+		return "riga"
+	}
+	g = newGateway(&clock{at: time.Minute}, WithAgents(func(string) string { return "" }, region))
+	g.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s"))), nil)
+	g.ApplyEndpoints([]*fleet.Endpoint{fleet.NewEndpoint("e", "s", "10.0.0.9:1", fleet.WithPlace("riga-a"))})
+	require.NotEmpty(t, ready)
+	require.NotContains(t, ready, true)
+	require.True(t, g.Ready())
+	v := g.trafficOf("s").placement.Submit(time.Minute, placement.Request{Arrived: time.Minute, Deadline: 2 * time.Minute})
+	require.True(t, (<-v.Decision()).Choice().Preferred, "the entry has the endpoints of its own failure domain from the start")
+}
+
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	g := newGateway(&clock{})
 	for _, test := range []struct{ version, want int64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}} {
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -122,6 +122,9 @@
 		pool.SetLatencyModel(latencyModelOf(s.Engine()))
 		pool.SetEndpoints(now, list)
 	}
+	if v.listed {
+		g.placed.Store(true)
+	}
 }
 
 // candidate returns the placement candidate for an endpoint. Usable is false if the
--- a/internal/gateway/summary_test.go
+++ b/internal/gateway/summary_test.go
@@ -96,7 +96,7 @@
 		require.LessOrEqual(t, float64(m.crossRegion)/perEntry, test.far, "remote, %d entries", test.entries)
 		for address, g := range m.entries {
 			ready := 0
-			for _, r := range g.selections(m.clock.at) {
+			for _, r := range g.selections(m.clock.at, g.Ready()) {
 				ready += len(r.Selected())
 			}
 			require.GreaterOrEqual(t, ready, min(9, test.entries), address)
