A cut answer no longer looks whole to an HTTP/1.0 caller

What callers saw: a stream that broke off ended as if it were complete, where the caller speaks HTTP/1.0. HTTP/1.1 callers, also those that asked to close, got no last chunk and saw the break.

Cause: HTTP/1.0 has no chunks, so that a response without a length ends with its connection. After http.ErrAbortHandler, or any panic after the head was written, net/http closes the connection in good order, which is the end of such a response.

Fix: the gateway takes over the connection of an incomplete response without chunks and resets it, also after a panic. What can't be reset is logged (736 callerNotReset).

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,7 +86,7 @@
 	g.requestStarted()
 	defer g.active.Add(-1)
 	g.refreshLoads(g.now())
-	out := &responseWriter{gateway: g, w: w, arrived: g.now()}
+	out := &responseWriter{gateway: g, w: w, arrived: g.now(), unframed: !r.ProtoAtLeast(1, 1)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -97,11 +97,18 @@
 	remaining := q.remaining(g.now())
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
+	complete := false
+	defer func() { // also after a panic
+		if !complete {
+			out.reset()
+		}
+	}()
 	// A caller that does not read the response must not block the request forever.
 	// Setting the deadline fails only for the writers of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeGrace))
 	g.dispatch(ctx, q, out)
 	out.abortIncomplete(q)
+	complete = true
 }
 
 // accept reads and validates a request. It returns nil if it has written the final
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,6 +38,9 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	arrived time.Duration
+	// unframed is set if the caller's version of HTTP has no chunks: a response without
+	// a length then ends with its connection.
+	unframed bool
 
 	headerWritten    bool // the status and header were written
 	aborted          bool // the connection must be closed, since the response is incomplete
@@ -173,6 +177,23 @@
 	}
 }
 
+// reset closes the connection of a response that is incomplete. Without chunks, the caller
+// could take an orderly close for the end of the response.
+func (a *responseWriter) reset() {
+	if !a.unframed {
+		return // net/http closes the connection without the last chunk
+	}
+	c, _, err := http.NewResponseController(a.w).Hijack()
+	if err != nil {
+		telemetry.CallerNotReset.Log(context.Background(), a.gateway.logger, "error", err)
+		return
+	}
+	if t, isTCP := c.(*net.TCPConn); isTCP {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	c.Close()
+}
+
 func (a *responseWriter) log(q *request, outcome string, status int, reason string, args ...any) {
 	service := q.service.Name()
 	if outcome == outcomeAnswered {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -259,6 +259,10 @@
 		733, "copiesDiffer", slog.LevelWarn,
 		"The copies of two entries have other rows at the same version. This entry reads the table from the store again. The lines tableCopied of both say where each came from.",
 	}
+	CallerNotReset = Event{
+		736, "callerNotReset", slog.LevelWarn,
+		"A response was cut to a caller whose version of HTTP shows the end of a response by the end of the connection, and the connection could not be reset: the caller may take the response for whole.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -280,7 +284,7 @@
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
-		TableCopied, CopiesDiffer,
+		TableCopied, CopiesDiffer, CallerNotReset,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
