--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -216,12 +216,3 @@
 		"took", g.now() - a.arrived, "configuration", g.snapshot.Load().version(),
 	}, args...)...)
 }
-
-// parseEventNumber returns the number in an event's id, 0 if the id is not a number.
-func parseEventNumber(id string) int64 {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
