Events without a positive number are no longer dropped from a stream

What callers saw: a stream with ids that are no numbers ended at once as a whole stream without events; one whose ids begin with 0 lacked its first event.

Cause: 0 stood for "no event yet" and for "no number", and events up to the last number were taken for ones that the caller has.

Evidence: TestWholeStreams against the code before, "ids that are no numbers": expected "id: a\ndata: a\n\nid: b\ndata: b\n\n", actual ""; "ids from 0": the actual body began with id 1. Both under each of the four kinds of callers.

Fix: noNumber (-1) stands for both; events without a number are passed on.

Result: TestWholeStreams, TestEventReader and TestEventTooLong pass.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -20,7 +20,8 @@
 }
 
 // feed appends data and returns the events that are now complete. Events with a
-// number up to after are skipped, since the caller already has them.
+// number up to after are skipped, since the caller already has them. Those without a
+// number are not.
 func (r *eventReader) feed(data []byte, after int64) eventBatch {
 	r.rest = append(r.rest, data...)
 	batch := eventBatch{lastNumber: after}
@@ -31,7 +32,7 @@
 		}
 		event := r.rest[:end]
 		id, number := eventID(event)
-		if number > batch.lastNumber || id == "" {
+		if number > batch.lastNumber || number == noNumber {
 			batch.bytes = append(batch.bytes, event...)
 			batch.count++
 		}
@@ -63,8 +64,11 @@
 	return end
 }
 
-// eventID returns the id of an event and the number in it. The number is 0 if the id
-// is missing or not a number.
+// noNumber is the number of an event whose id is missing or not a number. It is less than
+// any number.
+const noNumber = -1
+
+// eventID returns the id of an event and the number in it, or noNumber.
 func eventID(event []byte) (string, int64) {
 	for line := range bytes.Lines(event) {
 		value, found := bytes.CutPrefix(line, []byte("id:"))
@@ -74,14 +78,14 @@
 		id := string(bytes.TrimSpace(value))
 		return id, parseEventNumber(id)
 	}
-	return "", 0
+	return "", noNumber
 }
 
-// parseEventNumber returns the number in an event's id, 0 if the id is not a number.
+// parseEventNumber returns the number in an event's id, or noNumber.
 func parseEventNumber(id string) int64 {
 	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return 0
+	if err != nil || n < 0 {
+		return noNumber
 	}
 	return n
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,7 +86,7 @@
 	g.requestStarted()
 	defer g.active.Add(-1)
 	g.refreshLoads(g.now())
-	out := &responseWriter{gateway: g, w: w, arrived: g.now(), unframed: !r.ProtoAtLeast(1, 1)}
+	out := &responseWriter{gateway: g, w: w, arrived: g.now(), lastNumber: noNumber, unframed: !r.ProtoAtLeast(1, 1)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -42,11 +42,11 @@
 	// a length then ends with its connection.
 	unframed bool
 
-	headerWritten    bool // the status and header were written
-	aborted          bool // the connection must be closed, since the response is incomplete
-	logged           bool // the end of the request was logged
-	lastEvent        string
-	lastNumber       int64
+	headerWritten    bool   // the status and header were written
+	aborted          bool   // the connection must be closed, since the response is incomplete
+	logged           bool   // the end of the request was logged
+	lastEvent        string // id of the last numbered event, empty before it
+	lastNumber       int64  // its number, or noNumber
 	events           int
 	endpoint         string
 	timeToFirstEvent time.Duration // from the arrival of the request to the first event
