An answer that has begun goes on only where its place can be named

What callers saw: a stream of events without ids broke off, and its caller got the events of a second run from the first one on, in one whole response. The answer of an idempotent request that came as events went on with those of a second run, although its route does not let streams be resumed.

Cause: another attempt followed wherever the route lets a request run again, also after events had been forwarded. Without a number of the last event, the next endpoint could not be told where to go on, and nothing of its answer was skipped.

Evidence: TestStreamThatMayNotGoOn against the code before, 16 of 24 cases: "idempotent" got "id: 1 ... id: 5" of two runs as a whole answer; "no ids" got "data: value 1" and then "id: 1\ndata: value 1 ...".

Fix: once the head is written, another attempt follows only if the route is resumable and every forwarded event had a number. Comments need none. The number of the last event is kept when only comments follow it.

Result: the test passes, with TestCutStreamIsVisible, TestPanicAfterHead, TestWholeStreams and TestEventReader.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -202,7 +202,7 @@
 			out.flush()
 			g.recordProgress(q)
 			out.events += batch.count
-			out.lastEvent, out.lastNumber = batch.lastEvent, batch.lastNumber
+			out.recordPosition(batch)
 		}
 		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,7 @@
 	count      int
 	lastEvent  string
 	lastNumber int64
+	unnumbered bool // an event has no number
 }
 
 // feed appends data and returns the events that are now complete. Events with a
@@ -35,6 +36,7 @@
 		if number > batch.lastNumber || number == noNumber {
 			batch.bytes = append(batch.bytes, event...)
 			batch.count++
+			batch.unnumbered = batch.unnumbered || number == noNumber && !isComment(event)
 		}
 		if number > batch.lastNumber {
 			batch.lastEvent, batch.lastNumber = id, number
@@ -43,6 +45,17 @@
 	}
 }
 
+// isComment reports whether what ends with a blank line is no event: endpoints send
+// comments to keep connections open.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // maxEventBytes is the size limit of an event in bytes.
 const maxEventBytes = 64 << 10
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -47,6 +47,7 @@
 	logged           bool   // the end of the request was logged
 	lastEvent        string // id of the last numbered event, empty before it
 	lastNumber       int64  // its number, or noNumber
+	unnumbered       bool   // the caller has events without a number
 	events           int
 	endpoint         string
 	timeToFirstEvent time.Duration // from the arrival of the request to the first event
@@ -68,6 +69,14 @@
 	a.lastEventAt = now
 }
 
+// recordPosition records which events the caller has.
+func (a *responseWriter) recordPosition(b eventBatch) {
+	a.unnumbered = a.unnumbered || b.unnumbered
+	if b.lastEvent != "" {
+		a.lastEvent, a.lastNumber = b.lastEvent, b.lastNumber
+	}
+}
+
 // writeHeader writes the status and header of an endpoint's response. Length is the
 // Content-Length, or -1 if the body is sent chunked.
 func (a *responseWriter) writeHeader(status int, from http.Header, length int64) {
@@ -104,6 +113,12 @@
 	_ = http.NewResponseController(a.w).Flush()
 }
 
+// resumable reports whether another attempt may follow. A response that has begun goes on
+// only as a stream of which the endpoint can be told what the caller has.
+func (a *responseWriter) resumable(q *request) bool {
+	return !a.headerWritten || q.route.Resumable() && !a.unnumbered
+}
+
 // finish logs a response that was written completely.
 func (a *responseWriter) finish(q *request) {
 	a.log(q, outcomeAnswered, http.StatusOK, "")
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -73,7 +73,7 @@
 		s.timedOut(ctx, q, r, out)
 		return false
 	}
-	if !s.mayRetry(q, r) {
+	if !s.mayRetry(q, r) || !out.resumable(q) {
 		s.finish(out, q, r.reason, s.retryAfter(q, r))
 		return false
 	}
--- a/internal/state/fleet/route.go
+++ b/internal/state/fleet/route.go
@@ -128,9 +128,12 @@
 
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.kind == Idempotent || r.kind == Streaming && r.resumable
+	return r.kind == Idempotent || r.Resumable()
 }
 
+// Resumable reports whether a broken stream may go on at another endpoint.
+func (r *Route) Resumable() bool { return r.kind == Streaming && r.resumable }
+
 // Service returns the service that takes a request; draw in [0, 1) chooses
 // between the shares. It is empty where the route has no service.
 func (r *Route) Service(draw float64) string {
