A stream goes on only with events that follow those its caller has

What callers saw, after their stream had begun and broken off: the text or an error event of the next endpoint's answer as an event of theirs, the head of an error in the middle of the stream, events without ids of a second run, events with other meaning (another status, another encoding), a hole where ids came out of order, or the end of a whole stream after a second answer without any new event.

Cause: any proven 2xx answer of the type text/event-stream was taken for the continuation, whatever its status; in it, whatever ended with a blank line was an event, and passed on if it had no id. Its end was that of the whole stream, also if it had brought nothing: 204 ended every broken stream as a whole one.

Fix: a continuation has the status and encoding of the first answer and numbered events, and at least one that the caller does not have. A lower number after a new one, and the head of a response anywhere in a stream, end the attempt, also the first; the stream goes on elsewhere or is cut. Comments may come anywhere.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,13 +125,13 @@
 	if success && !a.Authenticated {
 		return g.interrupted(ctx, errNotAuthenticated, false)
 	}
+	if out.headerWritten && !out.continuedBy(response) {
+		return g.interrupted(ctx, errNotContinuation, false)
+	}
 	q.answered = success
 	if success && isEvents(response.Header) {
 		return g.forwardStream(ctx, q, c, response, out)
 	}
-	if out.headerWritten {
-		return g.interrupted(ctx, errNotEventStream, false)
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
 	if err != nil {
 		return g.interrupted(ctx, err, true)
@@ -174,7 +174,7 @@
 // the caller's response header with the first event, so that a stream that breaks off
 // before any event can be replaced entirely.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *responseWriter) result {
-	var events eventReader
+	events := eventReader{resumed: out.headerWritten}
 	buf := make([]byte, 4<<10)
 	last := time.Duration(0) // time of the last event from this endpoint, 0 before the first
 	for {
@@ -204,9 +204,15 @@
 			out.events += batch.count
 			out.recordPosition(batch)
 		}
+		if batch.err != nil {
+			return g.interrupted(ctx, batch.err, false)
+		}
 		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == io.EOF && events.resumed && !events.progressed {
+			return g.interrupted(ctx, errNoNewEvent, false)
+		}
 		if err == io.EOF {
 			return g.endStream(q, response, out)
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,13 +2,19 @@
 
 import (
 	"bytes"
+	"regexp"
 	"slices"
 	"strconv"
 )
 
-// eventReader splits a stream into complete events.
+// eventReader splits the response of an endpoint into complete events.
 type eventReader struct {
 	rest []byte
+	// resumed is set if the caller has events of another response. What has no number may
+	// then be anything: an event that the caller has, or an error.
+	resumed bool
+	// progressed is set once there was an event that the caller did not have.
+	progressed bool
 }
 
 // eventBatch holds complete events that arrived together.
@@ -18,6 +24,8 @@
 	lastEvent  string
 	lastNumber int64
 	unnumbered bool // an event has no number
+	// err is set if what follows the events is not of the caller's stream.
+	err error
 }
 
 // feed appends data and returns the events that are now complete. Events with a
@@ -26,23 +34,52 @@
 func (r *eventReader) feed(data []byte, after int64) eventBatch {
 	r.rest = append(r.rest, data...)
 	batch := eventBatch{lastNumber: after}
-	for {
+	for batch.err == nil {
 		end := eventEnd(r.rest)
 		if end < 0 {
 			return batch
 		}
-		event := r.rest[:end]
-		id, number := eventID(event)
-		if number > batch.lastNumber || number == noNumber {
-			batch.bytes = append(batch.bytes, event...)
-			batch.count++
-			batch.unnumbered = batch.unnumbered || number == noNumber && !isComment(event)
-		}
-		if number > batch.lastNumber {
-			batch.lastEvent, batch.lastNumber = id, number
-		}
+		r.take(&batch, r.rest[:end])
 		r.rest = slices.Delete(r.rest, 0, end)
 	}
+	return batch
+}
+
+// take adds an event to a batch, or skips it if the caller has it.
+func (r *eventReader) take(b *eventBatch, event []byte) {
+	id, number := eventID(event)
+	switch {
+	case hasResponseHead(event):
+		b.err = errNotEvent
+	case isComment(event):
+		b.add(event)
+	case number == noNumber && r.resumed:
+		b.err = errNotEvent
+	case number == noNumber:
+		b.add(event)
+		b.unnumbered = true
+	case number > b.lastNumber:
+		b.add(event)
+		b.lastEvent, b.lastNumber = id, number
+		r.progressed = true
+	case number < b.lastNumber && r.progressed:
+		b.err = errEventOrder
+	}
+}
+
+func (b *eventBatch) add(event []byte) {
+	b.bytes = append(b.bytes, event...)
+	b.count++
+}
+
+// responseHead is a status line with a header field after it. Field names of events are in
+// lower case.
+var responseHead = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}[^\r\n]*\r?\n[A-Z][0-9A-Za-z-]*:`)
+
+// hasResponseHead reports whether an endpoint sent the head of another response in place
+// of an event or within one.
+func hasResponseHead(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("HTTP/")) || bytes.Contains(event, []byte("HTTP/1.")) && responseHead.Match(event)
 }
 
 // isComment reports whether what ends with a blank line is no event: endpoints send
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -16,9 +16,12 @@
 // Errors in an endpoint's response.
 var (
 	errNotAuthenticated = eris.New("response carries no proof that it comes from an endpoint")
-	errNotEventStream   = eris.New("resumed stream has a response that is not an event stream")
+	errNotContinuation  = eris.New("response does not continue the stream that has begun")
 
 	errEventTooLong = eris.New("event in a stream exceeds the size limit")
+	errEventOrder   = eris.New("event in a stream has a lower number than the one before")
+	errNotEvent     = eris.New("text in a stream is no event of it")
+	errNoNewEvent   = eris.New("resumed stream ends without a further event")
 )
 
 // Outcomes of a request, as written to logs and metrics.
@@ -43,6 +46,7 @@
 	unframed bool
 
 	headerWritten    bool   // the status and header were written
+	status           int    // the status, once it is written
 	aborted          bool   // the connection must be closed, since the response is incomplete
 	logged           bool   // the end of the request was logged
 	lastEvent        string // id of the last numbered event, empty before it
@@ -91,9 +95,17 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	a.w.WriteHeader(status)
+	a.status = status
 	a.headerWritten = true
 }
 
+// continuedBy reports whether the events of a response may follow those that the caller
+// has. The caller reads them by the status and header of the first response.
+func (a *responseWriter) continuedBy(r *http.Response) bool {
+	const encoding = "Content-Encoding"
+	return r.StatusCode == a.status && isEvents(r.Header) && r.Header.Get(encoding) == a.w.Header().Get(encoding)
+}
+
 func (a *responseWriter) write(data []byte) error {
 	_, err := a.Write(data)
 	return err
--- a/internal/gateway/wholestream_test.go
+++ b/internal/gateway/wholestream_test.go
@@ -18,6 +18,7 @@
 		{"ids that are no numbers", "id: a\ndata: a\n\nid: b\ndata: b\n\n"},
 		{"an error event", event(1) + "event: error\ndata: full\n\n"},
 		{"comments", ": hello\n\n" + event(1) + ":\n\n" + event(2)},
+		{"heads as data", "id: 1\ndata: HTTP/1.1 503 Service Unavailable\ndata: Retry-After: 1\ndata:\n\n" + event(2)},
 		{"no events", ""},
 	} {
 		for _, p := range rawProtocols {
