An endpoint's refusal without the mark is not passed on as a promise

What callers saw: 503, 429 or 408 for a request that an endpoint may have run. These statuses tell a caller that its request did not run, and it sends it again.

Cause: without the not-executed mark, such a response was taken for the endpoint's own answer and forwarded with its status. It proves nothing, though: it may come from whatever stands before the endpoint, or may be a part of another refusal.

Evidence: TestStaleRefusal against the code before, three cases: "without a mark, as the own answer": expected 502, actual 503; 429 and 408 likewise.

Fix: such a response ends its attempt as one that may have run: the request is sent again if it may run twice, and otherwise ends with 502.

The other cases of the test passed before: an earlier refusal that comes once more on the connection before, in, or after the next answer names another request and is read to its end and dropped; without an id, length or end it fails the attempt as one that may have run.

Result: TestStaleRefusal passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,6 +121,9 @@
 		}
 		return result{outcome: placement.Full, notRun: true, reason: "endpoint is at capacity"}
 	}
+	if isRefusal(response.StatusCode) {
+		return g.interrupted(ctx, errUnmarkedRefusal, false)
+	}
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && !a.Authenticated {
 		return g.interrupted(ctx, errNotAuthenticated, false)
@@ -151,6 +154,15 @@
 	return result{outcome: placement.Succeeded, responded: true}
 }
 
+// isRefusal reports whether a status promises the caller that its request did not run.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // forwardLarge forwards a response that is too large to be buffered first.
 func (g *Gateway) forwardLarge(ctx context.Context, q *request, response *http.Response, head []byte, out *responseWriter) result {
 	out.writeHeader(response.StatusCode, response.Header, response.ContentLength)
--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/primrosetally/primrosetally/internal/boottime"
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 	"github.com/primrosetally/primrosetally/internal/transport/endpoints"
 )
@@ -50,6 +51,8 @@
 type rawAnswer struct {
 	text string
 	end  rawEnd
+	// stale is written before text on a connection that has carried a request before.
+	stale string
 	// before is called before anything is written, nil for nothing to do.
 	before func()
 }
@@ -131,6 +134,18 @@
 	return f
 }
 
+// awaitPlacement waits until placement takes requests again after a refusal.
+func (f *rawFleet) awaitPlacement() {
+	pool := f.gateway.trafficOf("s").placement
+	require.Eventually(f.t, func() bool {
+		d := <-pool.Submit(f.gateway.now(), placement.Request{Deadline: f.gateway.now()}).Decision()
+		if d.Placed() {
+			pool.Release(f.gateway.now(), d.Choice(), placement.Cancelled)
+		}
+		return d.Placed()
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 // listen starts an endpoint and returns its address.
 func (f *rawFleet) listen(id string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -152,7 +167,7 @@
 func (f *rawFleet) serve(id string, c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
-	for {
+	for kept := false; ; kept = true {
 		request, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -165,8 +180,12 @@
 		if a.before != nil {
 			a.before()
 		}
+		text := a.text
+		if kept {
+			text = a.stale + text
+		}
 		// A gateway that has seen enough may have closed the connection.
-		_, _ = io.WriteString(c, a.text)
+		_, _ = io.WriteString(c, text)
 		if t, isTCP := c.(*net.TCPConn); isTCP && a.end == rawReset {
 			_ = t.SetLinger(0) // closing then sends a reset
 		}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -16,6 +16,7 @@
 // Errors in an endpoint's response.
 var (
 	errNotAuthenticated = eris.New("response carries no proof that it comes from an endpoint")
+	errUnmarkedRefusal  = eris.New("response has the status of a refusal, but does not prove that the request did not run")
 	errNotContinuation  = eris.New("response does not continue the stream that has begun")
 
 	errEventTooLong = eris.New("event in a stream exceeds the size limit")
