An answer that names several requests, or none after others, is not taken

What callers saw: 503 and "send it again" for a request that its endpoint ran, where a refusal on a kept connection had two id headers, one of them that of the request.

Cause: the first id header alone decided to which request an answer belongs. And an answer without an id was taken on a new connection also after the answer of another request had come there.

Evidence: TestStaleRefusal against the code before, "with the ids of both, own first" and "own last": expected 502, actual 503 and 200 respectively with the refusal's or the own answer by chance.

Fix: MatchID compares all id headers; several different ones are Ambiguous, and the attempt may have run. An unnamed answer is taken only as the first on a new connection.

--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -93,13 +93,7 @@
 			}
 		},
 		Match: func(h http.Header, id string) endpoints.Match {
-			switch h.Get(rawID) {
-			case id:
-				return endpoints.Own
-			case "":
-				return endpoints.Unnamed
-			}
-			return endpoints.Foreign
+			return endpoints.MatchID(h.Values(rawID), id)
 		},
 	}
 }
--- a/internal/gateway/stalerefusal_test.go
+++ b/internal/gateway/stalerefusal_test.go
@@ -46,6 +46,8 @@
 		{"without an id", rawAnswer{text: "HTTP/1.1 " + unavailable + "\r\n" + notRun + length("") + "\r\n" + own}, 502},
 		{"421 without an id", rawAnswer{text: "HTTP/1.1 421 Misdirected Request\r\n" + length("") + "\r\n" + own}, 502},
 		{"with an empty id", rawAnswer{text: answerTo("", unavailable, notRun, "") + own}, 502},
+		{"with the ids of both, own first", rawAnswer{text: answerTo("request-2\r\nId: request-1", unavailable, notRun, "") + own}, 502},
+		{"with the ids of both, own last", rawAnswer{text: answerTo("request-1\r\nId: request-2", unavailable, notRun, "") + own}, 502},
 		{"without a length", rawAnswer{text: "HTTP/1.1 " + unavailable + "\r\nId: request-1\r\n" + notRun + "\r\n" + own, end: rawClose}, 502},
 		{"closes", rawAnswer{text: answerTo("request-1", unavailable, notRun+"Connection: close\r\n", "") + own}, 502},
 		{"cut within its head", rawAnswer{text: refusal[:30], end: rawClose}, 502},
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -25,6 +25,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -298,14 +299,34 @@
 	Own
 	// Unnamed: the head does not name a request.
 	Unnamed
+	// Ambiguous: the head names several requests.
+	Ambiguous
 )
 
-// errUnnamed is returned for an answer that may be a late one to an earlier request.
-var errUnnamed = eris.New("answer on a used connection names no request")
+// MatchID returns the match of a head that names requests by the given ids, for a request
+// with an id.
+func MatchID(named []string, id string) Match {
+	switch named = slices.Compact(slices.Clone(named)); {
+	case len(named) > 1:
+		return Ambiguous
+	case len(named) == 0 || named[0] == "":
+		return Unnamed
+	case named[0] == id:
+		return Own
+	}
+	return Foreign
+}
+
+// Errors of answers that may belong to another request.
+var (
+	errUnnamed   = eris.New("answer on a connection that had others before names no request")
+	errAmbiguous = eris.New("answer names several requests")
+)
 
 // Send writes the request and reads the head of its answer. match reports which answer
 // belongs to the request; those of others are read to their end and dropped. One that
-// names no request is taken on a new connection only. The error wraps ErrNotSent where
+// names no request is taken only as the first on a new connection, one that names several
+// not at all. The error wraps ErrNotSent where
 // nothing was written. The end of ctx closes the connection.
 func (x *Exchange) Send(ctx context.Context, head Head, body []byte, match func(http.Header) Match) (*http.Response, error) {
 	// The callback may run after End has given the connection up.
@@ -319,6 +340,7 @@
 	}
 	request := &http.Request{Method: head.Method}
 	left := int64(maxBefore)
+	others := x.reused // answers to other requests may come on the connection
 	for left > 0 {
 		response, taken, err := x.nextHead(request, min(left, maxHead))
 		if err != nil {
@@ -329,7 +351,10 @@
 			continue // an interim answer
 		}
 		m := match(response.Header)
-		if m == Unnamed && x.reused {
+		if m == Ambiguous {
+			return nil, errAmbiguous
+		}
+		if m == Unnamed && others {
 			return nil, errUnnamed
 		}
 		if m != Foreign {
@@ -338,6 +363,7 @@
 			response.Body = x.body
 			return response, nil
 		}
+		others = true
 		n, err := io.CopyN(io.Discard, response.Body, left)
 		left -= n
 		if err != nil && err != io.EOF {
