A connection carries each request id once

What callers saw: 503 and "send it again" for a request that ran. An endpoint was listed under another identity while a request was on its way there (421). The request was sent again, to the new identity at the same address, on the same connection. The refusal, once more, carried the right id and was taken for the answer to the second attempt. A request without an id took an earlier refusal without an id for its own in the same way.

Cause: placement excludes the identities that were tried, so that no identity is chosen twice, also if it is the only one; an address can be. Connections are kept by address. And the empty id of a request matched the missing one of any answer.

Evidence: against the code before, TestStaleRefusalAtSameAddress and TestStaleRefusalOfRequestWithoutID: expected 200, actual 503, with the request run.

Fix: a request that was sent to an address before, and one without an id, get a new connection, on which no earlier answer can come.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,6 +22,19 @@
 	unrepeatableMaxIdle = 400 * time.Millisecond
 )
 
+// maxIdle returns the longest idle time of a connection that may carry the request to an
+// address. Where an earlier answer could be taken for that of the request, by its id or for
+// want of one, none may.
+func (q *request) maxIdle(address string) time.Duration {
+	switch {
+	case q.head.ID == "" || slices.Contains(q.addresses, address):
+		return endpoints.NewConnection
+	case q.route.Repeatable():
+		return repeatableMaxIdle
+	}
+	return unrepeatableMaxIdle
+}
+
 // maxBufferedResponse is the size in bytes up to which a response is read completely
 // before it is forwarded, so that another attempt can replace it if it breaks off.
 const maxBufferedResponse = 256 << 10
@@ -48,11 +62,7 @@
 // attempt sends the request to one endpoint and forwards a complete response.
 func (g *Gateway) attempt(ctx context.Context, q *request, c *placement.Choice, out *responseWriter) result {
 	q.attempts++
-	idle := unrepeatableMaxIdle
-	if q.route.Repeatable() {
-		idle = repeatableMaxIdle
-	}
-	x, err := g.pool.Begin(ctx, c.Address, idle)
+	x, err := g.pool.Begin(ctx, c.Address, q.maxIdle(c.Address))
 	if errors.Is(err, endpoints.ErrNoConnection) {
 		return result{outcome: placement.Full, notRun: true, reason: err.Error()}
 	}
@@ -64,6 +74,7 @@
 		return result{outcome: placement.Stale, notRun: true, reason: reason}
 	}
 	q.tried = append(q.tried, c.ID)
+	q.addresses = append(q.addresses, c.Address)
 	out.endpoint = c.ID
 	q.sentAt, q.begunAt = g.now(), 0
 	q.answered, q.sound = false, false
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,7 @@
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	tried             []string      // IDs of the endpoints tried, in order
+	addresses         []string      // their addresses
 }
 
 // fingerprint identifies a request across its repeats.
--- a/internal/gateway/stalerefusal_test.go
+++ b/internal/gateway/stalerefusal_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
 
 const answerText = "done"
@@ -78,3 +80,45 @@
 		})
 	}
 }
+
+// An endpoint starts again under another identity, or is listed under another one, while a
+// request is on its way. The request is sent to the same address again, so that a refusal
+// which is written once more there carries the right id.
+func TestStaleRefusalAtSameAddress(t *testing.T) {
+	const id = "request-1"
+	misdirected := answerTo(id, "421 Misdirected Request", notRun, "")
+	var f *rawFleet
+	listed := make(chan struct{})
+	f = startRawFleet(t, 1, []rawAnswer{
+		{text: misdirected, before: func() {
+			<-listed
+			e := f.gateway.snapshot.Load().endpoints[0]
+			f.gateway.ApplyEndpoints([]*fleet.Endpoint{fleet.NewEndpoint("e2", "s", e.Address(), fleet.WithPlace("riga-a"), fleet.WithSlots(8))})
+		}},
+		{stale: misdirected, text: answerTo(id, "200 OK", proven, answerText)},
+	})
+	close(listed)
+	p := rawProtocols[0]
+	r := readResult(t, p, f.dial(p, rawPathRead, id))
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, answerText, r.body)
+	require.Len(t, f.seen(), 2)
+}
+
+// A request without an id can't be told from others, so that it gets a connection of its
+// own.
+func TestStaleRefusalOfRequestWithoutID(t *testing.T) {
+	refusal := "HTTP/1.1 400 Bad Request\r\n" + notRun + length("") + "\r\n"
+	answer := "HTTP/1.1 200 OK\r\n" + proven + length(answerText) + "\r\n" + answerText
+	f := startRawFleet(t, 1, []rawAnswer{{text: refusal}, {stale: refusal, text: answer}, {stale: refusal, text: answer}})
+	p := rawProtocols[0]
+	r := readResult(t, p, f.dial(p, rawPathRead, ""))
+	require.True(t, isRefusal(r.status))
+	for range 2 {
+		f.awaitPlacement()
+		r = readResult(t, p, f.dial(p, rawPathRead, ""))
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, answerText, r.body)
+	}
+	require.Len(t, f.seen(), 3)
+}
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -323,6 +323,10 @@
 	errAmbiguous = eris.New("answer names several requests")
 )
 
+// NewConnection is a longest idle time that no connection has: the exchange begins on a
+// new one, on which no answer to an earlier request can arrive.
+const NewConnection = time.Duration(-1)
+
 // Send writes the request and reads the head of its answer. match reports which answer
 // belongs to the request; those of others are read to their end and dropped. One that
 // names no request is taken only as the first on a new connection, one that names several
