--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -23,6 +22,19 @@
 	unrepeatableMaxIdle = 400 * time.Millisecond
 )
 
+// maxIdle returns the longest idle time of a connection that may carry the request to an
+// address. Where an earlier answer could be taken for that of the request, by its id or for
+// want of one, none may.
+func (q *request) maxIdle(address string) time.Duration {
+	switch {
+	case q.head.ID == "" || slices.Contains(q.addresses, address):
+		return endpoints.NewConnection
+	case q.route.Repeatable():
+		return repeatableMaxIdle
+	}
+	return unrepeatableMaxIdle
+}
+
 // maxBufferedResponse is the size in bytes up to which a response is read completely
 // before it is forwarded, so that another attempt can replace it if it breaks off.
 const maxBufferedResponse = 256 << 10
@@ -50,11 +62,7 @@
 // attempt sends the request to one endpoint and forwards a complete response.
 func (g *Gateway) attempt(ctx context.Context, q *request, c *placement.Choice, out *responseWriter) result {
 	q.attempts++
-	idle := unrepeatableMaxIdle
-	if q.route.Repeatable() {
-		idle = repeatableMaxIdle
-	}
-	x, err := g.pool.Begin(ctx, c.Address, idle)
+	x, err := g.pool.Begin(ctx, c.Address, q.maxIdle(c.Address))
 	if errors.Is(err, endpoints.ErrNoConnection) {
 		return result{outcome: placement.Full, notRun: true, reason: err.Error()}
 	}
@@ -66,6 +74,7 @@
 		return result{outcome: placement.Stale, notRun: true, reason: reason}
 	}
 	q.tried = append(q.tried, c.ID)
+	q.addresses = append(q.addresses, c.Address)
 	out.endpoint = c.ID
 	q.sentAt, q.begunAt = g.now(), 0
 	q.answered, q.sound = false, false
@@ -123,17 +132,20 @@
 		}
 		return result{outcome: placement.Full, notRun: true, reason: "endpoint is at capacity"}
 	}
+	if isRefusal(response.StatusCode) {
+		return g.interrupted(ctx, errUnmarkedRefusal, false)
+	}
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && !a.Authenticated {
 		return g.interrupted(ctx, errNotAuthenticated, false)
 	}
+	if out.headerWritten && !out.continuedBy(response) {
+		return g.interrupted(ctx, errNotContinuation, false)
+	}
 	q.answered = success
 	if success && isEvents(response.Header) {
 		return g.forwardStream(ctx, q, c, response, out)
 	}
-	if out.headerWritten {
-		return g.interrupted(ctx, errNotEventStream, false)
-	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
 	if err != nil {
 		return g.interrupted(ctx, err, true)
@@ -153,6 +165,15 @@
 	return result{outcome: placement.Succeeded, responded: true}
 }
 
+// isRefusal reports whether a status promises the caller that its request did not run.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // forwardLarge forwards a response that is too large to be buffered first.
 func (g *Gateway) forwardLarge(ctx context.Context, q *request, response *http.Response, head []byte, out *responseWriter) result {
 	out.writeHeader(response.StatusCode, response.Header, response.ContentLength)
@@ -176,7 +197,7 @@
 // the caller's response header with the first event, so that a stream that breaks off
 // before any event can be replaced entirely.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *responseWriter) result {
-	var events eventReader
+	events := eventReader{resumed: out.headerWritten}
 	buf := make([]byte, 4<<10)
 	last := time.Duration(0) // time of the last event from this endpoint, 0 before the first
 	for {
@@ -204,11 +225,17 @@
 			out.flush()
 			g.recordProgress(q)
 			out.events += batch.count
-			out.lastEvent, out.lastNumber = batch.lastEvent, batch.lastNumber
+			out.recordPosition(batch)
+		}
+		if batch.err != nil {
+			return g.interrupted(ctx, batch.err, false)
 		}
 		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == io.EOF && events.resumed && !events.progressed {
+			return g.interrupted(ctx, errNoNewEvent, false)
+		}
 		if err == io.EOF {
 			return g.endStream(q, response, out)
 		}
@@ -232,74 +259,3 @@
 	out.finish(q)
 	return result{outcome: placement.Succeeded, responded: true}
 }
-
-// eventReader splits a stream into complete events.
-type eventReader struct {
-	rest []byte
-}
-
-// eventBatch holds complete events that arrived together.
-type eventBatch struct {
-	bytes      []byte
-	count      int
-	lastEvent  string
-	lastNumber int64
-}
-
-// feed appends data and returns the events that are now complete. Events with a
-// number up to after are skipped, since the caller already has them.
-func (r *eventReader) feed(data []byte, after int64) eventBatch {
-	r.rest = append(r.rest, data...)
-	batch := eventBatch{lastNumber: after}
-	for {
-		end := eventEnd(r.rest)
-		if end < 0 {
-			return batch
-		}
-		event := r.rest[:end]
-		id, number := eventID(event)
-		if number > batch.lastNumber || id == "" {
-			batch.bytes = append(batch.bytes, event...)
-			batch.count++
-		}
-		if number > batch.lastNumber {
-			batch.lastEvent, batch.lastNumber = id, number
-		}
-		r.rest = slices.Delete(r.rest, 0, end)
-	}
-}
-
-// maxEventBytes is the size limit of an event in bytes.
-const maxEventBytes = 64 << 10
-
-// tooLong reports whether the incomplete event exceeds maxEventBytes.
-func (r *eventReader) tooLong() bool { return len(r.rest) > maxEventBytes }
-
-// partial reports whether there is an incomplete event.
-func (r *eventReader) partial() bool { return len(bytes.TrimSpace(r.rest)) > 0 }
-
-// eventEnd returns the length of the first event including the blank line that ends
-// it, -1 if the event is incomplete.
-func eventEnd(data []byte) int {
-	end := -1
-	for _, blank := range []string{"\n\n", "\r\n\r\n"} {
-		if i := bytes.Index(data, []byte(blank)); i >= 0 && (end < 0 || i+len(blank) < end) {
-			end = i + len(blank)
-		}
-	}
-	return end
-}
-
-// eventID returns the id of an event and the number in it. The number is 0 if the id
-// is missing or not a number.
-func eventID(event []byte) (string, int64) {
-	for line := range bytes.Lines(event) {
-		value, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
-			continue
-		}
-		id := string(bytes.TrimSpace(value))
-		return id, parseEventNumber(id)
-	}
-	return "", 0
-}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,7 @@
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	tried             []string      // IDs of the endpoints tried, in order
+	addresses         []string      // their addresses
 }
 
 // fingerprint identifies a request across its repeats.
@@ -86,7 +87,7 @@
 	g.requestStarted()
 	defer g.active.Add(-1)
 	g.refreshLoads(g.now())
-	out := &responseWriter{gateway: g, w: w, arrived: g.now()}
+	out := &responseWriter{gateway: g, w: w, arrived: g.now(), lastNumber: noNumber, unframed: !r.ProtoAtLeast(1, 1)}
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -97,11 +98,18 @@
 	remaining := q.remaining(g.now())
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
+	complete := false
+	defer func() { // also after a panic
+		if !complete {
+			out.reset()
+		}
+	}()
 	// A caller that does not read the response must not block the request forever.
 	// Setting the deadline fails only for the writers of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeGrace))
 	g.dispatch(ctx, q, out)
 	out.abortIncomplete(q)
+	complete = true
 }
 
 // accept reads and validates a request. It returns nil if it has written the final
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,9 +16,13 @@
 // Errors in an endpoint's response.
 var (
 	errNotAuthenticated = eris.New("response carries no proof that it comes from an endpoint")
-	errNotEventStream   = eris.New("resumed stream has a response that is not an event stream")
+	errUnmarkedRefusal  = eris.New("response has the status of a refusal, but does not prove that the request did not run")
+	errNotContinuation  = eris.New("response does not continue the stream that has begun")
 
 	errEventTooLong = eris.New("event in a stream exceeds the size limit")
+	errEventOrder   = eris.New("event in a stream has a lower number than the one before")
+	errNotEvent     = eris.New("text in a stream is no event of it")
+	errNoNewEvent   = eris.New("resumed stream ends without a further event")
 )
 
 // Outcomes of a request, as written to logs and metrics.
@@ -37,12 +42,17 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	arrived time.Duration
-
-	headerWritten    bool // the status and header were written
-	aborted          bool // the connection must be closed, since the response is incomplete
-	logged           bool // the end of the request was logged
-	lastEvent        string
-	lastNumber       int64
+	// unframed is set if the caller's version of HTTP has no chunks: a response without
+	// a length then ends with its connection.
+	unframed bool
+
+	headerWritten    bool   // the status and header were written
+	status           int    // the status, once it is written
+	aborted          bool   // the connection must be closed, since the response is incomplete
+	logged           bool   // the end of the request was logged
+	lastEvent        string // id of the last numbered event, empty before it
+	lastNumber       int64  // its number, or noNumber
+	unnumbered       bool   // the caller has events without a number
 	events           int
 	endpoint         string
 	timeToFirstEvent time.Duration // from the arrival of the request to the first event
@@ -64,6 +74,14 @@
 	a.lastEventAt = now
 }
 
+// recordPosition records which events the caller has.
+func (a *responseWriter) recordPosition(b eventBatch) {
+	a.unnumbered = a.unnumbered || b.unnumbered
+	if b.lastEvent != "" {
+		a.lastEvent, a.lastNumber = b.lastEvent, b.lastNumber
+	}
+}
+
 // writeHeader writes the status and header of an endpoint's response. Length is the
 // Content-Length, or -1 if the body is sent chunked.
 func (a *responseWriter) writeHeader(status int, from http.Header, length int64) {
@@ -78,9 +96,17 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	a.w.WriteHeader(status)
+	a.status = status
 	a.headerWritten = true
 }
 
+// continuedBy reports whether the events of a response may follow those that the caller
+// has. The caller reads them by the status and header of the first response.
+func (a *responseWriter) continuedBy(r *http.Response) bool {
+	const encoding = "Content-Encoding"
+	return r.StatusCode == a.status && isEvents(r.Header) && r.Header.Get(encoding) == a.w.Header().Get(encoding)
+}
+
 func (a *responseWriter) write(data []byte) error {
 	_, err := a.Write(data)
 	return err
@@ -100,6 +126,12 @@
 	_ = http.NewResponseController(a.w).Flush()
 }
 
+// resumable reports whether another attempt may follow. A response that has begun goes on
+// only as a stream of which the endpoint can be told what the caller has.
+func (a *responseWriter) resumable(q *request) bool {
+	return !a.headerWritten || q.route.Resumable() && !a.unnumbered
+}
+
 // finish logs a response that was written completely.
 func (a *responseWriter) finish(q *request) {
 	a.log(q, outcomeAnswered, http.StatusOK, "")
@@ -173,6 +205,23 @@
 	}
 }
 
+// reset closes the connection of a response that is incomplete. Without chunks, the caller
+// could take an orderly close for the end of the response.
+func (a *responseWriter) reset() {
+	if !a.unframed {
+		return // net/http closes the connection without the last chunk
+	}
+	c, _, err := http.NewResponseController(a.w).Hijack()
+	if err != nil {
+		telemetry.CallerNotReset.Log(context.Background(), a.gateway.logger, "error", err)
+		return
+	}
+	if t, isTCP := c.(*net.TCPConn); isTCP {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	c.Close()
+}
+
 func (a *responseWriter) log(q *request, outcome string, status int, reason string, args ...any) {
 	service := q.service.Name()
 	if outcome == outcomeAnswered {
@@ -195,12 +244,3 @@
 		"took", g.now() - a.arrived, "configuration", g.snapshot.Load().version(),
 	}, args...)...)
 }
-
-// parseEventNumber returns the number in an event's id, 0 if the id is not a number.
-func parseEventNumber(id string) int64 {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -267,6 +267,10 @@
 		735, "rowNotRead", slog.LevelWarn,
 		"A row of the store has no key or version that can be read. It is left out, and all other rows hold. Look at who wrote it.",
 	}
+	CallerNotReset = Event{
+		736, "callerNotReset", slog.LevelWarn,
+		"A response was cut to a caller whose version of HTTP shows the end of a response by the end of the connection, and the connection could not be reset: the caller may take the response for whole.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -288,7 +292,7 @@
 		EndpointOrdered, EndpointNotOrdered, LinesDropped, EndpointNotReached, StagedChunkSpoilt, SettingsReloaded,
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
-		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead,
+		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead, CallerNotReset,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
