Test: carry out the late write within the time that an agent waits for it

TestWriteWithoutAnswerIsCarriedOutLater was flaky: 94 of 200 runs failed with "version 3 was loaded with "version 2 chunk 2" as chunk 2". The write was carried out 100 ms before the end of the wait counted from the time at which the test looked at it, which is 100 ms after the write began: at the same virtual moment as the wait ended. It is now carried out 400 ms before that end.

The check is as strict: without the wait 20 of 20 runs fail, with it 600 of 600 pass, and 30 runs of the whole package with the race detector.

--- a/internal/replica/endpoint_test.go
+++ b/internal/replica/endpoint_test.go
@@ -526,7 +526,7 @@
 			for _, w := range writes {
 				w()
 			}
-		}, callTimeout+settleTime-100*time.Millisecond)
+		}, callTimeout+settleTime-500*time.Millisecond)
 		r.SetTarget(Target{Model: "m", Version: 3, Exact: true})
 		e.requireLoaded(3, 15*time.Second, "late write")
 	})
