Ignore staged chunks with a negative index

An endpoint that lists a staged chunk with a negative index ended the agent.

Evidence: TestStagedChunksWithInvalidIndex failed on the code before with "index out of range [-1]".

Fix: an index that the manifest does not have is ignored on both sides.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -246,3 +246,14 @@
 		require.Equal(t, good.ID(), m.ID())
 	})
 }
+
+// An index that the manifest does not have is ignored in the list of staged chunks.
+func TestStagedChunksWithInvalidIndex(t *testing.T) {
+	r := New(agent(1), Callbacks{
+		ListStaged: func(context.Context, string) ([]int, error) { return []int{-1, 0, 7}, nil },
+		ReadStaged: func(context.Context, string, int) ([]byte, error) { return []byte("a"), nil },
+	})
+	s := stagingState{manifest: manifest(t, 2, "a", "b"), staged: make([]bool, 2)}
+	require.NoError(t, r.verifyStaged(t.Context(), target{model: "m", version: 2}, s))
+	require.Equal(t, []bool{true, false}, s.staged)
+}
--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -56,7 +56,7 @@
 		r.mu.Unlock()
 	}
 	for _, i := range list {
-		if i < len(s.staged) {
+		if i >= 0 && i < len(s.staged) {
 			s.staged[i] = r.chunkIntact(ctx, t.model, s.manifest, i)
 		}
 	}
