Agents take no version for loaded before they know the number of layers

An entry may tell an agent a target version before the agent has the configuration, which says how many layers a version has. The agent then took any range from the first layer on for the whole version, would not load the target and told the entries that it was loaded.

Evidence: on the code before, TestVersionOfEngineNeedsConfiguration says "Expected error with "no configuration yet" in chain but got nil" (the method was split from the callback for the test).

Fix: without a configuration the engine's state is an error, and the agent tries again.

Result: the test passes.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -25,8 +25,12 @@
 	"github.com/primrosetally/primrosetally/platform"
 )
 
-// errNoOrigin is returned while the configuration contains no origin.
-var errNoOrigin = eris.New("configuration contains no origin of weights")
+var (
+	// errNoOrigin is returned while the configuration contains no origin.
+	errNoOrigin = eris.New("configuration contains no origin of weights")
+	// errNoConfiguration is returned while there is no configuration.
+	errNoConfiguration = eris.New("no configuration yet")
+)
 
 // Agent is a running agent.
 type Agent struct {
@@ -207,9 +211,19 @@
 	}
 }
 
-// layers returns the number of layers of the own engine's model, 0 if it is unknown.
-func (a *Agent) layers() int {
+// status returns the state of the own engine. Which layers make a version complete follows
+// from the configuration, so without it no version of a model can be told.
+func (a *Agent) status(ctx context.Context, name string) (replica.Status, error) {
 	c := a.fleet.Load()
+	if c == nil && name != "" {
+		return replica.Status{}, errNoConfiguration
+	}
+	return a.engine.Status(ctx, name, a.layers(c))
+}
+
+// layers returns the number of layers of the own engine's model, 0 if the configuration
+// does not contain it.
+func (a *Agent) layers(c *fleet.Configuration) int {
 	if c == nil {
 		return 0
 	}
@@ -222,9 +236,7 @@
 func (a *Agent) callbacks() replica.Callbacks {
 	from := &nodev1.Origin{Name: a.settings.Name()}
 	return replica.Callbacks{
-		Status: func(ctx context.Context, name string) (replica.Status, error) {
-			return a.engine.Status(ctx, name, a.layers())
-		},
+		Status:     a.status,
 		ListStaged: a.engine.StagedChunks,
 		Stage:      a.engine.Stage,
 		ReadStaged: a.engine.ReadStaged,
