An entry that starts during a rollout is ready once it knows which weights are usable

Callers of entries that had all just started were refused with "no endpoint can take it" and told to come back after a second or more, for a service whose endpoints all had the weights of before a version that was being rolled out and could have served them: the entries said that they were ready.

Cause: a process that has just started does not know when the target version was set, and so requires it at once. The time comes with the others' summaries or from the store's record, which an entry reads some tenths of a second after the list of endpoints. Until then, no endpoint with older weights is used, and readiness followed from the list alone.

Evidence: TestEntriesStartDuringRollout starts all entries while no endpoint has the new version, and sends one request. TestNotReadyWhileTimeOfTargetVersionIsUnknown fails without the check in Ready for the three cases of old weights: "expected: false, actual: true, at the start".

Fix: an entry is not ready while a service has endpoints with weights, none of them usable, and the time of the target version is unknown; for 1.5 s after it first had the list at most. A service without endpoints, or whose endpoints have no weights or are draining, does not delay it.

--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -78,25 +79,38 @@
 var network byte = 100
 
 func startSystem(t *testing.T, options ...standin.DeploymentOption) *system {
+	t.Helper()
+	s := newSystem(t, options...)
+	s.startProcesses()
+	return s
+}
+
+// newSystem starts a deployment without entries and agents.
+func newSystem(t *testing.T, options ...standin.DeploymentOption) *system {
 	t.Helper()
 	network++
 	s := &system{t: t, runs: &runLog{}, logs: &logBuffer{}}
 	d, err := standin.StartDeployment(append(options, standin.WithNetwork(network), standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
 	require.NoError(t, err)
 	s.Deployment = d
+	return s
+}
+
+// startProcesses starts the entries and agents and waits until all entries are ready.
+func (s *system) startProcesses() {
+	s.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	for _, m := range d.Entries {
+	for _, m := range s.Entries {
 		s.start(ctx, m, RunEntry)
 	}
-	for _, m := range d.Agents {
+	for _, m := range s.Agents {
 		s.start(ctx, m, RunAgent)
 	}
-	t.Cleanup(s.stop)
-	for _, m := range d.Entries {
-		require.Eventually(t, func() bool { return s.IsReady(m) }, 10*time.Second, 20*time.Millisecond, m.Name)
+	s.t.Cleanup(s.stop)
+	for _, m := range s.Entries {
+		require.Eventually(s.t, func() bool { return s.IsReady(m) }, 10*time.Second, 20*time.Millisecond, m.Name)
 	}
-	return s
 }
 
 func (s *system) start(ctx context.Context, m standin.Machine, run func(context.Context, *platform.Settings, *slog.Logger) error) {
@@ -358,6 +372,24 @@
 	require.Equal(t, int64(2), s.runs.forAttempt(r.attempt)[0].Version)
 }
 
+// All entries start together during a rollout, when no endpoint has the new weights yet.
+// The store tells when these were set: the old ones may be used for some seconds more. An
+// entry that is ready must know that.
+func TestEntriesStartDuringRollout(t *testing.T) {
+	s := newSystem(t)
+	s.Origin.SetBroken(func() standin.Breakage { return standin.BreakError })
+	s.NameWeights(2)
+	row := targetVersionRow{Model: standin.Model, Version: 2}
+	value, err := json.Marshal(row)
+	require.NoError(t, err)
+	s.Store.Put(platform.TableWeights, row.key(), value)
+	s.startProcesses()
+	r := s.call("POST", standin.PathStream+"rollout", standin.Key)
+	require.NoError(t, r.callErr)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, int64(1), s.runs.forAttempt(r.attempt)[0].Version)
+}
+
 // breakFirst breaks the first response of all servers together.
 func (s *system) breakFirst(b standin.Breakage) {
 	var broken atomic.Bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,6 +158,7 @@
 	started      time.Duration
 	draining     atomic.Bool
 	placed       atomic.Bool  // placement has the list of endpoints
+	readyAt      atomic.Int64 // boottime nanoseconds of the end of a wait for the times of target versions
 	lastOutage   atomic.Int64 // boottime nanoseconds of the last time the store was unreachable
 	active       atomic.Int64
 	// loadsStale is set while placement lacks the latest load of other entries.
@@ -289,8 +290,11 @@
 }
 
 // Ready reports whether callers should use this entry. Before placement has the list of
-// endpoints, every request would be refused.
-func (g *Gateway) Ready() bool { return g.joined() && g.placed.Load() }
+// endpoints, every request would be refused, and for a short time after it those for a
+// service whose endpoints may be usable.
+func (g *Gateway) Ready() bool {
+	return g.joined() && g.placed.Load() && int64(g.now()) >= g.readyAt.Load()
+}
 
 // joined reports whether this entry takes part in the division of the endpoints. It does
 // so before it is ready, so that its first request finds the endpoints that it prefers.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -360,6 +360,56 @@
 	require.True(t, (<-v.Decision()).Choice().Preferred, "the entry has the endpoints of its own failure domain from the start")
 }
 
+// An entry that starts does not know when the target version was set, and must not use
+// older weights. While it may still learn that older ones are usable, it is not ready if
+// that leaves a service without endpoints.
+func TestNotReadyWhileTimeOfTargetVersionIsUnknown(t *testing.T) {
+	const bound = 8 * time.Second
+	engine := fleet.NewService("s", fleet.WithEngine(&fleet.Engine{Models: []string{"m"}}))
+	for _, test := range []struct {
+		name     string
+		versions []int64 // of the endpoints' weights, 0 for none
+		draining bool
+		setAgo   time.Duration // of the target version, as others have stored it; 0 if none has
+		atStart  bool
+		learned  bool // ready once that is known
+		atEnd    bool
+	}{
+		{"old weights, no time stored", []int64{1, 1}, false, 0, false, false, true},
+		{"old weights, still usable", []int64{1, 1}, false, 2 * time.Second, false, true, true},
+		{"old weights, no longer usable", []int64{1, 1}, false, bound, false, true, true},
+		{"one endpoint has the new ones", []int64{1, 2}, false, 0, true, true, true},
+		{"no endpoint has any", []int64{0, 0}, false, 0, true, true, true},
+		{"the endpoints are draining", []int64{1, 1}, true, 0, true, true, true},
+		{"no endpoint", nil, false, 0, true, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := &clock{at: 100 * time.Second}
+			g := newGateway(c, WithVersionBound(bound, func(TargetVersion) {}))
+			g.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(engine, fleet.NewService("empty"))), map[string]int64{"m": 2})
+			var list []*fleet.Endpoint
+			for i, version := range test.versions {
+				id := fmt.Sprintf("e-%d", i)
+				options := []fleet.EndpointOption{fleet.WithDraining(test.draining)}
+				if version > 0 {
+					options = append(options, fleet.WithWeights(fleet.NewWeights("m", version, true)))
+				}
+				list = append(list, fleet.NewEndpoint(id, "s", id+":1", options...))
+			}
+			g.ApplyEndpoints(list)
+			require.Equal(t, test.atStart, g.Ready(), "at the start")
+			c.at += targetTimeWait / 2
+			if test.setAgo > 0 {
+				g.ApplyTargetVersion("m", 2, c.at-test.setAgo)
+			}
+			g.Refresh()
+			require.Equal(t, test.learned, g.Ready(), "when others have been asked")
+			c.at += targetTimeWait / 2
+			require.Equal(t, test.atEnd, g.Ready(), "at the end")
+		})
+	}
+}
+
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	g := newGateway(&clock{})
 	for _, test := range []struct{ version, want int64 }{{5, 5}, {4, 5}, {5, 5}, {9, 9}} {
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -15,6 +15,7 @@
 	endpoints     []*fleet.Endpoint
 	byHash        map[uint32]*fleet.Endpoint // endpoints by the hash in messages between entries
 	listed        bool                       // the platform's list has been read at least once
+	listedAt      time.Duration              // first time that it was
 }
 
 // endpointByHash returns the endpoint that a message between entries refers to, nil if it
@@ -61,7 +62,9 @@
 	for _, e := range list {
 		next.byHash[endpointHash(e.ID())] = e
 	}
-	next.listed = true
+	if !next.listed {
+		next.listed, next.listedAt = true, g.now()
+	}
 	g.logEndpoints(old.endpoints, list)
 	g.snapshot.Store(&next)
 	g.confirmMissing(&next)
@@ -123,8 +126,37 @@
 		pool.SetEndpoints(now, list)
 	}
 	if v.listed {
-		g.placed.Store(true)
+		g.updateReadiness(v, candidates, now)
+	}
+}
+
+// updateReadiness makes the entry ready once placement has the endpoints, and later if the
+// times of target versions are to be waited for.
+func (g *Gateway) updateReadiness(v *snapshot, candidates map[string][]placement.Candidate, now time.Duration) {
+	at := time.Duration(0)
+	if g.lacksTargetTime(v, candidates, now) {
+		at = v.listedAt + targetTimeWait
+	}
+	g.readyAt.Store(int64(at))
+	g.placed.Store(true)
+}
+
+// lacksTargetTime reports whether a service has no usable endpoint although some have
+// weights, which may be usable according to the time of the target version.
+func (g *Gateway) lacksTargetTime(v *snapshot, candidates map[string][]placement.Candidate, now time.Duration) bool {
+	for _, e := range v.endpoints {
+		s := v.configuration.Services()[e.Service()]
+		if s == nil || s.Engine() == nil || e.Draining() || len(candidates[e.Service()]) > 0 {
+			continue
+		}
+		for _, model := range s.Engine().Models {
+			version, loading := g.notices.version(e, model, now)
+			if version > 0 && !loading && g.targets.unknownTime(model) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // candidate returns the placement candidate for an endpoint. Usable is false if the
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -36,6 +36,10 @@
 	// an exact time: without one the version counts as overdue, and all agents would
 	// load it at the same moment.
 	recordReadTime = 1500 * time.Millisecond
+	// targetTimeWait bounds how long an entry that has read the list of endpoints is not
+	// ready because it may learn that their weights are still usable. The others' summaries
+	// and the stored times arrive well within it.
+	targetTimeWait = 1500 * time.Millisecond
 )
 
 // targetVersions holds a lower bound of the time at which each target version of
@@ -109,6 +113,19 @@
 	return required
 }
 
+// unknownTime reports whether the newest target version is required only because nothing
+// is known of when it was set.
+func (t *targetVersions) unknownTime(model string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := t.byModel[model]
+	if t.bound == 0 || len(versions) == 0 {
+		return false
+	}
+	newest := versions[len(versions)-1]
+	return !newest.exact && newest.setAt == 0
+}
+
 // newest returns the newest target version of each model, to be sent to the other
 // entries.
 func (t *targetVersions) newest(now time.Duration) []*nodev1.NamedWeights {
