Starts and shares out of bounds in messages about permits are not taken over

An endpoint with a rate limit could have been sent more than it takes: a report of a limit with a start of 2^63-1 made the real one look like that of an earlier incarnation, so that it was ignored. A share that is no number became another wait on x86-64 than on arm64.

Evidence: TestOddStartInLimit without the new condition: "Should be true ... ". TestOddShareInGrant tests a new function; what the share does was read, not run.

Fix: limits with a start that no process can have are ignored; a share is at least 0 and has a largest value.

--- a/internal/gateway/odddatagrams_test.go
+++ b/internal/gateway/odddatagrams_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primrosetally/primrosetally/internal/coordination/quota"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
@@ -113,3 +114,28 @@
 	g.ApplyTargetVersion("m", 2, now-20*time.Second)
 	require.Equal(t, int64(2), g.targets.required("m", now), "older versions have a time too")
 }
+
+// A limit of a start that no process can have does not hide that of the endpoint.
+func TestOddStartInLimit(t *testing.T) {
+	for _, started := range []int64{math.MaxInt64, 1<<53 + 1, -1} {
+		g := newGateway(&clock{at: time.Minute})
+		perSecond := 2.0
+		report := func(started int64) {
+			g.ReceiveQuotaReport(t.Context(), &nodev1.QuotaReport{Address: "10.0.0.2:1", Limits: []*nodev1.EndpointLimit{{
+				Endpoint: endpointHash("e"), Started: started, PerSecond: &perSecond,
+			}}})
+		}
+		report(started)
+		report(1000)
+		limit := g.rateLimits.limits.Limit(quota.Endpoint{Hash: endpointHash("e"), Started: 1000})
+		require.True(t, limit.Limited(), "%d", started)
+	}
+}
+
+// The share in a grant is a rate of permits or none.
+func TestOddShareInGrant(t *testing.T) {
+	for _, share := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat32} {
+		got := shareOf(&nodev1.EndpointPermits{Share: float32(share)})
+		require.True(t, got >= 0 && got <= maxShare, "%v", share)
+	}
+}
--- a/internal/gateway/quotamessages.go
+++ b/internal/gateway/quotamessages.go
@@ -86,7 +86,7 @@
 	grant := quota.Grant{Address: g.self.PeerAddress, Incarnation: g.self.Incarnation, Stamp: m.GetEcho()}
 	for _, p := range m.GetPermits() {
 		grant.Permits = append(grant.Permits, quota.Granted{
-			Endpoint: quota.Endpoint{Hash: p.GetEndpoint(), Started: p.GetStarted()}, Count: min(int(p.GetCount()), maxWanted), Share: float64(p.GetShare()),
+			Endpoint: quota.Endpoint{Hash: p.GetEndpoint(), Started: p.GetStarted()}, Count: min(int(p.GetCount()), maxWanted), Share: shareOf(p),
 		})
 	}
 	g.usePermits(g.now(), grant)
@@ -96,6 +96,9 @@
 func (g *Gateway) mergeLimits(ctx context.Context, now time.Duration, from string, list []*nodev1.EndpointLimit) {
 	changed := false
 	for _, m := range list {
+		if !validStart(m.GetStarted()) {
+			continue
+		}
 		o := quota.Observation{
 			Endpoint: quota.Endpoint{Hash: m.GetEndpoint(), Started: m.GetStarted()},
 			At:       now - time.Duration(m.GetAgeMs())*time.Millisecond,
