Positions of an unknown era are of the history that is known

An entry of an earlier build sends no era. Its copy would have looked like one of before a return from an older copy: entries of this build would have taken no rows from it, and its first copy in an entry that starts would have made the store's next answer look like a return. And an era of 0 in the store's answers could not be told from none.

Fix: the era is one more than what the store counts; 0 stands for unknown and is taken for that of the other position in a comparison.

--- a/internal/coordination/watch/copies_test.go
+++ b/internal/coordination/watch/copies_test.go
@@ -44,7 +44,7 @@
 }
 
 func newCopyStore(delay func()) *copyStore {
-	return &copyStore{delay: delay, rows: make(map[string]watch.Row), changed: make(chan struct{})}
+	return &copyStore{delay: delay, at: watch.Position{Era: 1}, rows: make(map[string]watch.Row), changed: make(chan struct{})}
 }
 
 func (s *copyStore) write(r watch.Row) {
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -47,13 +47,14 @@
 
 // Behind reports whether a copy in this state lacks changes that a peer's copy has.
 func (s State) Behind(peer State) bool {
-	return s.Position.Before(peer.Position) && (peer.Era != s.Era || peer.Digest != s.Digest)
+	own, other := sameEraIfUnknown(s.Position, peer.Position)
+	return own.Before(other) && (own.Era != other.Era || peer.Digest != s.Digest)
 }
 
 // Table is a copy of one table. It merges updates, returns the changes that a peer
 // lacks, and reports its own age. It is safe for concurrent use.
 //
-// The rows are those of the store at version, so that an update up to version or an
+// The rows are those of the store at position, so that an update up to position or an
 // earlier one has nothing new. A removal leaves no row behind: who has only the rows
 // can't tell a peer what was removed before. Removals are therefore recorded, and a
 // peer whose copy is older than the record gets every row.
@@ -77,7 +78,7 @@
 	position       Position // newest one covered
 	contentVersion int64    // newest version of a row or a removal
 	synced         bool     // an update was merged
-	diverged       bool     // a peer has other rows at the same version
+	diverged       bool     // a peer has other rows at the same position
 	replacedAt     time.Duration
 	retainUntil    time.Duration
 	restoredAt     time.Duration // when the copy entered another era, 0 for never
@@ -200,6 +201,7 @@
 	u.Age = max(u.Age, 0)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	u.Position, t.position = sameEraIfUnknown(u.Position, t.position)
 	if u.Position.Before(Position{Era: t.position.Era, Version: t.contentVersion}) {
 		return errStale
 	}
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -370,3 +370,27 @@
 	merge(2, 92)
 	require.Equal(t, clock, table.Confirmed())
 }
+
+// A peer of an earlier build does not send the era: its copy is one of the same history, and
+// what the store says afterwards is no return from an older copy.
+func TestUnknownEraIsTheSame(t *testing.T) {
+	clock := time.Minute
+	for _, test := range []struct {
+		name   string
+		first  Position
+		second Position
+		want   Position
+	}{
+		{"peer, then store", Position{Version: 5}, Position{Era: 4, Version: 7}, Position{Era: 4, Version: 7}},
+		{"store, then peer", Position{Era: 4, Version: 5}, Position{Version: 7}, Position{Era: 4, Version: 7}},
+		{"store, then a peer that is behind", Position{Era: 4, Version: 7}, Position{Version: 5}, Position{Era: 4, Version: 7}},
+	} {
+		table := newTable(func(map[string]Row) {}, func() time.Duration { return clock }, 0)
+		require.NoError(t, table.Merge(Update{Position: test.first, Full: true, StoreTime: time.Second}, clock), test.name)
+		peer := State{Position: test.second, Digest: 1}
+		require.Equal(t, test.first.Version < test.second.Version, table.State().Behind(peer), test.name)
+		clock += time.Second
+		require.NoError(t, table.Merge(Update{Position: test.second, StoreTime: 2 * time.Second}, clock), test.name)
+		require.Equal(t, test.want, table.State().Position, test.name)
+	}
+}
