What was at every crash replaces suspects that explain only some

Cause: of the attempts at a crash those are suspected that were further than the others. With other answers beginning just then the deadly request is never among them; frequent sound parts are, and explain three incidents first. Their crashes then do not count for what is suspected of all attempts, so that the deadly part lacks its five incidents. The two are tried in turn, while the sound ones can't be cleared by answers.

Fix: what was in flight at every crash since its first, with four incidents at least, takes the place of quarantines that explain only some of these crashes and fewer incidents. It does not where one of them explains a crash that it lacks: then crashes have other causes too, and the old rule decides.

--- a/internal/coordination/suspects/crash.go
+++ b/internal/coordination/suspects/crash.go
@@ -160,6 +160,9 @@
 	return slices.ContainsFunc(c.attempts, func(a Attempt) bool { return a.Request.hasAll(q.signature) })
 }
 
+// all returns all attempts.
+func (c *crash) all() []Attempt { return c.attempts }
+
 // likely returns the attempts that were further than the others. One that crashes an
 // endpoint as its answer begins is among them, unless another answer begins just then.
 func (c *crash) likely() []Attempt {
--- a/internal/coordination/suspects/evidence_test.go
+++ b/internal/coordination/suspects/evidence_test.go
@@ -111,6 +111,20 @@
 			crashed(seconds(3), queued("r3", "deadly"), begun("b3", "c")), crashed(seconds(4), queued("r4", "deadly"), begun("b4", "d")),
 			crashed(seconds(5), queued("r5", "deadly"), begun("b5", "e")),
 		}, []Request{request("n", "deadly")}, []Request{request("n", "a"), request("n", "e")}},
+		{"the same beside answers with a frequent part", []evidenceStep{
+			crashed(seconds(1), queued("r1", "deadly"), begun("b1", "frequent")), crashed(seconds(2), queued("r2", "deadly"), begun("b2", "frequent")),
+			crashed(seconds(3), queued("r3", "deadly"), begun("b3", "frequent")), crashed(seconds(4), queued("r4", "deadly"), begun("b4", "other")),
+		}, []Request{request("n", "deadly")}, []Request{request("n", "frequent"), request("n", "other")}},
+		{"a frequent part at the last crashes, of which others explain some", []evidenceStep{
+			crashed(seconds(1), begun("r1", "deadly")), crashed(seconds(2), begun("r2", "deadly"), queued("q2", "frequent")),
+			crashed(seconds(3), begun("r3", "deadly"), queued("q3", "frequent")), crashed(seconds(4), queued("q4", "frequent")),
+			crashed(seconds(5), queued("q5", "frequent"), begun("b5", "other")),
+		}, []Request{request("n", "deadly")}, []Request{request("n", "frequent"), request("n", "other")}},
+		{"a part at four crashes, and not at a later one", []evidenceStep{
+			crashed(seconds(1), queued("q1", "frequent"), begun("b1", "a")), crashed(seconds(2), queued("q2", "frequent"), begun("b2", "b")),
+			crashed(seconds(3), queued("q3", "frequent"), begun("b3", "c")), crashed(seconds(4), queued("q4", "frequent"), begun("b4", "d")),
+			crashed(seconds(5), begun("b5", "e")),
+		}, nil, []Request{request("n", "frequent")}},
 		{"one request that is repeated", []evidenceStep{
 			crashed(seconds(1), begun("r1", "first")), crashed(seconds(2), begun("r1", "first")), crashed(seconds(3), begun("r1", "first")),
 		}, []Request{request("r1", "first")}, []Request{first}},
--- a/internal/coordination/suspects/verdict.go
+++ b/internal/coordination/suspects/verdict.go
@@ -14,6 +14,9 @@
 	// minWeakIncidents is that number where all attempts are suspected. It finds what
 	// crashes an endpoint before the entry has the head of an answer.
 	minWeakIncidents = 5
+	// minConstantIncidents is that number where all attempts are suspected, of what was in
+	// flight at every crash since its first.
+	minConstantIncidents = 4
 	// incidentGap separates incidents. Crashes at the same time have a common cause in
 	// their surroundings, such as power, or in the entry that sees them: they count once.
 	incidentGap = 200 * time.Millisecond
@@ -53,12 +56,15 @@
 // returns the latest time at which an answer with a key began that did not end in a crash.
 func judge(crashes []*crash, sound func(Key) time.Duration) []*quarantine {
 	v := &verdict{crashes: crashes, attempts: (*crash).likely, sound: sound, minimum: minIncidents}
-	quarantines := v.quarantines(nil)
+	likely := v.quarantines(nil)
+	v = &verdict{crashes: crashes, attempts: (*crash).all, sound: sound, minimum: minConstantIncidents}
+	constant := v.constant(likely)
+	quarantines := append(withoutReplaced(likely, constant), constant...)
 	var explained []int
 	for _, q := range quarantines {
 		explained = append(explained, q.crashes...)
 	}
-	v = &verdict{crashes: crashes, attempts: func(c *crash) []Attempt { return c.attempts }, sound: sound, minimum: minWeakIncidents}
+	v = &verdict{crashes: crashes, attempts: (*crash).all, sound: sound, minimum: minWeakIncidents}
 	quarantines = append(quarantines, v.quarantines(explained)...)
 	v.shortenDoubtful(quarantines)
 	return quarantines
