--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -199,8 +199,10 @@
 		{"stream without length, reset after an event", "POST", standin.PathStream + "g", standin.BreakUnframedReset, 200, 2},
 		{"read without length, whole", "GET", standin.PathRead + "d", standin.BreakUnframed, 200, 1},
 		{"read without length, reset", "GET", standin.PathRead + "e", standin.BreakUnframedReset, 200, 2},
+		{"read without length, reset before its body", "GET", standin.PathRead + "f", standin.BreakUnframedEmpty, 200, 2},
 		{"publish without length, whole", "POST", standin.PathPublish + "e", standin.BreakUnframed, 200, 1},
 		{"publish without length, reset", "POST", standin.PathPublish + "f", standin.BreakUnframedReset, 502, 1},
+		{"publish without length, reset before its body", "POST", standin.PathPublish + "g", standin.BreakUnframedEmpty, 502, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := startSystem(t)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -185,6 +186,9 @@
 		if err == io.EOF && l.halfClose(c, to) {
 			return
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			reset(to) // an orderly end would make an answer without a length look whole
+		}
 		if err != nil {
 			break
 		}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +128,35 @@
 		require.Equal(t, test.arrives, err == nil, test.name)
 	}
 }
+
+// A connection that one side resets is reset for the other side, too.
+func TestResetPassesProxy(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	l := newLink("link")
+	defer l.stop()
+	front, err := l.stream("127.0.0.1:0", listener.Addr().String())
+	require.NoError(t, err)
+	for _, test := range []struct {
+		name string
+		end  func(c net.Conn)
+		want error
+	}{
+		{"reset", reset, syscall.ECONNRESET},
+		{"closed", func(c net.Conn) { c.Close() }, io.EOF},
+	} {
+		caller, err := net.Dial("tcp", front.(net.Listener).Addr().String())
+		require.NoError(t, err)
+		server, err := listener.Accept()
+		require.NoError(t, err)
+		_, err = server.Write([]byte("a"))
+		require.NoError(t, err)
+		_, err = io.ReadFull(caller, make([]byte, 1))
+		require.NoError(t, err)
+		test.end(server)
+		_, err = caller.Read(make([]byte, 1))
+		require.ErrorIs(t, err, test.want, test.name)
+		caller.Close()
+	}
+}
