Soak: calls with a revoked key are not counted as sound beside a deadly part

No request that ought to be served had failed.

Cause, in the check: callers go on using keys that were taken away, which must be refused with 401, and the check counted these refusals as sound requests that were not served. Where a plan rotates keys often enough, half can't be served.

The new row "half of the sound ones, beside revoked keys" fails on the code before.

Fix: only calls whose key was not taken away count, whatever their answer is. The bound on these, half, is unchanged, and the row with less than half beside revoked keys is still found.

--- a/internal/soak/deadlypart.go
+++ b/internal/soak/deadlypart.go
@@ -117,6 +117,9 @@
 				l.violateLocked("deadly part: %s was answered, part %s", c.attempt, part)
 			}
 		case strings.HasPrefix(c.path, standin.PathStream) && c.parts[0] == "f0":
+			if _, revoked := l.removed[c.key]; revoked {
+				continue // it must not be served
+			}
 			sound++
 			if c.status == 200 {
 				served++
--- a/internal/soak/deadlypart_test.go
+++ b/internal/soak/deadlypart_test.go
@@ -17,15 +17,18 @@
 		early, late int // requests with the part that reach an engine
 		sound       int // of ten sound requests, those that are served
 		answered    bool
+		revoked     int // sound requests with a key that was taken away, none of them served
 		find        string
 	}{
-		{"refused soon", 5, 0, 10, false, ""},
-		{"as many as allowed", 5, deadlyMost, 10, false, ""},
-		{"they keep coming", 5, deadlyMost + 1, 10, false, "deadly part"},
-		{"half of the sound ones", 5, 0, 5, false, ""},
-		{"less than half of the sound ones", 5, 0, 4, false, "deadly part"},
-		{"an answer from an engine that must have crashed", 5, 0, 10, true, "deadly part"},
-		{"no such request", 0, 0, 0, false, ""},
+		{"refused soon", 5, 0, 10, false, 0, ""},
+		{"as many as allowed", 5, deadlyMost, 10, false, 0, ""},
+		{"they keep coming", 5, deadlyMost + 1, 10, false, 0, "deadly part"},
+		{"half of the sound ones", 5, 0, 5, false, 0, ""},
+		{"less than half of the sound ones", 5, 0, 4, false, 0, "deadly part"},
+		{"half of the sound ones, beside revoked keys", 5, 0, 5, false, 30, ""},
+		{"less than half of the sound ones, beside revoked keys", 5, 0, 4, false, 30, "deadly part"},
+		{"an answer from an engine that must have crashed", 5, 0, 10, true, 0, "deadly part"},
+		{"no such request", 0, 0, 0, false, 0, ""},
 	} {
 		l := newLedger()
 		number := 0
@@ -46,6 +49,10 @@
 			}
 			l.answered(c)
 		}
+		l.keyRemoved("old")
+		for n := range test.revoked {
+			l.answered(call{attempt: fmt.Sprint("r", n), path: standin.PathStream, parts: []string{"f0", "1"}, key: "old", idempotent: true, sent: now.Add(settled), status: 401})
+		}
 		if test.answered {
 			l.answered(call{attempt: "x", path: standin.PathStream, parts: []string{"f0", "dead", "1"}, idempotent: true, sent: now.Add(settled), status: 200, whole: true})
 		}
