Soak: all processes restart while servers leave, and a checker of departures

What the soak could not find: entries that go on sending to an endpoint whose row says that it leaves or is gone, as in the incident of removed endpoints. It checked one endpoint that leaves in the calm phase, with entries that were there before.

Fault: all entries or all processes are killed at once and start again within 0.35 s in random order, in series, while servers of their own announce that they leave, lose their rows and serve on, get them back, or crash and lose them later; some come back, under the same or another identity.

Checker: no request reaches a server later than drain-ms (2 s) after the store took the change of its row, counted from when the store, the sending process and its links, and the link to the server were undisturbed for contact-ms (3 s). What the server refuses as sent to another one or for other weights does not count. Links record resets and moments at which connections fall silent apart from the spans that other checkers use, so that none of these is relaxed.

Calm phase: all entries restart at once, one of them has read the list before eight rows go, the others after that.

Evidence: each kind of broken trace is in TestCheckersOfDepartures.

--- a/internal/soak/backpressure.go
+++ b/internal/soak/backpressure.go
@@ -50,11 +50,9 @@
 // disturbedBetween reports whether the process at an address or its way to a server was
 // disturbed between two times, so that it may not have received what the server signaled.
 func (r *run) disturbedBetween(front, server string, from, until time.Time) bool {
-	name := serverLink(r.deployment.ServerAddress(server))
-	for _, l := range r.hidden {
-		if l.name == name && l.disturbed.overlap(from, until) {
-			return true
-		}
+	l := r.hiddenLink(serverLink(r.deployment.ServerAddress(server)))
+	if l != nil && l.disturbed.overlap(from, until) {
+		return true
 	}
 	for _, m := range r.machines {
 		if r.deployment.Front(m.Machine) == front && m.halts.overlap(from, until) {
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -23,7 +23,8 @@
 
 // calmPhase checks what must hold without faults: changes in force everywhere in time,
 // new weights within their bound, an endpoint that leaves without new work, planned
-// stops that cut nothing off, and nearly all calls served.
+// stops that cut nothing off, endpoints that left while all entries started without new work,
+// and nearly all calls served.
 func (r *run) calmPhase(ctx context.Context) {
 	r.ledger.named(r.nameWeights(), time.Now())
 	leaving := r.engines[len(r.engines)-1]
@@ -39,6 +40,7 @@
 	}
 	r.checkStops(ctx)
 	r.checkDeadlyPart(ctx)
+	r.checkRestart(ctx)
 	pause(ctx, settleTime)
 	r.checkRecovery()
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,12 +51,15 @@
 func (r *run) injectFaults(ctx context.Context) {
 	var ends sync.WaitGroup
 	defer ends.Wait()
+	phase, endPhase := context.WithCancel(ctx)
+	defer r.background.Wait()
+	defer endPhase()
 	for i, f := range r.plan {
 		pause(ctx, time.Until(r.started.Add(f.At)))
 		if ctx.Err() != nil {
 			return
 		}
-		end := r.inject(ctx, i, f)
+		end := r.inject(phase, i, f)
 		ends.Go(func() {
 			pause(ctx, f.Length)
 			end()
@@ -88,8 +91,12 @@
 		return r.failStore(number, f)
 	case SlowStore:
 		r.note("the store is slow for %s", f.Length)
+		r.storeDisturbed.begin(number)
 		r.deployment.Store.SetDelay(slowStore)
-		return func() { r.deployment.Store.SetDelay(0) }
+		return func() {
+			r.deployment.Store.SetDelay(0)
+			r.storeDisturbed.finish(number)
+		}
 	case ForgetHistory:
 		r.note("the store forgets its history")
 		r.deployment.Store.Compact()
@@ -124,6 +131,8 @@
 		return r.stateRateLimit(f)
 	case MakePartDeadly:
 		return r.makePartDeadly(number)
+	case RestartWhileLeaving:
+		r.restartWhileLeaving(ctx, f)
 	}
 	return func() {}
 }
@@ -189,8 +198,10 @@
 	r.note("the store fails (%d) for %.1f of the machines for %s", fault.kind, min(share, 1), f.Length)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.storeDisturbed.begin(number)
 	r.storeFaults = append(r.storeFaults, fault)
 	return func() {
+		r.storeDisturbed.finish(number)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.storeFaults = slices.DeleteFunc(r.storeFaults, func(s storeFault) bool { return s.fault == number })
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -38,6 +38,11 @@
 	leaving    map[string]time.Time // servers that leave, and since when
 	arrivals   []standin.Arrival
 	disturbed  func(front, server string, from, until time.Time) bool
+	departures map[incarnation][]departure
+	// inTouchSince returns the time since which bounds count for the process at an address
+	// and its way to a server, as of a time.
+	inTouchSince func(front, server string, until time.Time) time.Time
+
 	version    int64 // that was named without any fault
 	versionAt  time.Time
 	violations []string
@@ -51,7 +56,10 @@
 		keys:    []string{standin.Key},
 		leaving: make(map[string]time.Time),
 
-		disturbed: func(string, string, time.Time, time.Time) bool { return false },
+		departures: make(map[incarnation][]departure),
+
+		disturbed:    func(string, string, time.Time, time.Time) bool { return false },
+		inTouchSince: func(string, string, time.Time) time.Time { return time.Time{} },
 	}
 }
 
@@ -163,6 +171,7 @@
 	l.checkRepeats()
 	l.checkBackpressure()
 	l.checkRateLimits()
+	l.checkDepartures()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -20,6 +20,8 @@
 const (
 	// restartDelay is the time after which the platform starts a process that ended.
 	restartDelay = 300 * time.Millisecond
+	// restarting is the number of a fault that lasts until the next start of a process.
+	restarting = 0
 	// listenNetworks is added to the second number of the addresses by which others
 	// reach a process: it listens there, behind the proxies.
 	listenNetworks = 30
@@ -44,7 +46,11 @@
 	stopped bool // the soak is over
 	halted  int  // faults that pause the process
 	halts   spans
-	ended   chan struct{}
+	// restarts are the times from a signal that ends the process to its next start, and
+	// startDelay is added to restartDelay at that start.
+	restarts   spans
+	startDelay time.Duration
+	ended      chan struct{}
 }
 
 // connect opens the proxies before the process and between it and the store.
@@ -109,6 +115,8 @@
 	for ; m.halted > 0; m.halted-- {
 		m.halts.finish(m.halted)
 	}
+	m.restarts.moment()
+	m.restarts.finish(restarting)
 	m.lifetime.Add(1)
 	m.ended = make(chan struct{})
 	go m.watch(c, m.ended)
@@ -120,7 +128,8 @@
 	err := c.Wait()
 	close(ended)
 	m.mu.Lock()
-	stopped := m.stopped
+	stopped, delay := m.stopped, restartDelay+m.startDelay
+	m.startDelay = 0
 	m.mu.Unlock()
 	if stopped {
 		return
@@ -128,7 +137,7 @@
 	if status, ok := c.ProcessState.Sys().(syscall.WaitStatus); ok && !status.Signaled() && c.ProcessState.ExitCode() != 0 {
 		m.run.ledger.violate("exit: %s ended by itself: %v", m.Name, err)
 	}
-	time.Sleep(restartDelay)
+	time.Sleep(delay)
 	if err := m.start(); err != nil {
 		m.run.ledger.violate("exit: %s did not start again: %v", m.Name, err)
 	}
@@ -137,10 +146,20 @@
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if s != syscall.SIGHUP {
+		m.restarts.begin(restarting)
+	}
 	// A process that has just ended is started again; the signal is then lost.
 	_ = m.command.Process.Signal(s)
 }
 
+// delayStart adds a time to the delay of the next start after the process has ended.
+func (m *machine) delayStart(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.startDelay = d
+}
+
 // pause halts the process, and resume lets it go on once no fault halts it.
 func (m *machine) pause() {
 	m.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -51,6 +51,8 @@
 	mu        sync.Mutex
 	active    map[int]disturbance // by the number of the fault
 	disturbed spans               // its faults
+	contact   spans               // its faults, and resets of its connections
+	silences  spans               // moments at which open connections fell silent for good
 	pairs     map[*pair]bool
 	listeners []io.Closer
 }
@@ -271,6 +273,7 @@
 	defer l.mu.Unlock()
 	l.active[fault] = d
 	l.disturbed.begin(fault)
+	l.contact.begin(fault)
 }
 
 // heal ends the disturbance of a fault; connections that lost bytes are then reset.
@@ -279,6 +282,7 @@
 	defer l.mu.Unlock()
 	delete(l.active, fault)
 	l.disturbed.finish(fault)
+	l.contact.finish(fault)
 	for c := range l.pairs {
 		if c.lost {
 			reset(c.caller)
@@ -289,6 +293,7 @@
 
 // resetAll resets every connection.
 func (l *link) resetAll() {
+	l.contact.moment()
 	l.each(func(c *pair) {
 		reset(c.caller)
 		reset(c.server)
@@ -298,6 +303,7 @@
 // muteAll silences every open connection for good; new ones work.
 func (l *link) muteAll() {
 	l.disturbed.begin(lasting)
+	l.silences.moment()
 	l.each(func(c *pair) { c.mute = true })
 }
 
@@ -305,6 +311,7 @@
 // not informed.
 func (l *link) halveAll() {
 	l.disturbed.begin(lasting)
+	l.silences.moment()
 	l.each(func(c *pair) {
 		c.mute = true
 		reset(c.server)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -107,11 +107,11 @@
 	deployment *standin.Deployment
 	machines   []*machine
 	links      []*link  // all of them
-	hidden     []*link  // before the store, the origin and the servers
+	hidden     []*link  // before the store, the origin and the servers; guarded by mu
 	servers    []string // identities
 	engines    []string
 	ledger     *ledger
-	schedule   []string
+	schedule   []string // guarded by mu
 	started    time.Time
 	version    int64
 	keys       int // that were added; the first is there from the start
@@ -119,6 +119,10 @@
 	attempts   atomic.Int64
 	deadlyPart atomic.Pointer[string] // part of a prompt that crashes engines, nil for none
 
+	leavers, leaversInCalm []*leaver
+	background             sync.WaitGroup // faults that go on by themselves
+	storeDisturbed         spans
+
 	mu          sync.Mutex
 	storeFaults []storeFault
 }
@@ -170,6 +174,7 @@
 func (r *run) start() error {
 	d, err := standin.StartDeployment(
 		standin.WithSize(r.domains, r.entries, r.agents, 1),
+		standin.WithSpares(faultSpares+calmSpares),
 		standin.WithNetwork(r.network),
 		standin.WithListen(r.listen),
 		standin.WithRunsOf(r.ledger.ran),
@@ -180,14 +185,8 @@
 	r.deployment = d
 	d.Store.SetFault(r.decideStore)
 	r.ledger.disturbed = r.disturbedBetween
-	for id := range d.Servers {
-		r.servers = append(r.servers, id)
-		if strings.HasPrefix(id, "i-engine") {
-			r.engines = append(r.engines, id)
-		}
-	}
-	slices.Sort(r.servers)
-	slices.Sort(r.engines)
+	r.ledger.inTouchSince = r.inTouchSince
+	r.listServers()
 	for _, m := range d.Entries {
 		r.machines = append(r.machines, &machine{Machine: m, role: "entry", run: r, index: len(r.machines)})
 	}
@@ -207,30 +206,67 @@
 	return nil
 }
 
+// listServers lists the servers that are there from the start, and those that start later.
+func (r *run) listServers() {
+	for id := range r.deployment.Servers {
+		if strings.HasPrefix(id, "i-engine") {
+			r.engines = append(r.engines, id)
+		}
+		if !strings.HasPrefix(id, "i-spare") {
+			r.servers = append(r.servers, id)
+		}
+	}
+	slices.Sort(r.servers)
+	slices.Sort(r.engines)
+	for i, s := range r.deployment.Spares {
+		v := &leaver{Spare: s, run: r}
+		if i%(faultSpares+calmSpares) < faultSpares {
+			r.leavers = append(r.leavers, v)
+		} else {
+			r.leaversInCalm = append(r.leaversInCalm, v)
+		}
+	}
+}
+
 // listen opens the listener of the store, or of a server behind a proxy. The store is
 // reached by a proxy for each machine.
 func (r *run) listen(address string) (net.Listener, error) {
 	if strings.HasSuffix(address, ".0.1:8007") {
 		return net.Listen("tcp", address)
 	}
-	for _, l := range r.hidden {
-		if l.name == serverLink(address) {
-			return l.hide(address) // a server that is back after a crash
-		}
+	if l := r.hiddenLink(serverLink(address)); l != nil {
+		return l.hide(address) // a server that is back
 	}
 	l := newLink(serverLink(address))
 	listener, err := l.hide(address)
 	if err == nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.hidden = append(r.hidden, l)
 	}
 	return listener, err
 }
 
+// hiddenLink returns the link before a server, nil if there is none.
+func (r *run) hiddenLink(name string) *link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.hidden {
+		if l.name == name {
+			return l
+		}
+	}
+	return nil
+}
+
 func (r *run) stop() {
 	for _, m := range r.machines {
 		m.end()
 	}
-	for _, l := range r.hidden {
+	r.mu.Lock()
+	hidden := r.hidden
+	r.mu.Unlock()
+	for _, l := range hidden {
 		l.stop()
 	}
 	if r.deployment != nil {
@@ -248,6 +284,12 @@
 	return nil
 }
 
+// paused waits and reports whether ctx goes on.
+func paused(ctx context.Context, d time.Duration) bool {
+	pause(ctx, d)
+	return ctx.Err() == nil
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -264,6 +306,8 @@
 func (r *run) note(format string, args ...any) {
 	now := time.Now()
 	at := now.Sub(r.started).Truncate(time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.schedule = append(r.schedule, fmt.Sprintf("%s %8s  ", now.UTC().Format(clockFormat), at)+fmt.Sprintf(format, args...))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -244,7 +244,7 @@
 		}
 	}
 	require.Len(t, seen, len(kindNames))
-	require.Len(t, kindWeights, len(kindNames)-2, "rate limits and deadly parts have plans of their own")
+	require.Len(t, kindWeights, len(kindNames)-3, "rate limits, deadly parts and restarts have plans of their own")
 }
 
 // A plan that fails by two of its faults is reduced to these.
--- a/internal/soak/spans.go
+++ b/internal/soak/spans.go
@@ -51,3 +51,29 @@
 	}
 	return false
 }
+
+// moment records a fault without duration.
+func (s *spans) moment() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.list = append(s.list, span{begun: now, end: now})
+}
+
+// last returns the end of the fault that ended last, as of a time: that time if a fault is
+// still there, zero if there was none before.
+func (s *spans) last(until time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var last time.Time
+	for _, p := range s.list {
+		if !p.begun.Before(until) {
+			continue
+		}
+		if p.end.IsZero() || p.end.After(until) {
+			return until
+		}
+		last = later(last, p.end)
+	}
+	return last
+}
