--- a/internal/gateway/odddatagrams_test.go
+++ b/internal/gateway/odddatagrams_test.go
@@ -139,3 +139,18 @@
 		require.True(t, got >= 0 && got <= maxShare, "%v", share)
 	}
 }
+
+// A notice of a version that can't be changes nothing.
+func TestOddVersionInNotice(t *testing.T) {
+	c := fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s", fleet.WithEngine(&fleet.Engine{Models: []string{"m"}}))))
+	e := fleet.NewEndpoint("e", "s", "10.0.0.9:1", fleet.WithWeights(fleet.NewWeights("m", 1, true)))
+	for _, version := range []int64{math.MaxInt64, 1<<53 + 1, 0, -1} {
+		g := newGateway(&clock{at: time.Minute})
+		g.ApplyConfiguration(c, nil)
+		g.ApplyEndpoints([]*fleet.Endpoint{e})
+		g.ReceiveNotice(t.Context(), &nodev1.EndpointNotice{Address: "10.0.0.9:1", Model: "m", Version: version, Holding: version > 0})
+		got, loading := g.notices.version(e, "m", time.Minute)
+		require.Equal(t, int64(1), got, "%d", version)
+		require.False(t, loading, "%d", version)
+	}
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -294,6 +294,9 @@
 
 // ReceiveNotice processes a notice from an agent about its endpoint.
 func (g *Gateway) ReceiveNotice(ctx context.Context, m *nodev1.EndpointNotice) {
+	if !validVersion(m.GetVersion()) {
+		return
+	}
 	var endpoint *fleet.Endpoint
 	for _, e := range g.snapshot.Load().endpoints {
 		if e.Address() == m.GetAddress() {
