A waiting request is not placed when too little time is left

What callers saw: a stream whose first attempt had not run ended with 504 "time is over": it waited 2.494 s of 2.5 s and was then sent with 6 ms left. A refusal would have told its caller that it did not run.

Cause: a request without a target, as each retried one, might wait until its deadline. minAttemptTime, below which no retry is begun, did not bound the wait.

Fix: a request states the least time with which a placement is of use (MinTime); with less it is refused, also when room comes between two looks at the queue. It is minAttemptTime for retries, and at most half of the time that was left at first otherwise.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -210,6 +210,9 @@
 // admits reports whether a request that has just arrived may be placed on an endpoint
 // with the given predicted time to the first event.
 func (p *Pool) admits(now time.Duration, t *Ticket, e *endpoint, delay time.Duration) bool {
+	if t.request.tooLate(now) {
+		return false
+	}
 	if p.meetsTarget(now, t, e, delay) {
 		return true
 	}
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -264,3 +264,42 @@
 		require.Equal(t, minLag, margin(preferred))
 	}
 }
+
+// A request is not placed when less than its MinTime is left, whether it has just arrived,
+// waits to meet its target, or waits behind others.
+func TestMinTime(t *testing.T) {
+	const minTime, deadline = 60 * ms, 10 * time.Second
+	for _, test := range []struct {
+		name   string
+		submit time.Duration
+		target time.Duration
+		ahead  int           // requests in the late queue before it
+		room   time.Duration // time of a free slot
+		placed bool
+	}{
+		{"arrives in time", deadline - minTime, 0, 0, deadline - minTime, true},
+		{"arrives too late", deadline - minTime + 1, 0, 0, deadline - minTime + 1, false},
+		{"waits, room in time", 0, 0, 0, deadline - minTime, true},
+		{"waits, room too late", 0, 0, 0, deadline - minTime + 1, false},
+		{"waits behind others, room too late", 9 * time.Second, 10 * ms, 1, deadline - minTime + 1, false},
+	} {
+		p := newPool(candidates(1, 1, true))
+		busy := decisionOf(t, p.Submit(0, Request{Deadline: time.Minute}))
+		var waiting []*Ticket
+		for range test.ahead {
+			waiting = append(waiting, p.Submit(test.submit, Request{Target: ms, Deadline: time.Minute}))
+		}
+		if test.submit == test.room {
+			p.Release(test.room, busy.Choice(), Succeeded)
+		}
+		ticket := p.Submit(test.submit, Request{Target: test.target, Deadline: deadline, MinTime: minTime})
+		if test.submit != test.room {
+			p.Release(test.room, busy.Choice(), Succeeded)
+		}
+		for _, w := range waiting {
+			p.Cancel(w)
+		}
+		p.Expire(test.room)
+		require.Equal(t, test.placed, decisionOf(t, ticket).Placed(), test.name)
+	}
+}
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -92,13 +92,19 @@
 	r := t.request
 	t.expiresAt = now + min(maxLateWait, time.Duration(lateWaitShare*float64(r.Deadline-now)))
 	if r.Target == 0 {
-		t.onTimeUntil = r.Deadline
-		t.expiresAt = r.Deadline
+		t.onTimeUntil = r.lastPlacement()
+		t.expiresAt = r.lastPlacement()
 		return
 	}
-	t.onTimeUntil = min(r.Arrived+r.Target-p.idleFirstEventDelay(r)-p.preferredLag.margin(r.Target), r.Deadline)
+	t.onTimeUntil = min(r.Arrived+r.Target-p.idleFirstEventDelay(r)-p.preferredLag.margin(r.Target), r.lastPlacement())
 }
 
+// lastPlacement returns the latest time at which a placement is of use.
+func (r Request) lastPlacement() time.Duration { return r.Deadline - r.MinTime }
+
+// tooLate reports whether a placement is of no use any more.
+func (r Request) tooLate(now time.Duration) bool { return r.MinTime > 0 && now > r.lastPlacement() }
+
 // meetsTarget reports whether a request with the given predicted time to the first event
 // meets its target at the endpoint. Requests without a target and those that were placed
 // before always do.
@@ -179,6 +185,10 @@
 		p.refuse(now, t, refusal)
 		return
 	}
+	if t.request.tooLate(now) {
+		p.refuse(now, t, ReasonExpired)
+		return
+	}
 	if p.limitedCount > 0 && p.waitsForPermit(now, t.request) {
 		p.enqueueForPermit(now, t)
 		return
@@ -245,7 +255,7 @@
 		if e == nil && len(t.request.Exclude) == 0 && p.limitedCount == 0 {
 			return false
 		}
-		if e != nil && p.meetsTarget(now, t, e, delay) {
+		if e != nil && !t.request.tooLate(now) && p.meetsTarget(now, t, e, delay) {
 			p.onTime.remove(t)
 			p.place(now, t, e, delay)
 			return true
@@ -263,7 +273,7 @@
 	}
 	t := p.late[0]
 	e, delay := p.bestEndpoint(now, t.request)
-	if e == nil || !p.lateFits(t.request, delay) {
+	if e == nil || t.request.tooLate(now) || !p.lateFits(t.request, delay) {
 		return false
 	}
 	p.late.remove(t)
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -64,6 +64,9 @@
 	Target time.Duration
 	// Deadline is the time after which the response is of no use.
 	Deadline time.Duration
+	// MinTime is the least time before Deadline with which a placement is of use. The
+	// request is refused when less is left. 0 means that it may be placed at any time.
+	MinTime time.Duration
 	// Priority is the priority class; 0 is the highest.
 	Priority int
 	// Prompt is the number of prompt tokens, 0 for plain endpoints.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -313,6 +313,7 @@
 		Arrived:      q.arrived - q.sinceFirstAttempt,
 		Target:       target,
 		Deadline:     q.deadline,
+		MinTime:      q.minTime(g.now()),
 		Priority:     q.priority,
 		Prompt:       q.head.PromptTokens,
 		Account:      q.account,
@@ -342,6 +343,15 @@
 	return placement.Decision{}, false
 }
 
+// minTime returns the least time with which another attempt is of use. A caller that had
+// little time from the start may get a fast response.
+func (q *request) minTime(now time.Duration) time.Duration {
+	if len(q.tried) > 0 {
+		return minAttemptTime
+	}
+	return min(minAttemptTime, max(q.remaining(now)/2, 0))
+}
+
 // isTimeout reports whether the context ended because its deadline passed.
 func isTimeout(ctx context.Context) bool {
 	return errors.Is(ctx.Err(), context.DeadlineExceeded)
