Copies keep removals across eras, gaps and updates of peers

Fix: an update carries the position that its changes are after, and a copy of another era takes none; the record notes the gap, drops what is there again, keeps the newer half and has 2,048 removals. A removal that was lost holds for 10 s instead of a minute, above the platform's three heartbeats: an endpoint that lives may be hidden that long. The digest is mixed, since one change in 10,000 of two rows at a time left it as it was (TestDigestOfRows).

--- a/internal/coordination/watch/copies_test.go
+++ b/internal/coordination/watch/copies_test.go
@@ -32,6 +32,7 @@
 // copyStore is a store with one operator row and a table of endpoints.
 type copyStore struct {
 	delay func() // of a message on its way
+	waits bool   // polls since a version that the store does not have wait for it
 
 	mu      sync.Mutex
 	at      watch.Position
@@ -118,7 +119,7 @@
 		u.Rows = slices.Collect(maps.Values(s.rows))
 		return u, nil, nil
 	}
-	if after < s.floor || after > s.at.Version {
+	if after < s.floor || after > s.at.Version && !s.waits {
 		return u, nil, watch.ErrCompacted
 	}
 	for _, r := range s.history {
@@ -192,6 +193,7 @@
 func newCopyFleet(seed uint64, regions, entries int) *copyFleet {
 	f := &copyFleet{entries: make(map[string]*copyEntry), random: rand.New(rand.NewPCG(seed, 0)), delays: rand.New(rand.NewPCG(seed, 1))}
 	f.store = newCopyStore(f.delay)
+	f.store.waits = seed%2 == 1
 	for r := range regions {
 		for n := range entries {
 			f.all = append(f.all, fmt.Sprintf("10.%d.0.%d:1", r, n+1))
--- a/internal/coordination/watch/removals.go
+++ b/internal/coordination/watch/removals.go
@@ -1,8 +1,13 @@
 package watch
 
+import (
+	"maps"
+	"slices"
+)
+
 // maxRemovals bounds the removed rows that a copy records for its peers; a peer that is
 // further behind is sent every row.
-const maxRemovals = 512
+const maxRemovals = 2048
 
 // removals records which rows were removed, and for which versions that is known.
 type removals struct {
@@ -41,15 +46,15 @@
 // knownAfter returns the version after which no removal is missing.
 func (r removals) knownAfter() int64 { return max(r.floor, r.gapTo) }
 
+// add records a removal. The older half is dropped where there are too many.
 func (r *removals) add(key string, version int64) {
 	r.versions[key] = version
 	if len(r.versions) <= maxRemovals {
 		return
 	}
-	for _, v := range r.versions {
-		r.floor = max(r.floor, v)
-	}
-	clear(r.versions)
+	sorted := slices.Sorted(maps.Values(r.versions))
+	r.floor = max(r.floor, sorted[len(sorted)/2])
+	maps.DeleteFunc(r.versions, func(_ string, v int64) bool { return v <= r.floor })
 }
 
 func (r *removals) drop(key string) { delete(r.versions, key) }
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosetally/primrosetally/internal/state/rendezvous"
 )
 
 // Update is one response of the store, or of a peer that keeps a copy.
@@ -30,6 +32,8 @@
 	Digest uint64
 	// From is the address of the peer that sent the response, empty for the store.
 	From string
+
+	since Position // the changes are those after it
 }
 
 // State identifies what a copy holds.
@@ -75,11 +79,11 @@
 	digest         uint64                 // of rows
 	retained       map[string]retainedRow // reported instead of what rows has
 	record         removals
-	position       Position // newest one covered
-	contentVersion int64    // newest version of a row or a removal
-	synced         bool     // an update was merged
-	diverged       bool     // a peer has other rows at the same position
-	replacedAt     time.Duration
+	position       Position      // newest one covered
+	contentVersion int64         // newest version of a row or a removal
+	synced         bool          // an update was merged
+	diverged       bool          // a peer has other rows at the same position
+	listedAt       time.Duration // when the store's list was last merged
 	retainUntil    time.Duration
 	restoredAt     time.Duration // when the copy entered another era, 0 for never
 
@@ -102,7 +106,7 @@
 	restoreGrace = 2 * time.Second
 	// removedGrace is how long a removal holds that was lost. The platform removes the row
 	// of an endpoint that is gone within this time.
-	removedGrace = time.Minute
+	removedGrace = 10 * time.Second
 )
 
 func newTable(onChange func(rows map[string]Row), now func() time.Duration, removalGrace time.Duration) *Table {
@@ -162,7 +166,7 @@
 	full := after == 0 || p.Era != t.position.Era || !t.record.complete(after)
 	u := Update{Position: t.position, Floor: t.record.knownAfter(), Digest: t.digest, Full: full}
 	confirmed := t.Confirmed()
-	u.StoreTime = t.StoreTime(confirmed)
+	u.StoreTime = max(t.StoreTime(confirmed), 0) // the store's clock may have started since
 	u.Age = t.now() - confirmed
 	for _, r := range t.rows {
 		if u.Full || r.Version > after {
@@ -180,11 +184,12 @@
 // Sync updates the copy from a peer's copy. Fetch returns the changes that the peer has after
 // a position, now is read before it is called.
 func (t *Table) Sync(now func() time.Duration, fetch func(after Position) (Update, error)) error {
-	started := now()
-	u, err := fetch(t.State().Position)
+	started, since := now(), t.State().Position
+	u, err := fetch(since)
 	if err != nil {
 		return err
 	}
+	u.since = since
 	return t.Merge(u, started)
 }
 
@@ -205,7 +210,7 @@
 	if u.Position.Before(Position{Era: t.position.Era, Version: t.contentVersion}) {
 		return errStale
 	}
-	if u.Era != t.position.Era && t.synced && !u.Full {
+	if t.synced && !u.Full && t.ofOtherEra(u) {
 		return errNewEra
 	}
 	if recovered := t.recoveredAt(); recovered > 0 {
@@ -218,6 +223,9 @@
 		t.onChange(t.effective())
 	}
 	t.updateClock(u, started)
+	if u.Full && u.From == "" {
+		t.listedAt = now
+	}
 	if u.Digest != 0 && u.Position == t.position && u.Digest != t.digest {
 		t.diverged = true
 		return ErrDiverged
@@ -225,6 +233,13 @@
 	return nil
 }
 
+// ofOtherEra reports whether an update, or the position that its changes are after, is of
+// another era than the copy.
+func (t *Table) ofOtherEra(u Update) bool {
+	since, _ := sameEraIfUnknown(u.since, t.position)
+	return u.Era != t.position.Era || since.Era != t.position.Era
+}
+
 // Expire drops the rows whose removal grace period is over.
 func (t *Table) Expire() {
 	t.mu.Lock()
@@ -239,7 +254,7 @@
 func (t *Table) mustList() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.diverged && t.now()-t.replacedAt >= minListInterval
+	return t.diverged && t.now()-t.listedAt >= minListInterval
 }
 
 // Notify calls the change callback again with the current copy.
@@ -328,17 +343,18 @@
 	}
 	for _, r := range u.Rows {
 		t.contentVersion = max(t.contentVersion, r.Version)
-		switch {
-		case r.Deleted:
+		if r.Deleted {
 			record.add(r.Key, r.Version)
-		case t.rows[r.Key].Version != r.Version:
+			continue
+		}
+		record.drop(r.Key)
+		if t.rows[r.Key].Version != r.Version {
 			t.setRow(r)
 			changed = true
 		}
 	}
 	t.record = record
 	t.position, t.diverged = u.Position, false
-	t.replacedAt = now
 	t.onReplaced(t.state(), u.From)
 	return changed
 }
@@ -359,6 +375,10 @@
 		t.setRow(r)
 		t.record.drop(r.Key)
 	}
+	if u.From != "" && u.Floor > t.position.Version {
+		// The peer may lack removals of rows that this copy never had.
+		t.record = t.record.skip(t.position.Version, u.Floor)
+	}
 	t.position = u.Position
 	return changed
 }
@@ -367,6 +387,7 @@
 // is still reported, since its writer could not renew it during the outage.
 func (t *Table) remove(key string, now time.Duration) {
 	row, exists := t.rows[key]
+	delete(t.retained, key)
 	if exists && now < t.retainUntil {
 		t.retained[key] = retainedRow{row: row, until: t.retainUntil}
 	}
@@ -387,12 +408,13 @@
 	}
 }
 
-// rowDigest returns the hash of a row's key and version, which determine its value.
+// rowDigest returns the hash of a row's key and version, which determine its value. It is
+// mixed, since the versions of two rows may change by the same amount.
 func rowDigest(r Row) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(r.Key))
 	h.Write(binary.BigEndian.AppendUint64(nil, uint64(r.Version)))
-	return h.Sum64()
+	return rendezvous.Mix(h.Sum64())
 }
 
 func (t *Table) expireRetained(now time.Duration) bool {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -230,8 +230,9 @@
 
 // Poll makes one call and merges its response into the copy.
 func (w *Watcher) Poll(ctx context.Context) error {
-	started := w.now()
+	started, since := w.now(), w.table.State().Position
 	update, err := w.fetch(ctx)
+	update.since = since
 	if err == nil {
 		if now := w.now(); w.failures > 0 && now-w.lastSuccess > outageThreshold {
 			w.recoveredAt = now
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -394,3 +395,82 @@
 		require.Equal(t, test.want, table.State().Position, test.name)
 	}
 }
+
+// What a copy takes over from a peer, or from a call that began in another era, does not
+// hide removals from it or from those that copy it.
+func TestRemovalsOutlastUpdates(t *testing.T) {
+	copyOf := func(u Update) *Table {
+		table := newTable(func(map[string]Row) {}, func() time.Duration { return time.Minute }, 0)
+		u.Full = true
+		require.NoError(t, table.Merge(u, time.Minute))
+		return table
+	}
+	sync := func(to, from *Table) error {
+		return to.Sync(func() time.Duration { return time.Minute }, func(after Position) (Update, error) {
+			u := from.Since(after)
+			u.From = "peer"
+			return u, nil
+		})
+	}
+	keys := func(table *Table) []string { return slices.Sorted(maps.Keys(table.effective())) }
+
+	t.Run("poll that began in the era before", func(t *testing.T) {
+		f := newFixture(step{update: Update{Position: Position{Era: 1, Version: 200}, Rows: []Row{liveRow("a", 1)}}})
+		require.NoError(t, f.Poll(t.Context()))
+		f.source.Watch = func(context.Context, int64, time.Duration) (Update, error) {
+			restored := Update{Position: Position{Era: 2, Version: 165}, Full: true, Rows: []Row{liveRow("a", 1)}, Floor: 165, From: "peer"}
+			require.NoError(t, f.Table().Merge(restored, f.clock))
+			return Update{Position: Position{Era: 2, Version: 180}}, nil // without a removal at 170
+		}
+		require.ErrorIs(t, f.Poll(t.Context()), errNewEra)
+		require.True(t, f.relist)
+	})
+	t.Run("gap of a peer's record", func(t *testing.T) {
+		watcher := copyOf(update(10, liveRow("b", 2)))
+		follower, late := copyOf(update(10, liveRow("b", 2))), copyOf(update(15, liveRow("b", 2), liveRow("x", 15)))
+		require.NoError(t, watcher.Merge(Update{Position: at(30), Full: true, Rows: []Row{liveRow("b", 2)}}, time.Minute))
+		require.NoError(t, sync(follower, watcher))
+		require.NoError(t, sync(late, follower))
+		require.Equal(t, []string{"b"}, keys(late))
+	})
+	t.Run("row that is there again after a gap", func(t *testing.T) {
+		watcher, peer := copyOf(update(5, liveRow("k", 3))), copyOf(update(5, liveRow("k", 3)))
+		require.NoError(t, watcher.Merge(update(10, deletedRow("k", 10)), time.Minute))
+		require.NoError(t, watcher.Merge(Update{Position: at(30), Full: true, Rows: []Row{liveRow("k", 20)}}, time.Minute))
+		require.NoError(t, sync(peer, watcher))
+		require.Equal(t, []string{"k"}, keys(peer))
+	})
+	t.Run("removal in the new era", func(t *testing.T) {
+		table := copyOf(Update{Position: Position{Era: 1, Version: 200}, Rows: []Row{liveRow("k", 180)}})
+		require.NoError(t, table.Merge(Update{Position: Position{Era: 2, Version: 160}, Full: true, Rows: []Row{liveRow("k", 90)}}, time.Minute))
+		require.Equal(t, []string{"k"}, keys(table))
+		require.NoError(t, table.Merge(Update{Position: Position{Era: 2, Version: 170}, Rows: []Row{deletedRow("k", 170)}}, time.Minute))
+		require.Empty(t, keys(table))
+	})
+	t.Run("more removals than are recorded", func(t *testing.T) {
+		table := copyOf(update(1))
+		for n := range maxRemovals + 1 {
+			v := int64(n + 2)
+			require.NoError(t, table.Merge(update(v, deletedRow(fmt.Sprint(n), v)), time.Minute))
+		}
+		newest := table.State().Version
+		require.False(t, table.Since(at(newest-100)).Full, "the newest removals are known")
+		require.True(t, table.Since(at(10)).Full)
+		require.Len(t, table.removed(), maxRemovals/2)
+	})
+	t.Run("store whose clock starts again", func(t *testing.T) {
+		table := copyOf(Update{Position: Position{Era: 1, Version: 5}, StoreTime: 30 * time.Second})
+		require.NoError(t, table.Merge(Update{Position: Position{Era: 2, Version: 4}, Full: true, StoreTime: time.Millisecond}, time.Minute+time.Second))
+		require.NoError(t, table.Since(Position{}).check())
+	})
+}
+
+// Two rows whose versions change by the same amount change the digest.
+func TestDigestOfRows(t *testing.T) {
+	seen := make(map[uint64]bool)
+	for n := range int64(50_000) {
+		d := rowDigest(liveRow("a", 1000+n)) ^ rowDigest(liveRow("b", 1001+n))
+		require.False(t, seen[d], n)
+		seen[d] = true
+	}
+}
