Entries of earlier builds are asked for every row

An entry of an earlier build may answer changes without a removal that it never saw, and sends neither record nor digest by which that would show: in a fleet of two builds the copies would have kept the removed endpoint.

--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -111,8 +111,20 @@
 }
 
 // FetchRows fetches from the entry at an address what a copy lacks that covers the given
-// position.
+// position. An entry of an earlier build may not know of all removals since then, and is
+// asked for every row.
 func (c *Client) FetchRows(ctx context.Context, address string, table nodev1.Table, after watch.Position) (watch.Update, error) {
+	u, err := c.fetchRows(ctx, address, table, after)
+	if err == nil && !u.Full && u.Floor == 0 {
+		u, err = c.fetchRows(ctx, address, table, watch.Position{})
+	}
+	if u.Full && u.Floor == 0 {
+		u.Floor = u.Version // nor does it send removals with all rows
+	}
+	return u, err
+}
+
+func (c *Client) fetchRows(ctx context.Context, address string, table nodev1.Table, after watch.Position) (watch.Update, error) {
 	service := c.service(address)
 	answer, err := service.FetchRows(ctx, connect.NewRequest(&nodev1.FetchRowsRequest{Table: table, Era: after.Era, Version: after.Version, Region: c.region}))
 	if err != nil {
@@ -129,9 +141,6 @@
 		Age:       microseconds(m.GetAgeUs()),
 		From:      address,
 	}
-	if p.Floor == 0 {
-		p.Floor = p.Version // an entry of an earlier build sends no removals with all rows
-	}
 	for _, r := range m.GetRows() {
 		p.Rows = append(p.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
 	}
