A confirmation counts for its own configuration only

An entry that starts just after the store has come back from an older copy confirms the older configuration at once. Its summaries let the others, which wait for what was lost, take their newer configuration for confirmed, so that a key that was revoked in the lost time could be used for longer. TestOlderConfirmationDoesNotCount fails on the code before. A confirmation of an older version neither counts nor replaces one of a newer version. A fetch that fails is repeated after 0.3 s instead of with the next summary, which repeated whole tables ten times a second.

--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -131,3 +131,25 @@
 	_, fresh := newGateway(&clock{at: time.Second}, WithConfirmation(func() time.Duration { return 0 }, 5*time.Second)).fresh()
 	require.False(t, fresh, "never confirmed")
 }
+
+// A peer that has started and read a store which came back from an older copy confirms an
+// older configuration. That says nothing of the one in force here, and does not replace what
+// was confirmed of it.
+func TestOlderConfirmationDoesNotCount(t *testing.T) {
+	c := &clock{at: 100 * time.Second}
+	g := newGateway(c)
+	g.ApplyConfiguration(fleet.NewConfiguration(29), nil)
+	receive := func(address string, version int64, echo time.Duration) {
+		g.ReceiveSummary(t.Context(), &nodev1.EntrySummary{
+			Address: address, Echo: uint64(echo), EchoIncarnation: 7, ConfirmedAgeUs: age(0), ConfigurationVersion: version,
+		})
+	}
+	receive("10.0.0.3:1", 26, 99*time.Second)
+	_, known := g.age()
+	require.False(t, known)
+	receive("10.0.0.2:1", 29, 97*time.Second)
+	receive("10.0.0.3:1", 26, 99*time.Second)
+	got, known := g.age()
+	require.True(t, known)
+	require.Equal(t, 3*time.Second, got)
+}
--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -7,12 +7,12 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
-// confirmed returns the last time at which, according to a peer, no version newer
-// than the given one was in force, 0 for never.
+// confirmed returns the last time at which, according to a peer, the given version was the
+// newest in force, 0 for never.
 func (p *peers) confirmed(version int64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.confirmedVersion > version {
+	if p.confirmedVersion != version {
 		return 0
 	}
 	return p.confirmedAt
@@ -26,8 +26,11 @@
 	if !p.echoes(m, now) || m.ConfirmedAgeUs == nil {
 		return
 	}
+	if m.GetConfigurationVersion() < p.confirmedVersion {
+		return // it has read a store that came back from an older copy
+	}
 	at := time.Duration(m.GetEcho()) - boottime.AgeFromMicros(m.GetConfirmedAgeUs())
-	if at > p.confirmedAt {
+	if at > p.confirmedAt || m.GetConfigurationVersion() > p.confirmedVersion {
 		p.confirmedAt = at
 		p.confirmedVersion = m.GetConfigurationVersion()
 		p.confirmedWeights = m.GetWeights()
--- a/internal/gateway/fetch.go
+++ b/internal/gateway/fetch.go
@@ -55,7 +55,7 @@
 		case err != nil:
 			telemetry.PeerCopyNotFetched.Log(ctx, g.logger, "peer", m.GetAddress(), "table", table.String(), "error", err)
 		}
-		g.peers.endFetch(table)
+		g.peers.endFetch(table, g.now(), err)
 	}()
 }
 
@@ -63,6 +63,7 @@
 type fetchState struct {
 	fetching    bool
 	behindSince time.Duration // time since which a peer has newer rows, 0 if none has
+	retryAt     time.Duration // no earlier than this, after a failure
 }
 
 // beginFetch reports whether to fetch the newer rows of a peer now. The rows must
@@ -74,16 +75,23 @@
 	if s.behindSince == 0 || now-s.behindSince > 4*max(delay, crossRegionFetchDelay) {
 		s.behindSince = now
 	}
-	if s.fetching || now-s.behindSince < delay {
+	if s.fetching || now < s.retryAt || now-s.behindSince < delay {
 		return false
 	}
 	s.fetching = true
 	return true
 }
 
-func (p *peers) endFetch(table nodev1.Table) {
+// fetchRetryDelay is the time after a failed fetch before the next one.
+const fetchRetryDelay = 300 * time.Millisecond
+
+func (p *peers) endFetch(table nodev1.Table, now time.Duration, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fetches[table].fetching = false
-	p.fetches[table].behindSince = 0
+	s := p.fetch(table)
+	s.fetching = false
+	s.behindSince = 0
+	if err != nil {
+		s.retryAt = now + fetchRetryDelay
+	}
 }
