Logs of the version that a request is sent to, and of what an endpoint had accepted when it is ordered

An attempt says which version it was sent to and how long that could still be used, an order how much of the bound is left and what the endpoint reports of its load (active, queued, pace), and outdatedStart (737, a counter with it) that a response began after the bound.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,7 @@
 	q.addresses = append(q.addresses, c.Address)
 	out.endpoint = c.ID
 	q.sentAt, q.begunAt = g.now(), 0
+	q.version, q.usableUntil = c.Version, g.usableUntil(q.service, c.Candidate)
 	q.answered, q.sound = false, false
 	g.countLimited(q, c.Candidate)
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
@@ -211,6 +212,7 @@
 			out.recordEvents(now)
 			if last == 0 {
 				q.begunAt = now
+				g.recordBegin(ctx, q, c.Candidate)
 				q.traffic.placement.RecordFirstEvent(now, c)
 			} else {
 				q.traffic.placement.RecordEventInterval(*c, (now-last)/time.Duration(batch.count))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,8 @@
 	attempts          int
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
+	version           int64         // version of the weights that the last attempt was sent to, 0 without one
+	usableUntil       time.Duration // time from which none may begin on that version, 0 for any time
 	tried             []string      // IDs of the endpoints tried, in order
 	addresses         []string      // their addresses
 }
@@ -363,7 +365,28 @@
 	}
 	telemetry.FleetAttemptFailed.Log(ctx, g.logger, "request", q.head.ID, "route", q.route.Name(),
 		"endpoint", v.Choice().ID, "reason", r.reason, "executed", !r.notRun, "waited", v.Waited(),
-		"sent", q.sinceSent(g.now()), "begun", q.sinceBegun(g.now()), "parts", q.head.SharedParts)
+		"sent", q.sinceSent(g.now()), "begun", q.sinceBegun(g.now()), "version", q.version, "usable", q.usableAtSend(),
+		"parts", q.head.SharedParts)
+}
+
+// usableAtSend returns how long, from the time of the last attempt, requests could still
+// begin on the version that it was sent to; 0 stands for any time.
+func (q *request) usableAtSend() time.Duration {
+	if q.usableUntil == 0 {
+		return 0
+	}
+	return q.usableUntil - q.sentAt
+}
+
+// recordBegin reports a response that begins after the time at which requests could begin
+// on the version that the request was sent to.
+func (g *Gateway) recordBegin(ctx context.Context, q *request, c placement.Candidate) {
+	if q.usableUntil == 0 || q.begunAt <= q.usableUntil {
+		return
+	}
+	g.metrics.OutdatedStarts.WithLabelValues(q.service.Name()).Inc()
+	telemetry.OutdatedStart.Log(ctx, g.logger, "request", q.head.ID, "endpoint", c.ID, "version", q.version,
+		"late", q.begunAt-q.usableUntil, "sent", q.begunAt-q.sentAt, "usable", q.usableAtSend())
 }
 
 // sinceSent returns the time since the last attempt was sent, 0 if none was.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -230,7 +230,8 @@
 	args = append(args, "route", q.route.Name(), "account", q.account, "endpoint", a.endpoint, "attempts", q.attempts)
 	if c := a.decision.Choice(); a.decision.Placed() {
 		args = append(args, "first", a.timeToFirstEvent, "pause", a.longestInterval, "spent", q.sinceFirstAttempt, "waited", a.decision.Waited(), "predicted", c.FirstEventDelay(),
-			"inFlight", c.InFlight(), "unread", c.PrefillTokens(), "prompt", q.head.PromptTokens, "home", c.Preferred)
+			"inFlight", c.InFlight(), "unread", c.PrefillTokens(), "prompt", q.head.PromptTokens, "home", c.Preferred,
+			"version", q.version, "usable", q.usableAtSend())
 	}
 	a.logID(q.head.ID, service, outcome, status, reason, args...)
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -220,3 +220,20 @@
 	}
 	return true
 }
+
+// usableUntil returns the time from which no request may begin with the weights that a
+// candidate was chosen with, 0 if there is none.
+func (g *Gateway) usableUntil(s *fleet.Service, c placement.Candidate) time.Duration {
+	if s.Engine() == nil {
+		return 0
+	}
+	until := time.Duration(0)
+	for _, model := range s.Engine().Models {
+		end := g.targets.usableUntil(model, c.Version)
+		if end == 0 {
+			return 0
+		}
+		until = max(until, end)
+	}
+	return until
+}
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -125,6 +125,23 @@
 	return required
 }
 
+// usableUntil returns the time from which no request may begin on a version: the end of the
+// bound of the first newer one, 0 if there is none.
+func (t *targetVersions) usableUntil(model string, version int64) time.Duration {
+	if t.bound == 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	until := time.Duration(0)
+	for _, n := range t.byModel[model] {
+		if end := n.setAt + t.bound; n.version > version && (until == 0 || end < until) {
+			until = end
+		}
+	}
+	return until
+}
+
 // unknownTime reports whether the newest target version is required only because nothing
 // is known of when it was set.
 func (t *targetVersions) unknownTime(model string) bool {
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -76,7 +76,8 @@
 		telemetry.EndpointNotOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "error", err)
 		return err
 	}
-	telemetry.EndpointOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt)
+	telemetry.EndpointOrdered.Log(ctx, r.logger, "model", t.model, "version", t.version, "after", r.now()-t.setAt,
+		"left", r.usableUntil(t, s.Version)-r.now(), "active", now.Active, "queued", now.Queued, "pace", now.Pace)
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,6 +45,11 @@
 	Busy bool
 	// Sequence is the number of orders that this process has accepted.
 	Sequence int64
+	// Active is the number of requests that it has accepted and not completed, Queued of
+	// those that wait before.
+	Active, Queued int
+	// Pace is the factor by which it is slower than usual, 0 if it reports none.
+	Pace float64
 }
 
 // Order is an order to load the staged chunks as they are when it is accepted.
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -271,6 +271,10 @@
 		736, "callerNotReset", slog.LevelWarn,
 		"A response was cut to a caller whose version of HTTP shows the end of a response by the end of the connection, and the connection could not be reset: the caller may take the response for whole.",
 	}
+	OutdatedStart = Event{
+		737, "outdatedStart", slog.LevelError,
+		"The response to a request began after the bound of a newer version of the weights than that of its endpoint, by the time at which its first event arrived here. The request waited longer at the endpoint than was left when it was sent. Look at the load of the endpoint and at when it was ordered to load.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -293,6 +297,7 @@
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
 		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead, CallerNotReset,
+		OutdatedStart,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -62,6 +62,9 @@
 	// requests that they refuse, by service.
 	Quarantines         prometheus.Gauge
 	QuarantinedRequests *prometheus.CounterVec
+	// OutdatedStarts counts the responses that began on weights whose bound had passed, by
+	// service.
+	OutdatedStarts *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -81,6 +84,7 @@
 		Crashes:             counter("crashes_total", "Crashes of endpoints that this entry has seen."),
 		Quarantines:         gauge("quarantines", "Quarantines in force."),
 		QuarantinedRequests: counters("quarantined_requests_total", "Requests refused because endpoints crash under such requests.", "service"),
+		OutdatedStarts:      counters("outdated_starts_total", "Responses that began on weights whose bound had passed.", "service"),
 		LimitedRequests:     counters("limited_requests_total", "Requests sent to endpoints with a known rate limit.", "service"),
 	}
 	m.registry.MustRegister(
@@ -89,7 +93,7 @@
 		m.Requests, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
 		m.LimitedEndpoints, m.LimitedRequests, m.QuotaFraction,
-		m.Crashes, m.Quarantines, m.QuarantinedRequests,
+		m.Crashes, m.Quarantines, m.QuarantinedRequests, m.OutdatedStarts,
 	)
 	return m
 }
