Requests that wait at an endpoint are withdrawn before its weights may not be used any longer

What callers saw (VERSION): requests began on version 1 between 0.2 and 1.1 s after the bound of version 2, 2.2 to 2.9 s after they had reached their endpoint.

Cause: an entry checked the bound just before it sent, with 0.9 s to spare for the wait at the endpoint, and not again. The wait has no bound: a slow or stalled engine reads the prompts of what it has accepted for seconds. The class: a check is made before a wait, and what it allowed begins after.

Fix, three parts that each cover what the others can't: - Placement sends nothing to an endpoint with old weights where a request very likely begins too late: twice the prediction, or twice the longest wait that this entry knows of there, must fit before the bound. This is all there is where an endpoint begins requests whose callers have left. - An attempt that has not begun 0.1 s before the bound is withdrawn. The bound is looked up again while it waits, since a version may be set after it was sent. It goes on at another endpoint where it may be sent again, and ends as 502 where it may not: it may have run. - A withdrawal does not reach an endpoint that is suspended or behind a cut link, nor does one come from an entry that is. So the time left of an attempt ends 0.2 s before the bound, which the endpoint keeps to by itself, where the stream is expected to be complete by then or can go on at an endpoint that has the version. Otherwise it keeps the caller's time, since it would be cut with nowhere to go. An attempt that ends by this is not counted among those that endpoints broke off by crashing.

--- a/internal/coordination/placement/endpoint.go
+++ b/internal/coordination/placement/endpoint.go
@@ -49,6 +49,7 @@
 	eventInterval time.Duration
 	quota         int // requests that may still be placed before the next grant
 	hold          hold
+	waits         waits
 	permits       []permit
 	share         float64 // permits a second that this entry can expect, as of shareAt
 	shareAt       time.Duration
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -238,6 +238,7 @@
 	}
 	e.ownLoad.InFlight--
 	e.ownLoad.PrefillTokens -= c.pendingPrefill()
+	e.waits.end(&c)
 	p.inFlight--
 	e.recordOutcome(now, outcome)
 	if outcome == Stale || outcome == Unreachable {
@@ -274,6 +275,21 @@
 	p.use.expire(now)
 }
 
+// ServiceTime returns the mean time from the placement of a request to its end.
+func (p *Pool) ServiceTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.meanServiceTime()
+}
+
+// meanServiceTime is ServiceTime for a caller that holds p.mu.
+func (p *Pool) meanServiceTime() time.Duration {
+	if p.serviceTime == 0 {
+		return defaultServiceTime
+	}
+	return p.serviceTime
+}
+
 // Waiting returns the number of waiting requests.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
@@ -301,6 +317,7 @@
 	if e := p.endpoints[c.ID]; e != nil {
 		e.ownLoad.PrefillTokens -= c.pendingPrefill()
 		e.hold.recordResponse(c.placed)
+		e.waits.begin(now, c)
 	}
 	if p.model.Step > 0 && !c.began {
 		p.lagOf(c.Preferred).record(now - c.placed - c.firstEventDelay)
@@ -329,6 +346,7 @@
 	}
 	e.ownLoad.InFlight++
 	e.ownLoad.PrefillTokens += t.request.Prompt
+	e.waits.add(now)
 	if e.Limited {
 		choice.permitUntil = e.takePermit()
 		p.use.take(now, t.request.Account)
@@ -404,6 +422,9 @@
 			sampled++
 		}
 		delay := e.firstEventDelay(p.model, p.medianInterval, r.Prompt)
+		if !e.beginsInTime(now, delay) {
+			continue
+		}
 		score := e.score(delay, p.domain, p.random())
 		if best == nil || score < bestScore {
 			best, bestScore, bestDelay = e, score, delay
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -24,6 +24,8 @@
 	Stale
 	// Cancelled: the caller disconnected or the deadline passed.
 	Cancelled
+	// Withdrawn: the attempt was ended because it may not begin, or go on, any longer.
+	Withdrawn
 )
 
 // Candidate is an endpoint that requests may be placed on.
@@ -41,6 +43,8 @@
 	Started int64
 	// Version is the version of its weights, 0 for plain endpoints.
 	Version int64
+	// BeginBefore is the time before which requests have to begin there, 0 for any time.
+	BeginBefore time.Duration
 	// HeldUntil is the time from which it takes requests again, 0 if it is not held.
 	HeldUntil time.Duration
 	// Limited marks an endpoint that has stated a rate limit. Each request to it needs a
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,6 +62,8 @@
 // attempt sends the request to one endpoint and forwards a complete response.
 func (g *Gateway) attempt(ctx context.Context, q *request, c *placement.Choice, out *responseWriter) result {
 	q.attempts++
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil) // after the end of the exchange, which it would close
 	x, err := g.pool.Begin(ctx, c.Address, q.maxIdle(c.Address))
 	if errors.Is(err, endpoints.ErrNoConnection) {
 		return result{outcome: placement.Full, notRun: true, reason: err.Error()}
@@ -80,12 +82,14 @@
 	q.version, q.usableUntil = c.Version, g.usableUntil(q.service, c.Candidate)
 	q.answered, q.sound = false, false
 	g.countLimited(q, c.Candidate)
+	q.limit = g.limitAttempt(q, *c, cancel)
+	defer q.limit.release()
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
 	}
 	if err != nil {
-		return g.interrupted(ctx, err, true)
+		return g.interrupted(ctx, q, err, true)
 	}
 	return g.handleResponse(ctx, q, c, x, response, out)
 }
@@ -99,8 +103,12 @@
 }
 
 // interrupted returns the result of an attempt that may have run. BrokenOff is set if
-// the endpoint broke off the attempt, rather than the caller or the deadline.
-func (g *Gateway) interrupted(ctx context.Context, err error, brokenOff bool) result {
+// the endpoint broke off the attempt, rather than the caller, the deadline or the limit of
+// the attempt.
+func (g *Gateway) interrupted(ctx context.Context, q *request, err error, brokenOff bool) result {
+	if q.limit.reached(ctx) {
+		return result{outcome: placement.Withdrawn, reason: errWithdrawn.Error()}
+	}
 	if ctx.Err() != nil {
 		return result{outcome: placement.Cancelled, reason: ctx.Err().Error()}
 	}
@@ -112,7 +120,7 @@
 	f := ForwardHead{
 		EndpointID: c.ID,
 		Account:    q.account,
-		TimeLeft:   q.remaining(g.now()),
+		TimeLeft:   q.limit.timeLeft(q, g.now()),
 		Version:    c.Version,
 		LastEvent:  out.lastEvent,
 	}
@@ -134,14 +142,17 @@
 		return result{outcome: placement.Full, notRun: true, reason: "endpoint is at capacity"}
 	}
 	if isRefusal(response.StatusCode) {
-		return g.interrupted(ctx, errUnmarkedRefusal, false)
+		return g.interrupted(ctx, q, errUnmarkedRefusal, false)
+	}
+	if response.StatusCode == http.StatusGatewayTimeout && q.limit.reached(ctx) {
+		return g.interrupted(ctx, q, errWithdrawn, false)
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && !a.Authenticated {
-		return g.interrupted(ctx, errNotAuthenticated, false)
+		return g.interrupted(ctx, q, errNotAuthenticated, false)
 	}
 	if out.headerWritten && !out.continuedBy(response) {
-		return g.interrupted(ctx, errNotContinuation, false)
+		return g.interrupted(ctx, q, errNotContinuation, false)
 	}
 	q.answered = success
 	if success && isEvents(response.Header) {
@@ -149,7 +160,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
 	if err != nil {
-		return g.interrupted(ctx, err, true)
+		return g.interrupted(ctx, q, err, true)
 	}
 	if len(body) > maxBufferedResponse {
 		return g.forwardLarge(ctx, q, response, body, out)
@@ -182,7 +193,7 @@
 		return result{outcome: placement.Cancelled, reason: "caller disconnected"}
 	}
 	if _, err := io.Copy(out, response.Body); err != nil {
-		r := g.interrupted(ctx, err, true)
+		r := g.interrupted(ctx, q, err, true)
 		out.abort(q, r.reason)
 		return r
 	}
@@ -205,13 +216,14 @@
 		n, err := response.Body.Read(buf)
 		batch := events.feed(buf[:n], out.lastNumber)
 		if events.tooLong() {
-			return g.interrupted(ctx, errEventTooLong, true)
+			return g.interrupted(ctx, q, errEventTooLong, true)
 		}
 		if len(batch.bytes) > 0 {
 			now := g.now()
 			out.recordEvents(now)
 			if last == 0 {
 				q.begunAt = now
+				q.limit.begin()
 				g.recordBegin(ctx, q, c.Candidate)
 				q.traffic.placement.RecordFirstEvent(now, c)
 			} else {
@@ -230,19 +242,19 @@
 			out.recordPosition(batch)
 		}
 		if batch.err != nil {
-			return g.interrupted(ctx, batch.err, false)
+			return g.interrupted(ctx, q, batch.err, false)
 		}
 		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF && events.resumed && !events.progressed {
-			return g.interrupted(ctx, errNoNewEvent, false)
+			return g.interrupted(ctx, q, errNoNewEvent, false)
 		}
 		if err == io.EOF {
 			return g.endStream(q, response, out)
 		}
 		if err != nil {
-			return g.interrupted(ctx, err, true)
+			return g.interrupted(ctx, q, err, true)
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/attemptlimit.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+// An attempt that waits at an endpoint begins there without any further check of this
+// entry. So an attempt that may begin too late is withdrawn, and, because a withdrawal does
+// not reach an endpoint that is suspended or cut off, its time left ends at the bound of its
+// weights where it is expected to be complete by then or can go on at another endpoint.
+const (
+	// withdrawMargin is the time before the end of the bound at which an attempt that has
+	// not begun is withdrawn. It covers the way of the withdrawal to the endpoint.
+	withdrawMargin = 100 * time.Millisecond
+	// endMargin is the time before the end of the bound at which the time left of an attempt
+	// ends. It is longer than withdrawMargin, since an endpoint that refuses the request as
+	// not run by then allows any request to be sent again.
+	endMargin = 200 * time.Millisecond
+	// completeFactor is how many mean service times must be left before the bound for an
+	// attempt to count as complete by then. An attempt that can't go on at another endpoint
+	// must not be ended by its bound, so that it needs more.
+	completeFactor            = 2
+	unresumableCompleteFactor = 4
+	// targetInterval is how often it is looked up whether a newer version was set since an
+	// attempt that has not begun was sent.
+	targetInterval = time.Second
+	// endTolerance is how much sooner than here the end of an attempt may come by the clock
+	// of its endpoint, which gets the time left in whole milliseconds.
+	endTolerance = 50 * time.Millisecond
+)
+
+// errWithdrawn is the cause of the end of an attempt at its limit.
+var errWithdrawn = eris.New("weights of the endpoint may not be used any longer")
+
+// attemptLimit ends an attempt whose endpoint has weights that may not be used later. It is
+// safe for concurrent use.
+type attemptLimit struct {
+	gateway   *Gateway
+	service   *fleet.Service
+	candidate placement.Candidate
+	cancel    context.CancelCauseFunc
+	// end is the time by which the attempt has to be complete, 0 if it need only begin in
+	// time.
+	end time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	begun bool
+	ended bool
+}
+
+// limitAttempt returns the limit of an attempt that is sent now. It calls cancel when the
+// attempt must be withdrawn. It must be released when the attempt has ended.
+func (g *Gateway) limitAttempt(q *request, c placement.Choice, cancel context.CancelCauseFunc) *attemptLimit {
+	l := &attemptLimit{gateway: g, service: q.service, candidate: c.Candidate, cancel: cancel}
+	if q.service.Engine() == nil || g.targets.bound == 0 {
+		return l
+	}
+	l.end = g.attemptEnd(q)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timer = time.AfterFunc(l.next(), l.check)
+	return l
+}
+
+// attemptEnd returns the time by which the last attempt of a request has to be complete, 0 if
+// it may go on beyond the bound of its weights.
+func (g *Gateway) attemptEnd(q *request) time.Duration {
+	if q.usableUntil == 0 || q.usableUntil >= q.deadline {
+		return 0
+	}
+	end := q.usableUntil - endMargin
+	left := end - q.sentAt
+	mean := q.traffic.placement.ServiceTime()
+	if !q.route.Resumable() {
+		if left < unresumableCompleteFactor*mean {
+			return 0
+		}
+		return end
+	}
+	hasRetry := len(q.tried) < max(q.route.MaxAttempts(), 1)
+	if left >= completeFactor*mean || hasRetry && q.traffic.renewed.Load() {
+		return end
+	}
+	return 0
+}
+
+// check withdraws the attempt if its limit has passed, and otherwise waits for it. The bound
+// is looked up again, since a version may have been set after the attempt was sent.
+func (l *attemptLimit) check() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	d := l.next()
+	if d <= 0 {
+		l.cancel(errWithdrawn)
+		return
+	}
+	l.timer.Reset(d)
+}
+
+// next returns the time until the attempt must be withdrawn, or until the bound is to be
+// looked up again. The caller holds the mutex.
+func (l *attemptLimit) next() time.Duration {
+	if l.begun {
+		return l.end + endMargin - withdrawMargin - l.gateway.now()
+	}
+	until := l.gateway.usableUntil(l.service, l.candidate)
+	if until == 0 {
+		return targetInterval
+	}
+	return until - withdrawMargin - l.gateway.now()
+}
+
+// begin records that the attempt has begun.
+func (l *attemptLimit) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun = true
+	if l.end == 0 && l.timer != nil {
+		l.ended = true
+		l.timer.Stop()
+	}
+}
+
+// release ends the limit.
+func (l *attemptLimit) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// timeLeft returns the time that the endpoint may take for an attempt of a request.
+func (l *attemptLimit) timeLeft(q *request, now time.Duration) time.Duration {
+	left := q.remaining(now)
+	if l.end > 0 {
+		left = min(left, l.end-now)
+	}
+	return left
+}
+
+// reached reports whether the attempt has come to its end, by this entry's clock or, shortly
+// before, by that of the endpoint.
+func (l *attemptLimit) reached(ctx context.Context) bool {
+	if errors.Is(context.Cause(ctx), errWithdrawn) {
+		return true
+	}
+	return l.end > 0 && l.gateway.now() >= l.end-endTolerance
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,7 @@
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	version           int64         // version of the weights that the last attempt was sent to, 0 without one
+	limit             *attemptLimit // of the last attempt
 	usableUntil       time.Duration // time from which none may begin on that version, 0 for any time
 	tried             []string      // IDs of the endpoints tried, in order
 	addresses         []string      // their addresses
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/admission"
@@ -133,6 +134,7 @@
 	}
 	for name, s := range v.configuration.Services() {
 		list := candidates[name]
+		g.trafficOf(name).renewed.Store(slices.ContainsFunc(list, func(c placement.Candidate) bool { return c.Version > 0 && c.BeginBefore == 0 }))
 		placement.MarkPreferred(list, active, g.self.FailureDomain, g.self.PeerAddress)
 		pool := g.trafficOf(name).placement
 		pool.SetLatencyModel(latencyModelOf(s.Engine()))
@@ -201,6 +203,7 @@
 		version, loading := g.notices.version(e, model, now)
 		c.Version = version
 		if !loading && version > 0 && version >= g.targets.required(model, now) {
+			c.BeginBefore = g.beginBefore(s, c)
 			return c, true
 		}
 	}
@@ -221,6 +224,16 @@
 	return true
 }
 
+// beginBefore returns the time before which requests have to begin at a candidate, 0 for any
+// time.
+func (g *Gateway) beginBefore(s *fleet.Service, c placement.Candidate) time.Duration {
+	until := g.usableUntil(s, c)
+	if until == 0 {
+		return 0
+	}
+	return until - withdrawMargin
+}
+
 // usableUntil returns the time from which no request may begin with the weights that a
 // candidate was chosen with, 0 if there is none.
 func (g *Gateway) usableUntil(s *fleet.Service, c placement.Candidate) time.Duration {
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
@@ -23,6 +24,9 @@
 type serviceTraffic struct {
 	placement *placement.Pool
 	budget    *retry.Budget
+	// renewed is set while an endpoint has the newest target version, so that a stream that
+	// ends at the bound of an older one can go on there.
+	renewed atomic.Bool
 }
 
 // traffic holds the request-path state: the services, the refused requests, and the
