Slow endpoints are ordered to load sooner

An endpoint completes what it has accepted before it loads, and begins requests that it has accepted on its old weights. The time before the bound at which the last one is ordered now grows with the pace that the endpoint reports; the first order stays where it was, since the chunks are still being fetched before.

TestWaveStart has the new cases; the old ones stand unchanged with pace 1.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -38,15 +38,21 @@
 		name         string
 		setAt, limit time.Duration
 		rank, n      int
+		pace         float64
 		want         time.Duration
 	}{
-		{"first", 0, bound, 0, 11, 3360 * time.Millisecond},
-		{"last", 0, bound, 10, 11, 7200 * time.Millisecond},
-		{"single endpoint", 0, bound, 0, 1, 3360 * time.Millisecond},
-		{"limit of the previous version", 2 * time.Second, bound, 10, 11, 7200 * time.Millisecond},
-		{"limit of the previous version has passed", 6 * time.Second, bound, 3, 11, 9360 * time.Millisecond},
+		{"first", 0, bound, 0, 11, 1, 3360 * time.Millisecond},
+		{"last", 0, bound, 10, 11, 1, 7200 * time.Millisecond},
+		{"single endpoint", 0, bound, 0, 1, 1, 3360 * time.Millisecond},
+		{"limit of the previous version", 2 * time.Second, bound, 10, 11, 1, 7200 * time.Millisecond},
+		{"limit of the previous version has passed", 6 * time.Second, bound, 3, 11, 1, 9360 * time.Millisecond},
+		{"pace is not reported", 0, bound, 10, 11, 0, 7200 * time.Millisecond},
+		{"faster than usual", 0, bound, 10, 11, 0.5, 7200 * time.Millisecond},
+		{"slow and first", 0, bound, 0, 11, 5, 3360 * time.Millisecond},
+		{"slow and last", 0, bound, 10, 11, 5, 4 * time.Second},
+		{"so slow that no time is left", 0, bound, 10, 11, 20, 3360 * time.Millisecond},
 	} {
-		require.Equal(t, test.want, waveStart(bound, test.setAt, test.limit, test.rank, test.n), test.name)
+		require.Equal(t, test.want, waveStart(bound, test.setAt, test.limit, test.rank, test.n, test.pace), test.name)
 	}
 }
 
--- a/internal/replica/wave.go
+++ b/internal/replica/wave.go
@@ -22,10 +22,11 @@
 // waveStart returns when the endpoint at a rank among n may start to load a version that
 // was set at setAt, while its loaded version may be used until limit. The starts are
 // spread evenly over the time from firstWaveFraction of the bound after setAt until
-// 1-lastWaveFraction of the bound before limit.
-func waveStart(bound, setAt, limit time.Duration, rank, n int) time.Duration {
+// 1-lastWaveFraction of the bound before limit. An endpoint that is slower by the factor
+// pace needs longer to begin what it has accepted, so that its last start is sooner by that.
+func waveStart(bound, setAt, limit time.Duration, rank, n int, pace float64) time.Duration {
 	first := setAt + time.Duration(firstWaveFraction*float64(bound))
-	end := limit - time.Duration((1-lastWaveFraction)*float64(bound))
+	end := limit - time.Duration((1-lastWaveFraction)*max(pace, 1)*float64(bound))
 	if bound == 0 || n < 2 || end <= first {
 		return first
 	}
@@ -95,10 +96,13 @@
 			return errSuperseded
 		}
 		t = r.currentTarget() // the time at which it was set may have been corrected
-		at := waveStart(r.versionBound, t.setAt, r.usableUntil(t, status.Version), rank, n)
+		at := waveStart(r.versionBound, t.setAt, r.usableUntil(t, status.Version), rank, n, status.Pace)
 		if r.now() >= at {
 			return nil
 		}
+		if now, err := r.status(ctx, t.model); err == nil {
+			status.Pace = now.Pace
+		}
 		r.waitForWake(ctx, min(at-r.now(), retryInterval))
 	}
 	return ctx.Err()
