An entry that begins to drain may send a summary beside its background work

What callers saw: nothing that was traced. A run of TestRetriedStreamIsNotSentTooLate with the race detector (GOMAXPROCS=2, load average 30 on 8 cores) failed once in 13 with a data race; all 800 streams that were not refused had been answered. Its log lines end at the stop of the entries. Without the detector the race could make the reported request rate of an entry that stops wrong.

Cause: Drain sends summaries from the goroutine that stops the entry, while the background work sends them too. rateMeter.advance was made for one goroutine.

Evidence: the detector names rateMeter.advance under sendSummaries, once from Gateway.run and once from Gateway.Drain.

Fix: advance takes a mutex.

--- a/internal/gateway/rate.go
+++ b/internal/gateway/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -10,12 +11,13 @@
 // cache the addresses that depend on the rate for some seconds.
 const rateWindow = 5 * time.Second
 
-// rateMeter measures requests per second. Count and value may be used by any
-// goroutine, advance only by one.
+// rateMeter measures requests per second. It is safe for concurrent use.
 type rateMeter struct {
-	count      atomic.Int64
-	bits       atomic.Uint64 // bits of the rate as a float64
-	counted    int64         // value of count at the last call of advance
+	count atomic.Int64
+	bits  atomic.Uint64 // bits of the rate as a float64
+
+	mu         sync.Mutex
+	counted    int64 // value of count at the last call of advance
 	advancedAt time.Duration
 }
 
@@ -23,6 +25,8 @@
 
 // advance updates the rate with the requests since the previous call.
 func (r *rateMeter) advance(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	since := now - r.advancedAt
 	if since <= 0 {
 		return
