A request is not sent with less time than responses take

What callers saw: a stream whose first attempt an endpoint had refused as full waited, was sent to another endpoint and broken off there by its deadline: 504, or a cut stream. Refused as not run, its caller would have known that it did not run.

Cause: bounded the wait by a constant, 60 ms. Responses took longer.

Fix: placement estimates how long responses take after their predicted first event, as RFC 6298 estimates round trips. An attempt needs that time. Half of the time that the request had is enough in any case, as some responses are faster. A request that may have run can't be refused as not run, so that it is tried as before, with 60 ms.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -55,6 +55,7 @@
 	otherLag         lag           // of first events at others, where the latest load is not known
 	uncontendedShare float64       // share of placements made while no on-time request waited
 	serviceTime      time.Duration // mean time from placement to the end of a request
+	afterFirstEvent  duration      // from the predicted first event to the end of a request
 	medianInterval   time.Duration // median event interval of the endpoints
 	inFlight         int
 	limitedCount     int           // endpoints with a rate limit
@@ -245,6 +246,7 @@
 	}
 	if outcome == Succeeded {
 		p.recordServiceTime(now - c.placed)
+		p.afterFirstEvent.record(max(now-c.placed-c.firstEventDelay, 0))
 		e.hold.recordResponse(c.placed)
 	} else {
 		e.hold.recordFailure(c.placed)
--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -39,6 +39,7 @@
 	reasonOutdatedWeights = "weights of the endpoint are too old by now"
 	reasonRateLimited     = "endpoint has a rate limit and the request has no valid permit"
 	reasonUnconfirmed     = "confirmation of the configuration has expired"
+	reasonTooLate         = "too little time is left for a response"
 	reasonQuarantined     = "endpoints have crashed under such requests"
 )
 
@@ -48,6 +49,9 @@
 // established.
 func (g *Gateway) staleReason(q *request, c placement.Choice) string {
 	now := g.now()
+	if q.minTime > 0 && q.remaining(now) < q.minTime {
+		return reasonTooLate
+	}
 	if !g.backpressure.State(now, incarnationOf(c.Candidate)).Admits(now) {
 		return reasonBackpressure
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,6 +48,7 @@
 	arrived           time.Duration
 	sinceFirstAttempt time.Duration // time since the caller's first attempt, if it was refused before
 	deadline          time.Duration
+	minTime           time.Duration // least time left with which the next attempt is of use
 	fingerprint       uint64
 	suspect           suspects.Request
 	trial             bool // this request is the trial that may end its quarantine
@@ -258,6 +259,7 @@
 			sequence.refuseSuspect(out, q, d)
 			return
 		}
+		q.minTime = sequence.minTime(q)
 		v, placed := g.awaitPlacement(ctx, q, changed)
 		if !placed {
 			sequence.notPlaced(out, q, v)
@@ -315,7 +317,7 @@
 		Arrived:      q.arrived - q.sinceFirstAttempt,
 		Target:       target,
 		Deadline:     q.deadline,
-		MinTime:      q.minTime(g.now()),
+		MinTime:      q.minTime,
 		Priority:     q.priority,
 		Prompt:       q.head.PromptTokens,
 		Account:      q.account,
@@ -345,15 +347,6 @@
 	return placement.Decision{}, false
 }
 
-// minTime returns the least time with which another attempt is of use. A caller that had
-// little time from the start may get a fast response.
-func (q *request) minTime(now time.Duration) time.Duration {
-	if len(q.tried) > 0 {
-		return minAttemptTime
-	}
-	return min(minAttemptTime, max(q.remaining(now)/2, 0))
-}
-
 // isTimeout reports whether the context ended because its deadline passed.
 func isTimeout(ctx context.Context) bool {
 	return errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -10,8 +10,8 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
 )
 
-// minAttemptTime is the minimum time left for another attempt. The caller could not
-// use the response to a request that is sent with less.
+// minAttemptTime is the minimum time left for another attempt, whatever is known of the
+// endpoints. The caller could not use the response to a request that is sent with less.
 const minAttemptTime = 60 * time.Millisecond
 
 // result is the result of one attempt.
@@ -101,6 +101,21 @@
 	return s.attempts.Decide(outcome, q.remaining(s.gateway.now())).Kind() == retry.Retry
 }
 
+// minTime returns the least time with which the next attempt is of use. While the request
+// can be refused as not run, that is the time of a response, but at most half of the time
+// that the request had: some responses are faster. Once it may have run, no refusal is
+// better than another attempt.
+func (s *sequence) minTime(q *request) time.Duration {
+	enough := minAttemptTime
+	if !s.mayHaveRun {
+		enough = max(enough, q.traffic.placement.ResponseTime(q.head.PromptTokens))
+	}
+	if q.attempts > 0 {
+		return min(enough, max((q.deadline-q.arrived)/2, minAttemptTime))
+	}
+	return min(enough, max(q.remaining(s.gateway.now())/2, 0))
+}
+
 // maxAttempts bounds the connection attempts for one request.
 const maxAttempts = 5
 
