An entry that starts with the configuration of an older copy waits

What callers saw: a key that had been revoked worked again, and a route that had been added was unknown, at an entry that started just after the store had come back from an older copy of itself.

Cause: entries that were there keep what they have in force. One that starts reads the older configuration from the store, or from the copy of another entry, which has the rows of the store, and takes it for confirmed.

Evidence: TestEntryStartsWithOlderCopyOfStore on the code before: "a revoked key works again", status 200, in its first second.

Fix: summaries tell it. Another entry has a newer configuration although its copy has nothing that this one has not read (or this one has read nothing yet): the store has lost it. In the usual course an entry with a newer configuration has read more of the store, as positions show. For 10 s after its start the entry is then not ready and refuses requests, until it has that version; the users' pages say that the operators write it again. Entries that lived through the return are not held up: they do not go back, and keys need a confirmation.

Not covered: an entry that hears of no other; endpoints that left in the lost time (docs/PLATFORM-FLEET.md, "Left").

--- a/internal/fleetprocess/restore_test.go
+++ b/internal/fleetprocess/restore_test.go
@@ -1,7 +1,9 @@
 package fleetprocess
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -62,3 +64,55 @@
 		return server.Arrivals() == before
 	}, 4*time.Second, 20*time.Millisecond)
 }
+
+// statusAt returns the status of the response of one entry, 0 if there is none.
+func (s *system) statusAt(m standin.Machine, path, key string) int {
+	s.t.Helper()
+	s.next++
+	request, err := standin.NewRequest("GET", s.Front(m), path, fmt.Sprintf("attempt-%d", s.next), key, 2500*time.Millisecond)
+	require.NoError(s.t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// An entry that starts just after the store has come back from an older copy reads an older
+// configuration there, which the others have left behind.
+func TestEntryStartsWithOlderCopyOfStore(t *testing.T) {
+	const inForce = 4 * time.Second
+	const notWritten = 5 * time.Second // until the operators write the configuration again
+	s := newSystem(t, standin.WithSize(1, 3, 1, 1))
+	late := s.Entries[2]
+	s.Entries = s.Entries[:2]
+	s.startProcesses()
+	s.SetKeys(standin.Key, "key-2")
+	require.Eventually(t, func() bool { return s.statusAt(s.Entries[0], standin.PathRead, "key-2") == http.StatusOK }, inForce, 20*time.Millisecond)
+	older := s.Store.Copy()
+	s.SetKeys(standin.Key)
+	s.AddRoutes(1)
+	for _, m := range s.Entries {
+		require.Eventually(t, func() bool {
+			return s.statusAt(m, standin.PathExtra(1), standin.Key) == http.StatusOK && s.statusAt(m, standin.PathRead, "key-2") == http.StatusUnauthorized
+		}, inForce, 20*time.Millisecond)
+	}
+
+	s.Store.Restore(older)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	s.start(ctx, late, RunEntry)
+	for returned := time.Now(); time.Since(returned) < notWritten; {
+		require.NotEqual(t, http.StatusOK, s.statusAt(late, standin.PathRead, "key-2"), "a revoked key works again")
+		require.NotEqual(t, http.StatusNotFound, s.statusAt(late, standin.PathExtra(1), standin.Key), "a route is gone again")
+	}
+	s.AddRoutes(1)
+	require.Eventually(t, func() bool {
+		return s.IsReady(late) && s.statusAt(late, standin.PathExtra(2), standin.Key) == http.StatusOK
+	}, inForce, 20*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, s.statusAt(late, standin.PathRead, "key-2"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,7 @@
 	// loadsStale is set while placement lacks the latest load of other entries.
 	loadsStale atomic.Bool
 	rate       rateMeter
+	olderStart olderStart
 }
 
 // New returns a gateway without a configuration, which is not ready.
@@ -293,7 +294,7 @@
 // endpoints, every request would be refused, and for a short time after it those for a
 // service whose endpoints may be usable.
 func (g *Gateway) Ready() bool {
-	return g.joined() && g.placed.Load() && int64(g.now()) >= g.readyAt.Load()
+	return g.joined() && !g.startsOlder() && g.placed.Load() && int64(g.now()) >= g.readyAt.Load()
 }
 
 // joined reports whether this entry takes part in the division of the endpoints. It does
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -315,6 +315,7 @@
 	g.informOfCrashes(m, now)
 	g.traffic.refusals.addRemote(m.GetRefused(), m.GetRefusedAgeMs(), now)
 	g.receiveTargets(m, now)
+	g.observeConfiguration(m, now)
 	if loaded {
 		g.peerLoadsChanged(now)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -123,6 +123,10 @@
 		out.refuse("", http.StatusServiceUnavailable, "no configuration is known yet", unavailableRetryAfter)
 		return nil
 	}
+	if g.startsOlder() {
+		out.refuse("", http.StatusServiceUnavailable, "configuration is older than that of other entries", unavailableRetryAfter)
+		return nil
+	}
 	head, err := g.codec.ReadRequest(r.Header)
 	if err != nil {
 		out.reject(head.ID, http.StatusBadRequest, err.Error())
