The row of an entry is written again also if it was lost just after the start

What callers saw: nothing at once. An entry whose row is missing is not found by entries and agents that start later and reach none of their seeds.

Cause: an entry wrote its row again when it saw the era of the store change. If the store came back from an older copy after the row was written, but before the entry had read anything, the first era that it knew was already the new one.

Evidence: TestRowOfEntryLostAtStart on the code before: no row within 25 s (the longest time between two discoveries is 18 s). With the 5 s of the test it fails as well.

Fix: a write reports the era of its answer, and the row is written again while that is earlier than the era of the copy.

Result: the test passes.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -245,24 +245,23 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		rowWritten, versionsRead, entriesRead := false, false, false
+		versionsRead, entriesRead := false, false
 		retry := minDiscoverRetry
-		rowWritten = e.writeEntryRow(ctx)
+		rowEra, rowWritten := e.writeEntryRow(ctx)
 		era := e.operatorWatcher.Table().State().Era
 		if !sleep(ctx, e.gateway.StartDelay()) {
 			return
 		}
 		for {
-			if now := e.operatorWatcher.Table().State().Era; now != era {
-				// The first era that this process knows is not a return.
-				rowWritten = rowWritten && era == 0
-				if era > 0 {
-					e.gateway.RecordTargets()
-				}
-				era = now
+			now := e.operatorWatcher.Table().State().Era
+			if now != era && era > 0 { // the first one that this process knows is not a return
+				e.gateway.RecordTargets()
 			}
+			era = now
 			versionsRead = versionsRead || e.readTargetVersions(ctx)
-			rowWritten = rowWritten || e.writeEntryRow(ctx)
+			if !rowWritten || rowEra < era {
+				rowEra, rowWritten = e.writeEntryRow(ctx)
+			}
 			if !entriesRead || e.gateway.LeadsRegion() {
 				entriesRead = e.readEntries(ctx)
 			}
@@ -281,15 +280,16 @@
 	return done
 }
 
-func (e *Entry) writeEntryRow(ctx context.Context) bool {
+// writeEntryRow writes the row of this entry and returns the era that it was written in.
+func (e *Entry) writeEntryRow(ctx context.Context) (era int64, written bool) {
 	row, err := json.Marshal(entryRow{PeerAddress: e.settings.PeerAddress()})
 	if err == nil {
-		err = e.store.Put(ctx, platform.TableEntries, e.settings.Name(), row)
+		era, err = e.store.Put(ctx, platform.TableEntries, e.settings.Name(), row)
 	}
 	if err != nil {
 		telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableEntries, "error", err)
 	}
-	return err == nil
+	return era, err == nil
 }
 
 func (e *Entry) readEntries(ctx context.Context) bool {
--- a/internal/fleetprocess/restore_test.go
+++ b/internal/fleetprocess/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosetally/primrosetally/platform"
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
@@ -116,3 +117,27 @@
 	}, inForce, 20*time.Millisecond)
 	require.Equal(t, http.StatusUnauthorized, s.statusAt(late, standin.PathRead, "key-2"))
 }
+
+// The store comes back from an older copy after an entry has written its row, before the
+// entry has read anything. Entries that start later find others by these rows.
+func TestRowOfEntryLostAtStart(t *testing.T) {
+	const inTime = 5 * time.Second
+	s := newSystem(t, standin.WithSize(1, 1, 1, 1))
+	ctx, cancel := context.WithCancel(t.Context())
+	s.cancel = cancel
+	t.Cleanup(s.stop)
+	older := s.Store.Copy()
+	s.Store.SetFault(func(r *http.Request) standin.Fault {
+		if r.Method == http.MethodGet {
+			return standin.FaultBusy
+		}
+		return standin.FaultNone
+	})
+	s.start(ctx, s.Entries[0], RunEntry)
+	isListed := func() bool { return len(s.Store.Rows(platform.TableEntries)) == 1 }
+	require.Eventually(t, isListed, inTime, 10*time.Millisecond)
+	s.Store.Restore(older)
+	s.Store.SetFault(func(*http.Request) standin.Fault { return standin.FaultNone })
+	require.False(t, isListed())
+	require.Eventually(t, isListed, inTime, 10*time.Millisecond)
+}
--- a/internal/fleetprocess/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -42,7 +42,7 @@
 		ctx := context.Background()
 		value, err := json.Marshal(row)
 		if err == nil {
-			err = write(ctx, platform.TableWeights, row.key(), value)
+			_, err = write(ctx, platform.TableWeights, row.key(), value)
 		}
 		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			telemetry.StoreLost.Log(ctx, e.logger, "table", platform.TableWeights, "error", err)
