--- a/internal/fleetprocess/restore_test.go
+++ b/internal/fleetprocess/restore_test.go
@@ -1,13 +1,16 @@
 package fleetprocess
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosetally/primrosetally/platform"
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
@@ -62,3 +65,79 @@
 		return server.Arrivals() == before
 	}, 4*time.Second, 20*time.Millisecond)
 }
+
+// statusAt returns the status of the response of one entry, 0 if there is none.
+func (s *system) statusAt(m standin.Machine, path, key string) int {
+	s.t.Helper()
+	s.next++
+	request, err := standin.NewRequest("GET", s.Front(m), path, fmt.Sprintf("attempt-%d", s.next), key, 2500*time.Millisecond)
+	require.NoError(s.t, err)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// An entry that starts just after the store has come back from an older copy reads an older
+// configuration there, which the others have left behind.
+func TestEntryStartsWithOlderCopyOfStore(t *testing.T) {
+	const inForce = 4 * time.Second
+	const notWritten = 5 * time.Second // until the operators write the configuration again
+	s := newSystem(t, standin.WithSize(1, 3, 1, 1))
+	late := s.Entries[2]
+	s.Entries = s.Entries[:2]
+	s.startProcesses()
+	s.SetKeys(standin.Key, "key-2")
+	require.Eventually(t, func() bool { return s.statusAt(s.Entries[0], standin.PathRead, "key-2") == http.StatusOK }, inForce, 20*time.Millisecond)
+	older := s.Store.Copy()
+	s.SetKeys(standin.Key)
+	s.AddRoutes(1)
+	for _, m := range s.Entries {
+		require.Eventually(t, func() bool {
+			return s.statusAt(m, standin.PathExtra(1), standin.Key) == http.StatusOK && s.statusAt(m, standin.PathRead, "key-2") == http.StatusUnauthorized
+		}, inForce, 20*time.Millisecond)
+	}
+
+	s.Store.Restore(older)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	s.start(ctx, late, RunEntry)
+	for returned := time.Now(); time.Since(returned) < notWritten; {
+		require.NotEqual(t, http.StatusOK, s.statusAt(late, standin.PathRead, "key-2"), "a revoked key works again")
+		require.NotEqual(t, http.StatusNotFound, s.statusAt(late, standin.PathExtra(1), standin.Key), "a route is gone again")
+	}
+	s.AddRoutes(1)
+	require.Eventually(t, func() bool {
+		return s.IsReady(late) && s.statusAt(late, standin.PathExtra(2), standin.Key) == http.StatusOK
+	}, inForce, 20*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, s.statusAt(late, standin.PathRead, "key-2"))
+}
+
+// The store comes back from an older copy after an entry has written its row, before the
+// entry has read anything. Entries that start later find others by these rows.
+func TestRowOfEntryLostAtStart(t *testing.T) {
+	const inTime = 5 * time.Second
+	s := newSystem(t, standin.WithSize(1, 1, 1, 1))
+	ctx, cancel := context.WithCancel(t.Context())
+	s.cancel = cancel
+	t.Cleanup(s.stop)
+	older := s.Store.Copy()
+	s.Store.SetFault(func(r *http.Request) standin.Fault {
+		if r.Method == http.MethodGet {
+			return standin.FaultBusy
+		}
+		return standin.FaultNone
+	})
+	s.start(ctx, s.Entries[0], RunEntry)
+	isListed := func() bool { return len(s.Store.Rows(platform.TableEntries)) == 1 }
+	require.Eventually(t, isListed, inTime, 10*time.Millisecond)
+	s.Store.Restore(older)
+	s.Store.SetFault(func(*http.Request) standin.Fault { return standin.FaultNone })
+	require.False(t, isListed())
+	require.Eventually(t, isListed, inTime, 10*time.Millisecond)
+}
