The wait at an endpoint is remembered while nothing is sent there because of it

Cause: an entry left the endpoint out because the last request there had waited for 2.1 s, forgot that wait after 3 s without another one, and sent again 1.4 s before the bound, expecting 8 ms.

Fix: a wait is remembered for longer than a bound lasts; a later request that begins replaces it at once, as before.

--- a/internal/coordination/placement/waits.go
+++ b/internal/coordination/placement/waits.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// waitMemory is how long the wait of a request for its first event is remembered.
-	waitMemory = 3 * time.Second
+	// waitMemory is how long the wait of a request for its first event is remembered. While
+	// no requests are placed on an endpoint because of it, no other wait becomes known, so
+	// that it must last from then until the time before which requests have to begin.
+	waitMemory = 15 * time.Second
 	// waitFactor multiplies the expected wait, for a wait that is very likely long enough.
 	waitFactor = 2
 )
