An empty success that nothing frames has been broken off

What callers saw: a success with an empty body, framed as whole, to HTTP/1.1 and HTTP/1.0 callers, where an endpoint closed after the blank line of a head with neither a length nor chunks. That its body should come, or how long it is, may have stood in fields that were lost.

Cause: the end of the connection was taken for the end of such a body, also where no byte of it had come.

Evidence: the rows "neither" of TestCutAnswer and TestCutAnswerOnKeptConnection and the rows "no body" of TestAnswerWithoutFraming fail on the code before and pass now.

The request is sent again where it may be, otherwise its caller gets 502. An answer with a length of nothing, without chunks, to HEAD or with 204 may be empty as before, and so may a failure. An endpoint whose whole answer is empty and unframed gets 502 now: it can't be told from one that broke off.

The fleet of raw endpoints can be given a new gateway, so that a test need not listen anew for each byte.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,7 +147,7 @@
 	if success && isEvents(response.Header) {
 		return g.forwardStream(ctx, q, c, response, out)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
+	body, err := readStart(q, response)
 	if err != nil {
 		return g.interrupted(ctx, err, true)
 	}
@@ -166,6 +166,18 @@
 	return result{outcome: placement.Succeeded, responded: true}
 }
 
+// readStart reads the body of a response until it is larger than maxBufferedResponse. A
+// success without any byte of a body counts as broken off if nothing frames the body: the
+// fields that do so may be lost.
+func readStart(q *request, response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
+	success := response.StatusCode < http.StatusMultipleChoices
+	if err == nil && success && len(body) == 0 && q.method != http.MethodHead && unframed(response) {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
 // isRefusal reports whether a status promises the caller that its request did not run.
 func isRefusal(status int) bool {
 	switch status {
--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -66,11 +66,12 @@
 // rawFleet is a gateway whose endpoints write given bytes, one answer after the other,
 // whichever of them is asked.
 type rawFleet struct {
-	t       *testing.T
-	gateway *Gateway
-	front   string
+	t         *testing.T
+	endpoints []*fleet.Endpoint
+	front     string
 
 	mu       sync.Mutex
+	gateway  *Gateway // changed by the test alone
 	answers  []rawAnswer
 	requests []rawRequest
 }
@@ -101,31 +102,43 @@
 // startRawFleet starts a gateway before the given number of endpoints.
 func startRawFleet(t *testing.T, count int, answers []rawAnswer, options ...Option) *rawFleet {
 	t.Helper()
-	f := &rawFleet{t: t, answers: answers}
+	f := &rawFleet{t: t}
+	for i := range count {
+		id := fmt.Sprintf("e%d", i+1)
+		f.endpoints = append(f.endpoints, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(8)))
+	}
+	f.renew(answers, options...)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		g := f.gateway
+		f.mu.Unlock()
+		g.ServeHTTP(w, r)
+	}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0) // of panics that a test causes
+	server.Start()
+	t.Cleanup(server.Close)
+	f.front = server.Listener.Addr().String()
+	return f
+}
+
+// renew puts a new gateway before the endpoints, which then give other answers.
+func (f *rawFleet) renew(answers []rawAnswer, options ...Option) {
 	options = append([]Option{WithRetries(1, 100), WithConfirmation(boottime.Now, time.Minute)}, options...)
-	f.gateway = New(Identity{Name: "entry-1", Region: "riga", FailureDomain: "riga-a", PeerAddress: "10.0.0.1:1"}, rawCodec(), options...)
+	g := New(Identity{Name: "entry-1", Region: "riga", FailureDomain: "riga-a", PeerAddress: "10.0.0.1:1"}, rawCodec(), options...)
 	route := func(name string, o ...fleet.RouteOption) *fleet.Route {
 		o = append(o, fleet.WithSplits(fleet.NewSplit("s", 1)), fleet.WithMaxAttempts(2), fleet.WithTimes(3*time.Second, 2*time.Second, time.Second))
 		return fleet.NewRoute(name, "h", name, o...)
 	}
-	f.gateway.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s")), fleet.WithRoutes(
+	g.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(fleet.NewService("s")), fleet.WithRoutes(
 		route(rawPathStream, fleet.WithKind(fleet.Streaming), fleet.WithResumable(true)),
 		route(rawPathOnce, fleet.WithKind(fleet.Streaming)),
 		route(rawPathRead, fleet.WithKind(fleet.Idempotent)),
 		route(rawPathPublish),
 	)), nil)
-	var list []*fleet.Endpoint
-	for i := range count {
-		id := fmt.Sprintf("e%d", i+1)
-		list = append(list, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(8)))
-	}
-	f.gateway.ApplyEndpoints(list)
-	server := httptest.NewUnstartedServer(f.gateway)
-	server.Config.ErrorLog = log.New(io.Discard, "", 0) // of panics that a test causes
-	server.Start()
-	t.Cleanup(server.Close)
-	f.front = server.Listener.Addr().String()
-	return f
+	g.ApplyEndpoints(f.endpoints)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gateway, f.answers, f.requests = g, answers, nil
 }
 
 // awaitPlacement waits until placement takes requests again after a refusal.
@@ -224,11 +237,16 @@
 
 // dial opens a caller's connection and sends a request.
 func (f *rawFleet) dial(p rawProtocol, path, id string) net.Conn {
+	return f.dialMethod(http.MethodPost, p, path, id)
+}
+
+// dialMethod does so with a method.
+func (f *rawFleet) dialMethod(method string, p rawProtocol, path, id string) net.Conn {
 	c, err := net.Dial("tcp", f.front)
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { c.Close() })
 	require.NoError(f.t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = io.WriteString(c, "POST "+path+" "+p.version+"\r\nHost: h\r\n"+rawID+": "+id+"\r\n"+p.header+"Content-Length: 0\r\n\r\n")
+	_, err = io.WriteString(c, method+" "+path+" "+p.version+"\r\nHost: h\r\n"+rawID+": "+id+"\r\n"+p.header+"Content-Length: 0\r\n\r\n")
 	require.NoError(f.t, err)
 	return c
 }
