The head of an answer that broke off is not joined with the next one

What callers saw: 503 for a request that is not idempotent and had run, where an endpoint wrote a refusal (421) once more, broke off in its head, and went on with the answer to the request on the same connection. Likewise the body of a failure with the status 200 of a head that had broken off.

Cause: bytes up to the next line end are one status line or field to the parser of net/http: "HTTP/1.1 421 MisdirHTTP/1.1 200 OK" is a status line, and the fields that follow are taken for those of the 421. The id of the request is among them, so the answer looks like its own.

A head whose reason phrase or fields contain a status line is an error of an exchange that may have run, and its connection is closed.

--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// A refusal that was written once more broke off in its head, and the answer followed it.
+// The request had run, and its caller was told that it had not.
+func TestAnswerAfterRefusalCutInHead(t *testing.T) {
+	const first = "request-0"
+	own := head("200 OK", proven+length(answerText)) + answerText
+	for _, refusal := range []string{
+		"HTTP/1.1 421 Misdirected Request\r\n" + notRun,
+		"HTTP/1.1 503 Service Unavailable\r\n" + notRun + "Retry-After: 0.2\r\n",
+	} {
+		f := startRawFleet(t, 1, nil)
+		for at := 1; at <= len(refusal); at++ {
+			f.renew([]rawAnswer{{text: answerTo(first, "200 OK", proven, answerText)}, {text: refusal[:at] + own}})
+			p := rawProtocols[0]
+			require.Equal(t, http.StatusOK, readResult(t, p, f.dial(p, rawPathPublish, first)).status)
+			r := readResult(t, p, f.dial(p, rawPathPublish, rawRequestID))
+			require.Equal(t, http.StatusBadGateway, r.status, "%q", refusal[:at])
+			require.Len(t, f.seen(), 2)
+		}
+	}
+}
+
 // An answer with neither a length nor chunks that ended after its head looked whole: the
 // fields that frame its body may be lost.
 func TestAnswerWithoutFraming(t *testing.T) {
--- a/internal/transport/endpoints/bounds.go
+++ b/internal/transport/endpoints/bounds.go
@@ -58,6 +58,9 @@
 	response, err = http.ReadResponse(c.reader, request)
 	taken = limit - c.bounded.left + buffered - int64(c.reader.Buffered())
 	c.bounded.left = unbounded
+	if err == nil && holdsStatusLine(response) {
+		err = errMergedHeads
+	}
 	return response, taken, err
 }
 
