--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -187,6 +187,39 @@
 	}
 }
 
+// An answer too large to be read before it is passed on broke off and looked whole.
+func TestLargeAnswerCut(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", maxBufferedResponse/16+1024)
+	for _, test := range []struct {
+		name   string
+		answer rawAnswer
+	}{
+		{"length", rawAnswer{text: head("200 OK", proven+length(body)) + body[1:], end: rawClose}},
+		{"length, reset", rawAnswer{text: head("200 OK", proven+length(body)) + body[1:], end: rawReset}},
+		{"chunks", rawAnswer{text: head("200 OK", proven+inChunks) + chunked(body), end: rawClose}},
+		{"last chunk", rawAnswer{text: head("200 OK", proven+inChunks) + chunked(body) + "0\r\n", end: rawClose}},
+		{"trailer", rawAnswer{text: head("200 OK", proven+inChunks) + chunked(body) + "0\r\nSum: 1\r\n", end: rawClose}},
+		{"neither, reset", rawAnswer{text: head("200 OK", proven) + body, end: rawReset}},
+	} {
+		for _, path := range []string{rawPathPublish, rawPathRead} {
+			for _, p := range rawProtocols {
+				t.Run(test.name+", "+path+", "+p.name, func(t *testing.T) {
+					f := startRawFleet(t, 2, []rawAnswer{test.answer, {text: head("200 OK", proven+length(body)) + body}})
+					r := readResult(t, p, f.dial(p, path, rawRequestID))
+					if r.status == http.StatusOK && r.whole {
+						require.Equal(t, rawPathRead, path)
+						require.Len(t, f.seen(), 2, "a reset may come before the head is read")
+						require.Equal(t, body, r.body)
+						return
+					}
+					require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, r.status)
+					require.Len(t, f.seen(), 1)
+				})
+			}
+		}
+	}
+}
+
 // A refusal that was written once more broke off in its head, and the answer followed it.
 // The request had run, and its caller was told that it had not.
 func TestAnswerAfterRefusalCutInHead(t *testing.T) {
