A long prompt does not keep the shorter ones behind it from an endpoint with old weights

What callers saw: while a version is named, a request with a long prompt for which no endpoint is expected to begin in time waits at the head of the queue; every request behind it waits too, beside free slots, until it is late.

Cause: placement takes "no endpoint for this request" for "none for any", which held while capacity did not depend on the request. Since requests have to begin before the bound of an endpoint's weights, it depends on the prompt.

Evidence: TestLongPromptDoesNotBlockThoseBehind, which failed before ("the short prompt waits").

Fix: while an endpoint has such a time, the queue passes over up to maxSkipped requests, as it does where there are rate limits.

Result: the test passes, as do the others of the package.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -58,6 +58,7 @@
 	medianInterval   time.Duration // median event interval of the endpoints
 	inFlight         int
 	limitedCount     int           // endpoints with a rate limit
+	boundedCount     int           // endpoints where requests have to begin before some time
 	arrivalRate      float64       // submitted requests a second, as of arrivedAt
 	arrivedAt        time.Duration // last submitted request
 	use              accountUse    // of permits
@@ -112,11 +113,14 @@
 	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(candidates))
 	p.listed = p.listed[:0]
-	p.limitedCount = 0
+	p.limitedCount, p.boundedCount = 0, 0
 	for _, c := range candidates {
 		if c.Limited {
 			p.limitedCount++
 		}
+		if c.BeginBefore > 0 {
+			p.boundedCount++
+		}
 		listed[c.ID] = true
 		e := p.endpoints[c.ID]
 		if e == nil {
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -248,8 +248,8 @@
 	skipped := 0
 	for _, t := range p.onTime {
 		e, delay := p.bestEndpoint(now, t.request)
-		if e == nil && len(t.request.Exclude) == 0 && p.limitedCount == 0 {
-			return false
+		if e == nil && len(t.request.Exclude) == 0 && p.limitedCount == 0 && p.boundedCount == 0 {
+			return false // no other request can be placed either
 		}
 		if e != nil && !t.request.tooLate(now) && p.meetsTarget(now, t, e, delay) {
 			p.onTime.remove(t)
--- a/internal/coordination/placement/waits_test.go
+++ b/internal/coordination/placement/waits_test.go
@@ -75,3 +75,23 @@
 	require.Zero(t, e.waits.longest(14*time.Second))
 	require.Empty(t, e.waits.placed)
 }
+
+// A long prompt that would begin too late at an endpoint does not keep the shorter ones
+// behind it from the endpoint.
+func TestLongPromptDoesNotBlockThoseBehind(t *testing.T) {
+	const ms = time.Millisecond
+	now := 100 * time.Second
+	p := New(WithRandom(func() float64 { return 0 }))
+	p.SetLatencyModel(LatencyModel{Step: 20 * ms, PrefillPerToken: ms / 100})
+	p.SetEndpoints(now, []Candidate{{ID: "e", Slots: 8, Preferred: true, BeginBefore: now + 500*ms}})
+	long := p.Submit(now, Request{Deadline: now + time.Minute, Prompt: 40_000})
+	short := p.Submit(now+ms, Request{Deadline: now + time.Minute, Prompt: 1000})
+	p.Expire(now + 2*ms)
+	select {
+	case d := <-short.Decision():
+		require.True(t, d.Placed(), d.Reason())
+	default:
+		require.Fail(t, "the short prompt waits")
+	}
+	require.Empty(t, long.Decision(), "the long prompt waits")
+}
