A request that waits is withdrawn by the corrected bound of its weights

What callers saw (VERSION): an entry sees a version late, as one that was suspended or cut off from the store, and dates it by its own sight. A request that it sends then waits at an endpoint. The exact time, which comes in another entry's summary, moves the bound forward, and the request begins on old weights after it.

Cause: the limit of an attempt looked the bound up once more only at the end of the bound that it knew when it was sent, or every second while there was no bound at all.

Evidence: TestRequestIsWithdrawnByCorrectedBound, which failed before: a version that was seen 0.8 s late is corrected while a request waits; the request was withdrawn 0.7 s after the bound.

Fix: the bound is looked up every targetInterval as long as the attempt has not begun. A correction that leaves less than that still comes up to 1 s late.

Result: the test passes.

--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -29,8 +29,8 @@
 	// must not be ended by its bound, so that it needs more.
 	completeFactor            = 2
 	unresumableCompleteFactor = 4
-	// targetInterval is how often it is looked up whether a newer version was set since an
-	// attempt that has not begun was sent.
+	// targetInterval is how often the bound is looked up again for an attempt that has not
+	// begun: a newer version may be set, or the time of one corrected, after it was sent.
 	targetInterval = time.Second
 	// endTolerance is how much sooner than here the end of an attempt may come by the clock
 	// of its endpoint, which gets the time left in whole milliseconds.
@@ -94,7 +94,8 @@
 }
 
 // check withdraws the attempt if its limit has passed, and otherwise waits for it. The bound
-// is looked up again, since a version may have been set after the attempt was sent.
+// is looked up again, since a version may have been set, or its time corrected, after the
+// attempt was sent.
 func (l *attemptLimit) check() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -119,7 +120,7 @@
 	if until == 0 {
 		return targetInterval
 	}
-	return until - withdrawMargin - l.gateway.now()
+	return min(until-withdrawMargin-l.gateway.now(), targetInterval)
 }
 
 // begin records that the attempt has begun.
--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -66,6 +66,7 @@
 	refusesAtEnd                     // it refuses the request as not run when its time left ends
 	timesOutAtEnd                    // it answers 504 when its time left ends
 	streamsOn                        // it sends an event every 100 ms until its time left ends
+	commentsOnly                     // it sends a comment and waits
 )
 
 func startLimitFleet(t *testing.T, behaviour oldEndpoint, withNew, setLater bool) *limitFleet {
@@ -251,3 +252,23 @@
 		require.Zero(t, f.gateway.traffic.suspects.Quarantines())
 	}
 }
+
+// While a request waits, its entry learns from another one that the version was set
+// earlier than it had seen it.
+func TestRequestIsWithdrawnByCorrectedBound(t *testing.T) {
+	const seenLate = 800 * time.Millisecond
+	f := startLimitFleet(t, waits, true, true)
+	f.setAt = boottime.Now() - seenLate
+	f.gateway.targets.add("m", 2, f.setAt+seenLate, false)
+	f.gateway.Refresh()
+	go func() {
+		<-f.arrived
+		f.gateway.addExactTarget("m", 2, f.setAt, "10.0.0.2:1")
+		f.gateway.Refresh()
+	}()
+	status, whole := f.call(t, rawPathStream)
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, whole)
+	require.Eventually(t, func() bool { return f.left.Load() == 1 }, time.Second, time.Millisecond)
+	require.Less(t, time.Duration(f.leftAt.Load()), f.setAt+limitBound, "withdrawn after the bound")
+}
