A copy that is synced from a peer always counts as the peer's

Callers saw nothing: no process did what the test did.

Cause: the test's network handed updates over without Update.From, which the client of transport/entries sets. Without it an update counts as the store's: the floor of the peer's record was ignored. The address is now a parameter of Table.Sync, the one way to merge from a peer, so that no caller can leave it out; FetchRows no longer sets it. Processes behave as before.

--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -30,7 +30,8 @@
 	Floor int64
 	// Digest is that of all rows at Version, 0 if unknown.
 	Digest uint64
-	// From is the address of the peer that sent the response, empty for the store.
+	// From is the address of the peer that sent the response, empty for the store. Sync
+	// sets it.
 	From string
 
 	since Position // the changes are those after it
@@ -171,15 +172,15 @@
 	return u
 }
 
-// Sync updates the copy from a peer's copy. Fetch returns the changes that the peer has after
-// a position, now is read before it is called.
-func (t *Table) Sync(now func() time.Duration, fetch func(after Position) (Update, error)) error {
+// Sync updates the copy from that of the peer at an address. Fetch returns the changes that
+// the peer has after a position, now is read before it is called.
+func (t *Table) Sync(from string, now func() time.Duration, fetch func(after Position) (Update, error)) error {
 	started, since := now(), t.State().Position
 	u, err := fetch(since)
 	if err != nil {
 		return err
 	}
-	u.since = since
+	u.From, u.since = from, since
 	return t.Merge(u, started)
 }
 
--- a/internal/coordination/watch/table_test.go
+++ b/internal/coordination/watch/table_test.go
@@ -43,10 +43,8 @@
 	}
 	sync := func(to, from *Table) {
 		if to.State().Behind(from.State()) {
-			require.NoError(t, to.Sync(func() time.Duration { return 0 }, func(after Position) (Update, error) {
-				u := from.Since(after)
-				u.From = "peer"
-				return u, nil
+			require.NoError(t, to.Sync("peer", func() time.Duration { return 0 }, func(after Position) (Update, error) {
+				return from.Since(after), nil
 			}))
 		}
 	}
@@ -210,10 +208,8 @@
 		return table
 	}
 	sync := func(to, from *Table) error {
-		return to.Sync(func() time.Duration { return time.Minute }, func(after Position) (Update, error) {
-			u := from.Since(after)
-			u.From = "peer"
-			return u, nil
+		return to.Sync("peer", func() time.Duration { return time.Minute }, func(after Position) (Update, error) {
+			return from.Since(after), nil
 		})
 	}
 	keys := func(table *Table) []string { return slices.Sorted(maps.Keys(table.effective())) }
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -16,8 +16,8 @@
 //	w := watch.New(watch.Source{List: list, Watch: poll}, watch.WithOnChange(onChange))
 //	done := w.Run(ctx)
 //	age := boottime.Now() - w.Table().Confirmed()
-//	update := w.Table().Since(position)     // for a peer
-//	err := w.Table().Sync(boottime.Now, fetch) // from a peer
+//	update := w.Table().Since(position) // for a peer
+//	err := w.Table().Sync(peer, boottime.Now, fetch)
 package watch
 
 import (
@@ -154,6 +154,10 @@
 	return func(w *Watcher) { w.table.recoveredAt = returned }
 }
 
+// WithRandom sets the function that returns random numbers from 0 to 1, without 1, for the
+// jitter of retries; the default is rand.Float64.
+func WithRandom(random func() float64) Option { return func(w *Watcher) { w.random = random } }
+
 // WithClock sets the clock; the default is boottime.Now.
 func WithClock(now func() time.Duration) Option {
 	return func(w *Watcher) {
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -139,7 +139,6 @@
 		Digest:    m.GetDigest(),
 		StoreTime: microseconds(m.GetStoreTimeUs()),
 		Age:       microseconds(m.GetAgeUs()),
-		From:      address,
 	}
 	for _, r := range m.GetRows() {
 		p.Rows = append(p.Rows, watch.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
@@ -175,5 +174,5 @@
 // Sync brings a copy up to date with that of the entry at an address. Now is read
 // before the call.
 func (c *Client) Sync(ctx context.Context, address string, name nodev1.Table, t *watch.Table, now func() time.Duration) error {
-	return t.Sync(now, func(after watch.Position) (watch.Update, error) { return c.FetchRows(ctx, address, name, after) })
+	return t.Sync(address, now, func(after watch.Position) (watch.Update, error) { return c.FetchRows(ctx, address, name, after) })
 }
