A member that left stays leaving when an older list shows it again

Callers would have seen requests and chunks sent to an agent that had announced its leaving: once it was unlisted for 30 s and then shown by an older list of the platform, it counted as live.

Cause: the announcement was dropped together with the member. The class of the incident: the absence of a record, taken for the absence of what it recorded.

TestLeavingOutlastsRemoval: four of its six cases failed before (older list, once and twice; list of an incarnation before, alone and with a late message); the two of restarted processes passed. All pass now, with the race detector.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -11,7 +11,8 @@
 //   - Any message from the peer itself clears all suspicions of it.
 //   - A peer that announces that it is leaving gets no new work from then on, whatever
 //     the list says, and remains a member for the work in progress. Only a higher
-//     incarnation (a restarted process) can be live again.
+//     incarnation (a restarted process) can be live again, also after the member was
+//     removed.
 //   - A peer that sends a message with a higher incarnation than the listed one
 //     replaces the listed one. A peer that is no longer listed remains a member until
 //     it has sent no message for UnlistedGracePeriod.
@@ -71,6 +72,7 @@
 	mutex   sync.Mutex
 	version uint64
 	peers   map[string]*peerState
+	left    *departures
 }
 
 // peerState is the list entry, the observations and the suspicions of one peer.
@@ -103,6 +105,7 @@
 		self:  self.Name(),
 		clock: time.Now,
 		peers: make(map[string]*peerState),
+		left:  newDepartures(),
 	}
 	for _, o := range options {
 		o(t)
@@ -230,6 +233,7 @@
 // merge records m unless a higher incarnation is recorded, and reports whether the
 // view changes. Within one incarnation the leaving state is final.
 func (t *Tracker) merge(m member.Member) bool {
+	m = t.left.apply(m)
 	e := t.peers[m.Name()]
 	if e == nil {
 		t.peers[m.Name()] = &peerState{member: m, suspicions: make(map[string]observedSuspicion)}
@@ -260,7 +264,7 @@
 	e.failures = 0
 	clear(e.suspicions)
 	if incarnation > e.member.Incarnation() {
-		e.member = e.member.With(member.WithIncarnation(incarnation), member.WithState(member.StateLive))
+		e.member = t.left.apply(e.member.With(member.WithIncarnation(incarnation), member.WithState(member.StateLive)))
 		changed = true
 	}
 	return changed
@@ -293,6 +297,7 @@
 	for name, e := range t.peers {
 		if name != t.self && !e.listed && now.Sub(e.lastContact) > UnlistedGracePeriod {
 			delete(t.peers, name)
+			t.left.add(e.member)
 			continue
 		}
 		peers = append(peers, newPeer(e, t.self))
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -141,6 +141,51 @@
 	require.False(t, f.peer(t, "entry-1").Leaving(), "a restarted process is live")
 }
 
+// A member that announced its leaving and was removed does not take new work again when an
+// older list shows it.
+func TestLeavingOutlastsRemoval(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		shown   func(f *fixture) // after the removal
+		leaving bool
+	}{
+		{"older list", func(f *fixture) { f.ListReceived(newMembers(9)) }, true},
+		{"older list, twice", func(f *fixture) {
+			f.ListReceived(newMembers(9))
+			f.ListReceived(newMembers(1))
+			f.now = f.now.Add(membership.UnlistedGracePeriod + 1)
+			f.Expire()
+			f.ListReceived(newMembers(9))
+		}, true},
+		{"list of an incarnation before", func(f *fixture) {
+			f.ListReceived(append(newMembers(1), newMember(1, member.WithIncarnation(0))))
+		}, true},
+		{"message after a list of an incarnation before", func(f *fixture) {
+			f.ListReceived(append(newMembers(1), newMember(1, member.WithIncarnation(0))))
+			f.MessageReceived("entry-1", 1)
+		}, true},
+		{"restarted process", func(f *fixture) {
+			f.ListReceived(append(newMembers(1), newMember(1, member.WithIncarnation(2))))
+		}, false},
+		{"restarted process after an older list", func(f *fixture) {
+			f.ListReceived(newMembers(9))
+			f.MessageReceived("entry-1", 2)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture()
+			f.MemberReceived(newMember(1, member.WithState(member.StateLeaving)))
+			f.ListReceived(newMembers(1))
+			f.now = f.now.Add(membership.UnlistedGracePeriod + 1)
+			f.Expire()
+			_, ok := f.View().Get("entry-1")
+			require.False(t, ok)
+			test.shown(f)
+			require.Equal(t, test.leaving, f.peer(t, "entry-1").Leaving())
+		})
+	}
+}
+
 func TestRestartedProcessHasHigherIncarnation(t *testing.T) {
 	f := newFixture()
 	f.failCalls("entry-1", 3)
