Entries and agents share the lookup and the fetch of cached tables

Both had the same switch from a table's name to its copy and the same fetch from an entry with a timeout. cachedTables has them once. Behaviour is as before, but that an agent's table of another name is nil, not the endpoints; agents ask for the two names only.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -169,7 +169,7 @@
 		a.fleet.Store(o.Configuration)
 		a.setOrigin(o.Configuration)
 		// Endpoint rows that arrived before the configuration could not be decoded.
-		a.tables.endpointWatcher.Table().Notify()
+		a.tables.endpoints.Table().Notify()
 		s := o.Configuration.Services()[a.settings.Service()]
 		if s == nil || s.Engine() == nil {
 			return
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -11,7 +11,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/primrosetally/primrosetally/internal/boottime"
 	"github.com/primrosetally/primrosetally/internal/coordination/watch"
 	"github.com/primrosetally/primrosetally/internal/gateway"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
@@ -44,7 +43,6 @@
 	// unavailable.
 	minDiscoverRetry = 300 * time.Millisecond
 	maxDiscoverRetry = 2400 * time.Millisecond
-	fetchTimeout     = 1500 * time.Millisecond
 	// drainTime is how long a draining entry still accepts requests, for callers that
 	// use cached addresses. Requests accepted later could not complete before the
 	// process is killed.
@@ -62,11 +60,9 @@
 // Entry is a running entry.
 type Entry struct {
 	*process
-	gateway         *gateway.Gateway
-	operatorWatcher *watch.Watcher
-	endpointWatcher *watch.Watcher
-	conn            *entries.Conn
-	client          *entries.Client
+	gateway *gateway.Gateway
+	tables  *cachedTables
+	conn    *entries.Conn
 
 	// rows are the endpoint rows, kept because they are decoded again when the
 	// configuration changes.
@@ -85,11 +81,11 @@
 	if err != nil {
 		return err
 	}
-	e := &Entry{process: newProcess(s, logger), conn: conn, client: entries.NewClient()}
+	e := &Entry{process: newProcess(s, logger), conn: conn, tables: &cachedTables{client: entries.NewClient()}}
 	watchOperator := watch.WithActive(func() bool { return e.gateway.Watching() })
 	retryDelay := watch.WithMinRetryDelay(func() time.Duration { return e.gateway.StoreRetryDelay() })
-	e.operatorWatcher = e.newWatcher(platform.TableOperator, e.applyOperator, watch.WithLongPollTimeout(operatorPollTimeout), watchOperator, retryDelay)
-	e.endpointWatcher = e.newWatcher(platform.TableEndpoints, e.applyEndpoints, retryDelay, watch.WithLongPollTimeout(endpointsPollTimeout), watch.WithCoalesceDelay(endpointsCoalesceDelay), watch.WithRemovalGrace(removalGrace),
+	e.tables.operator = e.newWatcher(platform.TableOperator, e.applyOperator, watch.WithLongPollTimeout(operatorPollTimeout), watchOperator, retryDelay)
+	e.tables.endpoints = e.newWatcher(platform.TableEndpoints, e.applyEndpoints, retryDelay, watch.WithLongPollTimeout(endpointsPollTimeout), watch.WithCoalesceDelay(endpointsCoalesceDelay), watch.WithRemovalGrace(removalGrace),
 		watch.WithActive(func() bool { return e.gateway.WatchingEndpoints() }),
 		watch.WithRecoveredAt(func() time.Duration { return e.gateway.LastStoreOutage() }))
 	e.gateway = e.newGateway()
@@ -99,7 +95,7 @@
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stopped := []<-chan struct{}{
-		e.operatorWatcher.Run(workCtx), e.endpointWatcher.Run(workCtx), e.gateway.Start(workCtx), e.receive(workCtx), e.discover(workCtx),
+		e.tables.operator.Run(workCtx), e.tables.endpoints.Run(workCtx), e.gateway.Start(workCtx), e.receive(workCtx), e.discover(workCtx),
 	}
 	telemetry.ProcessStarted.Log(ctx, e.logger, "role", "entry", "address", s.CallerAddress())
 	select {
@@ -130,9 +126,9 @@
 		gateway.WithLogger(e.logger),
 		gateway.WithMetrics(e.telemetry.Metrics()),
 		gateway.WithPeers(s.Seeds(), e.conn.Send),
-		gateway.WithTables(e.tableState, e.syncTable),
+		gateway.WithTables(e.tables.state, e.tables.fetch),
 		gateway.WithAgents(s.PeerAddressOfEndpoint, s.RegionOf),
-		gateway.WithConfirmation(e.operatorWatcher.Table().Confirmed, s.RevocationBound()),
+		gateway.WithConfirmation(e.tables.operator.Table().Confirmed, s.RevocationBound()),
 		gateway.WithVersionBound(s.VersionBound(), e.recordTargetVersion),
 		gateway.WithRetries(s.RetryRatio(), s.RetryReserve()),
 		gateway.WithMaxTTL(s.MaxAddressTTL()))
@@ -150,7 +146,7 @@
 		return err
 	}
 	peers := http.NewServeMux()
-	peers.Handle(entries.NewHandler(e.table, e.gateway.LiveEntries))
+	peers.Handle(entries.NewHandler(e.tables.table, e.gateway.LiveEntries))
 	if err := e.servePeers(peers); err != nil {
 		return err
 	}
@@ -188,26 +184,6 @@
 	e.gateway.ApplyEndpoints(list)
 }
 
-// table returns the cached table of the given name, nil if the table is not cached.
-func (e *Entry) table(name nodev1.Table) *watch.Table {
-	switch name {
-	case nodev1.Table_TABLE_OPERATOR:
-		return e.operatorWatcher.Table()
-	case nodev1.Table_TABLE_ENDPOINTS:
-		return e.endpointWatcher.Table()
-	}
-	return nil
-}
-
-func (e *Entry) tableState(name nodev1.Table) watch.State { return e.table(name).State() }
-
-// syncTable updates a cached table from another entry.
-func (e *Entry) syncTable(ctx context.Context, address string, name nodev1.Table) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	return e.client.Sync(ctx, address, name, e.table(name), boottime.Now)
-}
-
 func (e *Entry) receive(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
@@ -248,12 +224,12 @@
 		rowWritten, versionsRead, entriesRead := false, false, false
 		retry := minDiscoverRetry
 		rowWritten = e.writeEntryRow(ctx)
-		era := e.operatorWatcher.Table().State().Era
+		era := e.tables.operator.Table().State().Era
 		if !sleep(ctx, e.gateway.StartDelay()) {
 			return
 		}
 		for {
-			if now := e.operatorWatcher.Table().State().Era; now != era {
+			if now := e.tables.operator.Table().State().Era; now != era {
 				// The first era that this process knows is not a return.
 				rowWritten = rowWritten && era == 0
 				if era > 0 {
--- a/internal/fleetprocess/tablecache.go
+++ b/internal/fleetprocess/tablecache.go
@@ -37,11 +37,9 @@
 // of the own region, else from entries of any region, and from the store if no entry
 // responds: the store allows few calls, and an agent rarely needs the rows.
 type tableCache struct {
-	agent           *Agent
-	client          *entries.Client
-	operatorWatcher *watch.Watcher
-	endpointWatcher *watch.Watcher
-	started         time.Duration
+	cachedTables
+	agent   *Agent
+	started time.Duration
 
 	mu sync.Mutex
 	// entryAddresses are the peer addresses of entries that place requests, and of entries
@@ -52,12 +50,12 @@
 
 func newTableCache(a *Agent) *tableCache {
 	c := &tableCache{
-		agent:           a,
-		operatorWatcher: a.newWatcher(platform.TableOperator, a.applyOperator, watch.WithLongPollTimeout(0)),
-		endpointWatcher: a.newWatcher(platform.TableEndpoints, a.applyEndpoints, watch.WithLongPollTimeout(0)),
-		entryAddresses:  a.settings.Seeds(),
-		started:         boottime.Now(),
+		agent:          a,
+		entryAddresses: a.settings.Seeds(),
+		started:        boottime.Now(),
 	}
+	c.operator = a.newWatcher(platform.TableOperator, a.applyOperator, watch.WithLongPollTimeout(0))
+	c.endpoints = a.newWatcher(platform.TableEndpoints, a.applyEndpoints, watch.WithLongPollTimeout(0))
 	c.client = entries.NewClient(entries.WithRegion(a.settings.Region(), c.setRegionEntries))
 	return c
 }
@@ -128,22 +126,14 @@
 	return done
 }
 
-func (c *tableCache) watcher(name nodev1.Table) *watch.Watcher {
-	if name == nodev1.Table_TABLE_OPERATOR {
-		return c.operatorWatcher
-	}
-	return c.endpointWatcher
-}
-
 // sync refreshes a cached table.
 func (c *tableCache) sync(ctx context.Context, name nodev1.Table) error {
-	w := c.watcher(name)
 	starting := boottime.Now()-c.started < storeFallbackDelay
 	if starting && !c.findRegionEntry(ctx) {
 		return errNoEntryAvailable
 	}
 	for _, address := range c.pickEntries(starting) {
-		err := c.fetch(ctx, address, name, w)
+		err := c.fetch(ctx, address, name)
 		if err == nil {
 			return nil
 		}
@@ -152,7 +142,7 @@
 	if starting {
 		return errNoEntryAvailable
 	}
-	return w.Poll(ctx)
+	return c.watcher(name).Poll(ctx)
 }
 
 // findRegionEntry reports whether an entry of the own region is known. If none is, it
@@ -180,9 +170,3 @@
 // errNoEntryAvailable is returned if no entry has responded and storeFallbackDelay has not
 // elapsed.
 var errNoEntryAvailable = eris.New("no entry has responded")
-
-func (c *tableCache) fetch(ctx context.Context, address string, name nodev1.Table, w *watch.Watcher) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	return c.client.Sync(ctx, address, name, w.Table(), boottime.Now)
-}
--- a/internal/fleetprocess/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -33,7 +33,7 @@
 // its own, because the watcher must not wait for it. A time that is not exact does not
 // replace a stored one.
 func (e *Entry) recordTargetVersion(v gateway.TargetVersion) {
-	row := targetVersionRow{Model: v.Model, Version: v.Version, SetAtMS: e.operatorWatcher.Table().StoreTime(v.SetAt).Milliseconds()}
+	row := targetVersionRow{Model: v.Model, Version: v.Version, SetAtMS: e.tables.operator.Table().StoreTime(v.SetAt).Milliseconds()}
 	write := e.store.Create
 	if v.Exact {
 		write = e.store.Put
@@ -56,7 +56,7 @@
 // process started and removes rows older than targetVersionTTL. It reports whether the
 // rows could be read.
 func (e *Entry) readTargetVersions(ctx context.Context) bool {
-	if e.operatorWatcher.Table().Confirmed() == 0 {
+	if e.tables.operator.Table().Confirmed() == 0 {
 		return false
 	}
 	page, err := e.store.List(ctx, platform.TableWeights)
@@ -75,7 +75,7 @@
 			_ = e.store.Remove(ctx, platform.TableWeights, r.row.key(), r.rowVersion)
 			continue
 		}
-		e.gateway.ApplyTargetVersion(r.row.Model, r.row.Version, e.operatorWatcher.Table().LocalTime(page.StoreTime-r.age))
+		e.gateway.ApplyTargetVersion(r.row.Model, r.row.Version, e.tables.operator.Table().LocalTime(page.StoreTime-r.age))
 	}
 	return true
 }
