Refusals of requests with a stalled body are written at once

Callers whose body stalled waited for an answer for as long as they stalled, without an end.

Cause: readBody sets a read deadline, refuses the request when it has passed (408), and lifted the deadline again. net/http writes the head of the response only after it has tried to read the rest of the body, for which there was no deadline any more.

Fix: the deadline is lifted only after the whole body was read.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -227,13 +227,12 @@
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	}
+	control := http.NewResponseController(out.w)
 	if r.ContentLength != 0 {
-		// Without its own deadline, a body could take as long as the caller likes.
-		control := http.NewResponseController(out.w)
+		// Without its own deadline, a body could take as long as the caller likes. Setting
+		// it fails only for the writers of tests.
 		timeout := min(bodyTimeout, q.remaining(g.now()))
-		if err := control.SetReadDeadline(time.Now().Add(timeout)); err == nil {
-			defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-		}
+		_ = control.SetReadDeadline(time.Now().Add(timeout))
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
 	switch {
@@ -241,9 +240,14 @@
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	case err != nil:
+		// The deadline stays: net/http would wait for the rest of the body before it writes
+		// the response.
 		out.refuse(q.head.ID, http.StatusRequestTimeout, "could not read the body: "+err.Error(), 0)
 		return false
 	}
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	q.body = body
 	return true
 }
