A stopping entry answers what it has read before it exits

Callers of an entry that was stopped (SIGTERM, no other fault) saw the connection close without an answer at the end of its stop timeout less 0.7 s, 7.3 s after the signal. This hit requests that had come before the signal and those taken in the 2.8 s after it, if their time reached beyond the 7.3 s: sent to an endpoint, waiting for one, or with a body that was still coming. A request that may not be repeated was lost, and its caller did not learn whether it had run.

Cause: nothing compared the time of a request with the end of the stop. http.Server.Shutdown ran into its deadline, and Close cut the rest.

Fix: Gateway.Drain is told when all requests must have their answers, 0.25 s before the connections are closed. - A request whose deadline is later is sent only if the service time leaves room: the mean and 2 mean deviations, 4 where it may not be repeated. Otherwise 503, Retry-After 0.1, Connection: close: on arrival, before a retry, and while it waits as soon as that shows. - The deadline of what arrives in the stop, and the time that the endpoint is told, end with the stop. - What is left then gets 503 if it was not sent, 408 if its body has not come, 504 if it may have run.

Ways weighed: refusing whatever may last beyond the end by its timeout (with timeouts of 6 s each stream from 1.05 s on, although most end within 2 s); refusing everything from the signal on, as the product's own entry does (callers are led away only as the answers of the directory expire, after 2 s); keeping idle connections open and refusing on them until the end (a close costs a caller nothing).

Drain has a parameter now: two calls in tests changed. newSystem lets tests set the stop timeout; the default is as before.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -47,14 +47,14 @@
 
 	mu               sync.Mutex
 	endpoints        map[string]*endpoint
-	listed           []*endpoint   // those that may be used, shuffled
-	onTime           queue         // requests that can meet their target
-	late             queue         // requests that can no longer meet it
-	placedSinceLate  int           // placements since the last one from the late queue
-	preferredLag     lag           // of first events at preferred endpoints
-	otherLag         lag           // of first events at others, where the latest load is not known
-	uncontendedShare float64       // share of placements made while no on-time request waited
-	serviceTime      time.Duration // mean time from placement to the end of a request
+	listed           []*endpoint // those that may be used, shuffled
+	onTime           queue       // requests that can meet their target
+	late             queue       // requests that can no longer meet it
+	placedSinceLate  int         // placements since the last one from the late queue
+	preferredLag     lag         // of first events at preferred endpoints
+	otherLag         lag         // of first events at others, where the latest load is not known
+	uncontendedShare float64     // share of placements made while no on-time request waited
+	serviceTime      serviceTime
 	medianInterval   time.Duration // median event interval of the endpoints
 	inFlight         int
 	limitedCount     int           // endpoints with a rate limit
@@ -95,9 +95,6 @@
 
 // Parameters of predicted waits and of retries by callers.
 const (
-	// defaultServiceTime is the service time of a request, from placement to its end, that
-	// is assumed until the first request has succeeded.
-	defaultServiceTime = time.Second
 	// minRetryAfter and maxRetryAfter bound the retry-after time of refused requests,
 	// apart from the time until a hold ends. Callers wait no longer than a third of the
 	// time that they have left.
@@ -244,7 +241,7 @@
 		e.returnPermit(now, c.permitUntil)
 	}
 	if outcome == Succeeded {
-		p.recordServiceTime(now - c.placed)
+		p.serviceTime.record(now - c.placed)
 		e.hold.recordResponse(c.placed)
 	} else {
 		e.hold.recordFailure(c.placed)
@@ -252,15 +249,6 @@
 	p.placeQueued(now)
 }
 
-// recordServiceTime updates the moving average of the service time, over about 32
-// requests.
-func (p *Pool) recordServiceTime(d time.Duration) {
-	if p.serviceTime == 0 {
-		p.serviceTime = d
-	}
-	p.serviceTime += (d - p.serviceTime) / 32
-}
-
 // Expire places waiting requests for which there is capacity, for example since an
 // ejection has ended, moves those that can no longer meet their target to the late
 // queue, and refuses those whose wait is over.
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -123,11 +123,7 @@
 // expectedWait returns the expected wait of a request with the given number of requests
 // ahead of it. Slots become free for this entry at the rate at which its own requests end.
 func (p *Pool) expectedWait(ahead int) time.Duration {
-	serviceTime := p.serviceTime
-	if serviceTime == 0 {
-		serviceTime = defaultServiceTime
-	}
-	return time.Duration(float64(serviceTime) * float64(ahead+1) / float64(max(p.inFlight, 1)))
+	return time.Duration(float64(p.serviceTime.average()) * float64(ahead+1) / float64(max(p.inFlight, 1)))
 }
 
 // expectedLateWait returns the wait after which a late request is very likely to be
--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -46,12 +46,14 @@
 	maxDiscoverRetry = 2400 * time.Millisecond
 	fetchTimeout     = 1500 * time.Millisecond
 	// drainTime is how long a draining entry still accepts requests, for callers that
-	// use cached addresses. Requests accepted later could not complete before the
-	// process is killed.
+	// use cached addresses.
 	drainTime = 2800 * time.Millisecond
 	// exitMargin is the part of the stop timeout that is reserved for the exit of the
 	// process.
 	exitMargin = 700 * time.Millisecond
+	// answerMargin is the part of the stop timeout before exitMargin that is reserved for
+	// the final responses to requests that a planned stop ends.
+	answerMargin = 250 * time.Millisecond
 )
 
 // entryRow is the row that an entry writes to the store about itself.
@@ -332,13 +334,16 @@
 
 // stop drains the entry within the stop timeout. For drainTime it still accepts requests
 // of callers with cached addresses. Then the listeners close, and requests in progress
-// may continue until exitMargin before the end of the stop timeout.
+// may continue until answerMargin and exitMargin before the end of the stop timeout.
 func (e *Entry) stop(ctx context.Context) {
-	e.gateway.Drain()
-	telemetry.EntryLeaving.Log(ctx, e.logger, "active", e.gateway.Active())
 	limit := max(e.settings.StopTimeout()-exitMargin, time.Second)
+	e.gateway.Drain(limit - answerMargin)
+	telemetry.EntryLeaving.Log(ctx, e.logger, "active", e.gateway.Active())
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
+	end := time.AfterFunc(limit-answerMargin, e.gateway.EndRequests)
+	defer end.Stop()
 	sleep(shutdownCtx, min(drainTime, limit/2))
+	e.gateway.StopAccepting()
 	e.shutdown(shutdownCtx)
 }
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -73,6 +73,7 @@
 	runs          *runLog
 	logs          *logBuffer
 	cancel        context.CancelFunc
+	stopEntry     []context.CancelFunc // by index in Entries
 	processErrors []chan error
 	stores        []*http.Server
 	next          int
@@ -106,7 +107,8 @@
 func newSystem(t *testing.T, options ...standin.DeploymentOption) *system {
 	t.Helper()
 	s := &system{t: t, runs: &runLog{}, logs: &logBuffer{}}
-	d, err := startDeployment(append(options, standin.WithRunsOf(s.runs.add), standin.WithGrace(1500*time.Millisecond))...)
+	options = append([]standin.DeploymentOption{standin.WithGrace(1500 * time.Millisecond)}, options...)
+	d, err := startDeployment(append(options, standin.WithRunsOf(s.runs.add))...)
 	require.NoError(t, err)
 	s.Deployment = d
 	return s
@@ -118,7 +120,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	for _, m := range s.Entries {
-		s.start(ctx, m, RunEntry)
+		entryCtx, stopEntry := context.WithCancel(ctx)
+		s.stopEntry = append(s.stopEntry, stopEntry)
+		s.start(entryCtx, m, RunEntry)
 	}
 	for _, m := range s.Agents {
 		s.start(ctx, m, RunAgent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,6 +157,7 @@
 	notifiedAt   time.Duration // last time agents were notified; used only by run
 	started      time.Duration
 	draining     atomic.Bool
+	drain        *drain
 	placed       atomic.Bool  // placement has the list of endpoints
 	readyAt      atomic.Int64 // boottime nanoseconds of the end of a wait for the times of target versions
 	lastOutage   atomic.Int64 // boottime nanoseconds of the last time the store was unreachable
@@ -191,6 +192,7 @@
 		maxTTL:       defaultMaxTTL,
 		pool:         endpoints.NewPool(endpoints.WithLimit(maxConnections)),
 		crashes:      newCrashes(),
+		drain:        newDrain(),
 		peers:        newPeers(self.PeerAddress, self.Region, self.Incarnation),
 	}
 	g.snapshot.Store(&snapshot{})
@@ -303,13 +305,6 @@
 	return !g.draining.Load() && v.configuration != nil && v.listed
 }
 
-// Drain makes the gateway not ready, notifies the other entries, and makes the
-// gateway close each caller's connection after its next response.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-	g.sendSummaries(true)
-}
-
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -185,7 +185,7 @@
 	require.Equal(t, addressTTL, ttl)
 	list, _ = g.Addresses("liepaja-a")
 	require.Len(t, list, 3, "one entry is not enough")
-	g.Drain()
+	g.Drain(time.Second)
 	list, _ = g.Addresses("riga-a")
 	require.NotContains(t, list, "10.0.0.1:2")
 	c.at += 5 * time.Second
@@ -337,7 +337,7 @@
 	require.False(t, g.Ready(), "the list of endpoints has not been read yet")
 	g.ApplyEndpoints(nil)
 	require.True(t, g.Ready(), "an empty list counts as read")
-	g.Drain()
+	g.Drain(time.Second)
 	require.False(t, g.Ready())
 }
 
--- a/internal/gateway/logbook_test.go
+++ b/internal/gateway/logbook_test.go
@@ -20,12 +20,12 @@
 		outcomeAnswered:        {""},
 		outcomeEndpointFailure: {""},
 		outcomeRejected:        {"unknown key"},
-		outcomeUnknown:         {"time is over"},
-		outcomeAborted:         {"time is over"},
+		outcomeUnknown:         {"time is over", reasonStopping},
+		outcomeAborted:         {"time is over", reasonStopping},
 		outcomeCallerGone:      {"caller disconnected"},
 		outcomeNotRun: {
 			string(placement.ReasonNoEndpoint), string(placement.ReasonHeld), string(placement.ReasonOverload), string(placement.ReasonExpired),
-			"no configuration is known yet", "the route has no service", "configuration is not confirmed", "endpoints crashed under it", "time is over",
+			"no configuration is known yet", "the route has no service", "configuration is not confirmed", "endpoints crashed under it", "time is over", reasonStopping,
 		},
 	}
 	for outcome, list := range reasons {
--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -38,6 +38,9 @@
 	rawPathPublish = "/publish/"
 )
 
+// rawSlots is the number of slots of each endpoint of rawFleet.
+const rawSlots = 8
+
 // rawEnd is how an endpoint ends an answer.
 type rawEnd int
 
@@ -117,7 +120,7 @@
 	var list []*fleet.Endpoint
 	for i := range count {
 		id := fmt.Sprintf("e%d", i+1)
-		list = append(list, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(8)))
+		list = append(list, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(rawSlots)))
 	}
 	f.gateway.ApplyEndpoints(list)
 	server := httptest.NewUnstartedServer(f.gateway)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,6 +48,7 @@
 	arrived           time.Duration
 	sinceFirstAttempt time.Duration // time since the caller's first attempt, if it was refused before
 	deadline          time.Duration
+	shortened         bool // the deadline is that of a planned stop
 	fingerprint       uint64
 	suspect           suspects.Request
 	trial             bool // this request is the trial that may end its quarantine
@@ -90,15 +91,12 @@
 	defer g.active.Add(-1)
 	g.refreshLoads(g.now())
 	out := &responseWriter{gateway: g, w: w, arrived: g.now(), lastNumber: noNumber, unframed: !r.ProtoAtLeast(1, 1)}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q := g.accept(out, r)
 	if q == nil {
 		return
 	}
 	remaining := q.remaining(g.now())
-	ctx, cancel := context.WithTimeout(r.Context(), remaining)
+	ctx, cancel := g.drain.requestContext(r.Context(), remaining)
 	defer cancel()
 	complete := false
 	defer func() { // also after a panic
@@ -150,6 +148,7 @@
 	}
 	q.traffic = g.trafficOf(q.service.Name())
 	q.setDeadline()
+	g.drain.shorten(q)
 	if !g.readBody(q, v.configuration.Limits(), out, r) {
 		return nil
 	}
@@ -233,6 +232,7 @@
 		// it fails only for the writers of tests.
 		timeout := min(bodyTimeout, q.remaining(g.now()))
 		_ = control.SetReadDeadline(time.Now().Add(timeout))
+		defer g.drain.interruptRead(control)()
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
 	switch {
@@ -257,12 +257,18 @@
 func (g *Gateway) dispatch(ctx context.Context, q *request, out *responseWriter) {
 	sequence := g.newSequence(q)
 	for {
+		if g.mustNotStart(q, out) {
+			sequence.finish(out, q, reasonStopping, stoppingRetryAfter)
+			return
+		}
 		changed := g.traffic.suspects.Changed()
 		if d := g.suspicion(q); d.Kind() == suspects.Quarantined {
 			sequence.refuseSuspect(out, q, d)
 			return
 		}
-		v, placed := g.awaitPlacement(ctx, q, changed)
+		placementCtx, cancel := g.placementContext(ctx, q, out)
+		v, placed := g.awaitPlacement(placementCtx, q, changed)
+		cancel()
 		if !placed {
 			sequence.notPlaced(out, q, v)
 			return
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -95,11 +95,20 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	a.w.WriteHeader(status)
+	a.writeStatus(status)
 	a.status = status
 	a.headerWritten = true
 }
 
+// writeStatus writes the status and header. A draining entry announces that it closes the
+// connection.
+func (a *responseWriter) writeStatus(status int) {
+	if a.gateway.draining.Load() {
+		a.w.Header().Set("Connection", "close")
+	}
+	a.w.WriteHeader(status)
+}
+
 // continuedBy reports whether the events of a response may follow those that the caller
 // has. The caller reads them by the status and header of the first response.
 func (a *responseWriter) continuedBy(r *http.Response) bool {
@@ -157,7 +166,7 @@
 	if retryAfter > 0 {
 		a.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	a.w.WriteHeader(status)
+	a.writeStatus(status)
 	a.logID(id, "", outcomeNotRun, status, reason, append(args, "retryAfter", retryAfter)...)
 }
 
@@ -171,13 +180,13 @@
 
 // reject reports that the request is not allowed.
 func (a *responseWriter) reject(id string, status int, reason string) {
-	a.w.WriteHeader(status)
+	a.writeStatus(status)
 	a.logID(id, "", outcomeRejected, status, reason)
 }
 
 // fail writes an error after which it is unknown whether the request ran.
 func (a *responseWriter) fail(q *request, status int, reason string, args ...any) {
-	a.w.WriteHeader(status)
+	a.writeStatus(status)
 	a.log(q, outcomeUnknown, status, reason, args...)
 }
 
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -137,6 +137,10 @@
 		s.refuseSuspect(out, q, d)
 		return
 	}
+	if s.gateway.drain.hasEnded() || s.gateway.mustNotStart(q, out) {
+		s.finish(out, q, reasonStopping, stoppingRetryAfter)
+		return
+	}
 	s.finish(out, q, string(v.Reason()), v.RetryAfter(), "queued", v.QueuePosition(), "waited", v.Waited())
 }
 
@@ -152,16 +156,21 @@
 	out.refuse(q.head.ID, http.StatusServiceUnavailable, reasonQuarantined, d.RetryAfter(), args...)
 }
 
-// timedOut ends a request whose caller disconnected or whose deadline passed.
+// timedOut ends a request whose caller disconnected or whose deadline passed, or that a
+// planned stop ends.
 func (s *sequence) timedOut(ctx context.Context, q *request, r result, out *responseWriter) {
+	reason, retryAfter := "time is over", unavailableRetryAfter
+	if q.shortened || s.gateway.drain.hasEnded() {
+		reason, retryAfter = reasonStopping, stoppingRetryAfter
+	}
 	switch {
-	case !isTimeout(ctx):
+	case !isTimeout(ctx) && !s.gateway.drain.hasEnded():
 		out.callerGone(q, r.reason)
 	case out.headerWritten:
-		out.abort(q, "time is over")
+		out.abort(q, reason)
 	case s.mayHaveRun:
-		out.fail(q, http.StatusGatewayTimeout, "time is over")
+		out.fail(q, http.StatusGatewayTimeout, reason)
 	default:
-		out.refuseRetryable(q, "time is over", unavailableRetryAfter)
+		out.refuseRetryable(q, reason, retryAfter)
 	}
 }
--- a/internal/logbook/cause.go
+++ b/internal/logbook/cause.go
@@ -68,6 +68,8 @@
 		return "the configuration names no service for its route"
 	case "endpoints crashed under it":
 		return "several endpoints crashed while they worked on it, so that no other is risked" + attemptsOf(s)
+	case "the entry stops":
+		return "a planned stop of the entry left it too little time" + attemptsOf(s)
 	case "time is over":
 		return fmt.Sprintf("its time was over after %s%s", round(end.Took), attemptsOf(s))
 	}
