Connections that carried no request are closed with the listeners

A caller that had opened a connection to an entry and not used it could send a request on it for up to 5 s after the entry had stopped to listen. The request was read and the connection closed without an answer, which a caller must take for "may have run". Besides, the connection kept the process running.

Cause: http.Server.Shutdown closes idle connections, and new ones only once they are 5 s old. It drops what it reads on them.

Fix: the servers keep track of connections that have not carried a request, and close them in a shutdown. Callers see that before they send.

Weighed: answering 503 on them until the end of the stop; a stop without work would then last 7.3 s instead of 2.8 s.

--- a/internal/fleetprocess/plannedstop_test.go
+++ b/internal/fleetprocess/plannedstop_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// A connection that its caller had opened and not used kept a stopped entry running, and a
+// request on it was read and dropped: a caller could not tell that it had not run.
+func TestUnusedConnectionOutlivesListener(t *testing.T) {
+	s := startSystem(t, standin.WithSize(1, 1, 1, 1), standin.WithGrace(8*time.Second))
+	conn := s.dial(s.Front(s.Entries[0]))
+	begun := time.Now()
+	s.stopEntry[0]()
+	require.NoError(t, conn.SetReadDeadline(begun.Add(8*time.Second)))
+	_, err := conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Less(t, time.Since(begun), drainTime+time.Second)
+	result := s.processErrors[0]
+	err = <-result
+	result <- err
+	require.Less(t, time.Since(begun), drainTime+2*time.Second)
+}
+
 // playStop stops the first entry, sends the calls meanwhile to endpoints that hang, and
 // returns the results. Requests were fast before.
 func (s *system) playStop(calls []stopCall) []callResult {
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -97,6 +97,7 @@
 		Protocols:         protocols,
 		ErrorLog:          slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelDebug),
 	}
+	newUnusedConns(server)
 	p.servers = append(p.servers, server)
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
