--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -47,14 +47,14 @@
 
 	mu               sync.Mutex
 	endpoints        map[string]*endpoint
-	listed           []*endpoint   // those that may be used, shuffled
-	onTime           queue         // requests that can meet their target
-	late             queue         // requests that can no longer meet it
-	placedSinceLate  int           // placements since the last one from the late queue
-	preferredLag     lag           // of first events at preferred endpoints
-	otherLag         lag           // of first events at others, where the latest load is not known
-	uncontendedShare float64       // share of placements made while no on-time request waited
-	serviceTime      time.Duration // mean time from placement to the end of a request
+	listed           []*endpoint // those that may be used, shuffled
+	onTime           queue       // requests that can meet their target
+	late             queue       // requests that can no longer meet it
+	placedSinceLate  int         // placements since the last one from the late queue
+	preferredLag     lag         // of first events at preferred endpoints
+	otherLag         lag         // of first events at others, where the latest load is not known
+	uncontendedShare float64     // share of placements made while no on-time request waited
+	serviceTime      serviceTime
 	afterFirstEvent  duration      // from the predicted first event to the end of a request
 	medianInterval   time.Duration // median event interval of the endpoints
 	inFlight         int
@@ -97,9 +97,6 @@
 
 // Parameters of predicted waits and of retries by callers.
 const (
-	// defaultServiceTime is the service time of a request, from placement to its end, that
-	// is assumed until the first request has succeeded.
-	defaultServiceTime = time.Second
 	// minRetryAfter and maxRetryAfter bound the retry-after time of refused requests,
 	// apart from the time until a hold ends. Callers wait no longer than a third of the
 	// time that they have left.
@@ -250,7 +247,7 @@
 		e.returnPermit(now, c.permitUntil)
 	}
 	if outcome == Succeeded {
-		p.recordServiceTime(now - c.placed)
+		p.serviceTime.record(now - c.placed)
 		p.afterFirstEvent.record(max(now-c.placed-c.firstEventDelay, 0))
 		e.hold.recordResponse(c.placed)
 	} else {
@@ -259,15 +256,6 @@
 	p.placeQueued(now)
 }
 
-// recordServiceTime updates the moving average of the service time, over about 32
-// requests.
-func (p *Pool) recordServiceTime(d time.Duration) {
-	if p.serviceTime == 0 {
-		p.serviceTime = d
-	}
-	p.serviceTime += (d - p.serviceTime) / 32
-}
-
 // Expire places waiting requests for which there is capacity, for example since an
 // ejection has ended, moves those that can no longer meet their target to the late
 // queue, and refuses those whose wait is over.
@@ -281,21 +269,6 @@
 	p.use.expire(now)
 }
 
-// ServiceTime returns the mean time from the placement of a request to its end.
-func (p *Pool) ServiceTime() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.meanServiceTime()
-}
-
-// meanServiceTime is ServiceTime for a caller that holds p.mu.
-func (p *Pool) meanServiceTime() time.Duration {
-	if p.serviceTime == 0 {
-		return defaultServiceTime
-	}
-	return p.serviceTime
-}
-
 // Waiting returns the number of waiting requests.
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -79,7 +79,7 @@
 	}
 	end := q.usableUntil - endMargin
 	left := end - q.sentAt
-	mean := q.traffic.placement.ServiceTime()
+	mean := q.traffic.placement.ServiceTime(0)
 	if !q.route.Resumable() {
 		if left < unresumableCompleteFactor*mean {
 			return 0
--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -38,6 +38,9 @@
 	rawPathPublish = "/publish/"
 )
 
+// rawSlots is the number of slots of each endpoint of rawFleet.
+const rawSlots = 8
+
 // rawEnd is how an endpoint ends an answer.
 type rawEnd int
 
@@ -105,7 +108,7 @@
 	f := &rawFleet{t: t}
 	for i := range count {
 		id := fmt.Sprintf("e%d", i+1)
-		f.endpoints = append(f.endpoints, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(8)))
+		f.endpoints = append(f.endpoints, fleet.NewEndpoint(id, "s", f.listen(id), fleet.WithPlace("riga-a"), fleet.WithSlots(rawSlots)))
 	}
 	f.renew(answers, options...)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,7 @@
 	sinceFirstAttempt time.Duration // time since the caller's first attempt, if it was refused before
 	deadline          time.Duration
 	minTime           time.Duration // least time left with which the next attempt is of use
+	shortened         bool          // the deadline is that of a planned stop
 	fingerprint       uint64
 	suspect           suspects.Request
 	trial             bool // this request is the trial that may end its quarantine
@@ -92,15 +93,12 @@
 	defer g.active.Add(-1)
 	g.refreshLoads(g.now())
 	out := &responseWriter{gateway: g, w: w, arrived: g.now(), lastNumber: noNumber, unframed: !r.ProtoAtLeast(1, 1)}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q := g.accept(out, r)
 	if q == nil {
 		return
 	}
 	remaining := q.remaining(g.now())
-	ctx, cancel := context.WithTimeout(r.Context(), remaining)
+	ctx, cancel := g.drain.requestContext(r.Context(), remaining)
 	defer cancel()
 	complete := false
 	defer func() { // also after a panic
@@ -156,6 +154,7 @@
 	}
 	q.traffic = g.trafficOf(q.service.Name())
 	q.setDeadline()
+	g.drain.shorten(q)
 	if !g.readBody(q, v.configuration.Limits(), out, r) {
 		return nil
 	}
@@ -233,13 +232,13 @@
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	}
+	control := http.NewResponseController(out.w)
 	if r.ContentLength != 0 {
-		// Without its own deadline, a body could take as long as the caller likes.
-		control := http.NewResponseController(out.w)
+		// Without its own deadline, a body could take as long as the caller likes. Setting
+		// it fails only for the writers of tests.
 		timeout := min(bodyTimeout, q.remaining(g.now()))
-		if err := control.SetReadDeadline(time.Now().Add(timeout)); err == nil {
-			defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-		}
+		_ = control.SetReadDeadline(time.Now().Add(timeout))
+		defer g.drain.interruptRead(control)()
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
 	switch {
@@ -247,9 +246,14 @@
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	case err != nil:
+		// The deadline stays: net/http would wait for the rest of the body before it writes
+		// the response.
 		out.refuse(q.head.ID, http.StatusRequestTimeout, "could not read the body: "+err.Error(), 0)
 		return false
 	}
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	q.body = body
 	return true
 }
@@ -259,13 +263,19 @@
 func (g *Gateway) dispatch(ctx context.Context, q *request, out *responseWriter) {
 	sequence := g.newSequence(q)
 	for {
+		if g.mustNotStart(q, out) {
+			sequence.finish(out, q, reasonStopping, stoppingRetryAfter)
+			return
+		}
 		changed := g.traffic.suspects.Changed()
 		if d := g.suspicion(q); d.Kind() == suspects.Quarantined {
 			sequence.refuseSuspect(out, q, d)
 			return
 		}
 		q.minTime = sequence.minTime(q)
-		v, placed := g.awaitPlacement(ctx, q, changed)
+		placementCtx, cancel := g.placementContext(ctx, q, out)
+		v, placed := g.awaitPlacement(placementCtx, q, changed)
+		cancel()
 		if !placed {
 			sequence.notPlaced(out, q, v)
 			return
