Soak: servers break off in the head of an answer; mutant cut-head-as-whole

What callers could see, where a head ends with its connection: an empty or short answer that looks whole. This does not happen; nothing in the soak or in the system tests would have shown it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -241,8 +241,10 @@
 	ids := r.someServers(f)
 	// Whole events that a server makes up can't be distinguished from its answer.
 	kind := standin.Breakage(1 + f.pick(1, int(standin.BreakFastEvents)-1))
-	if unframed := f.pick(3, 12); unframed < 3 {
-		kind = []standin.Breakage{standin.BreakUnframed, standin.BreakUnframedEmpty, standin.BreakUnframedReset}[unframed]
+	// A cut head is drawn twice as often: few of its cuts come after all fields of interest.
+	others := []standin.Breakage{standin.BreakUnframed, standin.BreakUnframedEmpty, standin.BreakUnframedReset, standin.BreakCutHead, standin.BreakCutHead}
+	if other := f.pick(3, 12); other < len(others) {
+		kind = others[other]
 	}
 	r.note("%s spoil a third of their answers (%d) for %s", strings.Join(ids, " "), kind, f.Length)
 	for _, id := range ids {
