A comment from an endpoint does not count as the beginning of a request

The request is not withdrawn any more, and begins on old weights after their bound.

Cause: a stream counted as begun with the first bytes that are forwarded, and comments are forwarded. That ended the limit of the attempt; besides it recorded the time to the first event.

Evidence: TestRequestWithOnlyACommentIsWithdrawn, which failed before (never withdrawn). Found by reading; that endpoints of the users' platform send comments has not been seen.

Fix: a request has begun with the first event that is no comment. Until then it has no progress that would clear it as a suspect, and a stream of comments alone that ends with its connection counts as cut.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -221,15 +221,7 @@
 		if len(batch.bytes) > 0 {
 			now := g.now()
 			out.recordEvents(now)
-			if last == 0 {
-				q.begunAt = now
-				q.limit.begin()
-				g.recordBegin(ctx, q, c.Candidate)
-				q.traffic.placement.RecordFirstEvent(now, c)
-			} else {
-				q.traffic.placement.RecordEventInterval(*c, (now-last)/time.Duration(batch.count))
-			}
-			last = now
+			last = g.recordEvents(ctx, q, c, batch, now, last)
 			if !out.headerWritten {
 				out.writeHeader(response.StatusCode, response.Header, -1)
 			}
@@ -259,6 +251,23 @@
 	}
 }
 
+// recordEvents records the events of a batch and returns the time of the last event from
+// the endpoint, 0 before the first.
+func (g *Gateway) recordEvents(ctx context.Context, q *request, c *placement.Choice, batch eventBatch, now, last time.Duration) time.Duration {
+	if last > 0 {
+		q.traffic.placement.RecordEventInterval(*c, (now-last)/time.Duration(batch.count))
+		return now
+	}
+	if !batch.begins() {
+		return 0
+	}
+	q.begunAt = now
+	q.limit.begin()
+	g.recordBegin(ctx, q, c.Candidate)
+	q.traffic.placement.RecordFirstEvent(now, c)
+	return now
+}
+
 // unframed reports whether a response has neither a length nor chunks and ends with its
 // connection. If that ends before the first event, the endpoint may have crashed.
 func unframed(r *http.Response) bool {
--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -123,6 +123,9 @@
 			f.streamUntil(w, r, end)
 		case waits:
 			end = nil
+		case commentsOnly:
+			f.writeComment(w)
+			end = nil
 		}
 		select {
 		case <-r.Context().Done():
@@ -164,6 +167,14 @@
 	}
 }
 
+// writeComment writes what an endpoint sends to keep a connection open.
+func (f *limitFleet) writeComment(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(rawProof, "p")
+	_, _ = io.WriteString(w, ": wait\n\n")
+	w.(http.Flusher).Flush()
+}
+
 func (f *limitFleet) serveNew(w http.ResponseWriter, r *http.Request) {
 	f.renewed.Add(1)
 	w.Header().Set(rawID, r.Header.Get(rawID))
@@ -253,6 +264,15 @@
 	}
 }
 
+// A comment keeps the connection of a request that waits open; the request has not begun.
+func TestRequestWithOnlyACommentIsWithdrawn(t *testing.T) {
+	f := startLimitFleet(t, commentsOnly, false, false)
+	_, whole := f.call(t, rawPathStream)
+	require.False(t, whole)
+	require.Eventually(t, func() bool { return f.left.Load() == 1 }, time.Second, time.Millisecond, "it began on old weights after the bound")
+	require.Less(t, time.Duration(f.leftAt.Load()), f.setAt+limitBound)
+}
+
 // While a request waits, its entry learns from another one that the version was set
 // earlier than it had seen it.
 func TestRequestIsWithdrawnByCorrectedBound(t *testing.T) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -105,7 +105,7 @@
 // not crash its endpoint.
 func (g *Gateway) recordProgress(q *request) {
 	now := g.now()
-	if q.sound || now-q.begunAt <= suspects.BeginTime {
+	if q.sound || q.begunAt == 0 || now-q.begunAt <= suspects.BeginTime {
 		return
 	}
 	q.sound = true
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -21,6 +21,7 @@
 type eventBatch struct {
 	bytes      []byte
 	count      int
+	comments   int // of the count
 	lastEvent  string
 	lastNumber int64
 	unnumbered bool // an event has no number
@@ -53,6 +54,7 @@
 		b.err = errNotEvent
 	case isComment(event):
 		b.add(event)
+		b.comments++
 	case number == noNumber && r.resumed:
 		b.err = errNotEvent
 	case number == noNumber:
@@ -67,6 +69,10 @@
 	}
 }
 
+// begins reports whether the batch shows that the endpoint has begun the request. A comment
+// does not: endpoints send them to keep connections open.
+func (b *eventBatch) begins() bool { return b.count > b.comments }
+
 func (b *eventBatch) add(event []byte) {
 	b.bytes = append(b.bytes, event...)
 	b.count++
