An answer that is no stream is not withdrawn once it has begun

What callers saw: an engine answers a request on a route without streams; its head comes before the bound of its weights and its body ends after it. The request ends as 502, or as a cut answer where it is large, though it began in time.

Cause: only a stream's first event counted as the beginning of an attempt.

Evidence: TestAnswerThatHasBegunIsNotWithdrawn, which failed before (502). Found by reading; the users' sites have only streams at their engines.

Fix: such an answer has begun with its head.

Result: the test passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,6 +158,7 @@
 	if success && isEvents(response.Header) {
 		return g.forwardStream(ctx, q, c, response, out)
 	}
+	q.limit.begin()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
 	if err != nil {
 		return g.interrupted(ctx, q, err, true)
--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -67,6 +67,7 @@
 	timesOutAtEnd                    // it answers 504 when its time left ends
 	streamsOn                        // it sends an event every 100 ms until its time left ends
 	commentsOnly                     // it sends a comment and waits
+	answersSlowly                    // it sends half of an answer, and the rest after the bound
 )
 
 func startLimitFleet(t *testing.T, behaviour oldEndpoint, withNew, setLater bool) *limitFleet {
@@ -79,7 +80,8 @@
 			fleet.WithTimes(limitTimeout, 2*time.Second, time.Second), fleet.WithKind(fleet.Streaming), fleet.WithResumable(resumable))
 	}
 	service := fleet.NewService("s", fleet.WithEngine(&fleet.Engine{Models: []string{"m"}}))
-	configuration := fleet.NewConfiguration(1, fleet.WithServices(service), fleet.WithRoutes(route(rawPathStream, true), route(rawPathOnce, false)))
+	configuration := fleet.NewConfiguration(1, fleet.WithServices(service), fleet.WithRoutes(route(rawPathStream, true), route(rawPathOnce, false),
+		fleet.NewRoute(rawPathPublish, "h", rawPathPublish, fleet.WithSplits(fleet.NewSplit("s", 1)), fleet.WithTimes(limitTimeout, 2*time.Second, time.Second))))
 	f.gateway.ApplyConfiguration(configuration, map[string]int64{"m": 1})
 	list := []*fleet.Endpoint{f.endpoint(t, "old", "riga-a", 1, f.serveOld(behaviour))}
 	if withNew {
@@ -126,6 +128,9 @@
 		case commentsOnly:
 			f.writeComment(w)
 			end = nil
+		case answersSlowly:
+			f.writeHalfOfAnswer(w)
+			end = nil
 		}
 		select {
 		case <-r.Context().Done():
@@ -142,6 +147,8 @@
 		case timesOutAtEnd:
 			w.Header().Set(rawProof, "p")
 			w.WriteHeader(http.StatusGatewayTimeout)
+		case answersSlowly:
+			_, _ = io.WriteString(w, eventsOf(51, 100))
 		default:
 			f.writeEvents(w, 1)
 		}
@@ -175,6 +182,14 @@
 	w.(http.Flusher).Flush()
 }
 
+// writeHalfOfAnswer writes the head and half of the body of an answer that is no stream.
+func (f *limitFleet) writeHalfOfAnswer(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set(rawProof, "p")
+	_, _ = io.WriteString(w, eventsOf(1, 50))
+	w.(http.Flusher).Flush()
+}
+
 func (f *limitFleet) serveNew(w http.ResponseWriter, r *http.Request) {
 	f.renewed.Add(1)
 	w.Header().Set(rawID, r.Header.Get(rawID))
@@ -292,3 +307,14 @@
 	require.Eventually(t, func() bool { return f.left.Load() == 1 }, time.Second, time.Millisecond)
 	require.Less(t, time.Duration(f.leftAt.Load()), f.setAt+limitBound, "withdrawn after the bound")
 }
+
+// An answer that is no stream has begun with its head: it is not withdrawn while its body
+// is read.
+func TestAnswerThatHasBegunIsNotWithdrawn(t *testing.T) {
+	f := startLimitFleet(t, answersSlowly, false, false)
+	status, whole := f.call(t, rawPathPublish)
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, whole)
+	require.Zero(t, f.left.Load())
+	require.Greater(t, boottime.Now(), f.setAt+limitBound, "the answer ends after the bound")
+}
