Failing test: an abandoned request begins on old weights

Cause: a withdrawal is a closed connection, which such an endpoint does not heed ("most servers" do). Only the check in placement is left, and that knows no wait at an endpoint to which the entry has sent nothing lately; and the time left, which keeps that of the caller where the stream is not expected to be complete and no attempt is left. An earlier endpoint's refusal as not run uses up an attempt in that.

Fix: none here.

--- a/internal/fleetprocess/waitingversion_test.go
+++ b/internal/fleetprocess/waitingversion_test.go
@@ -79,3 +79,23 @@
 		})
 	}
 }
+
+// As above, at endpoints that begin requests whose callers have left: a withdrawal does not
+// reach what waits there.
+func TestAbandonedRequestBeginsOnOldVersionAfterWait(t *testing.T) {
+	s := startSystem(t, standin.WithSize(2, 2, 2, 1))
+	for _, server := range s.Servers {
+		server.SetPromptTime(promptTime)
+		server.KeepAbandoned()
+	}
+	var streams outcomes
+	ctx, cancel := context.WithTimeout(t.Context(), versionBound+2*promptTime)
+	defer cancel()
+	s.NameWeights(2)
+	bound := time.Now().Add(versionBound)
+	s.callStreams(ctx, &streams)
+	t.Logf("answered %d, refused %d, failed %d", streams.answered.Load(), streams.refused.Load(), streams.failed.Load())
+	for _, r := range s.runs.outdatedRuns(bound) {
+		t.Errorf("%s began on version %d at %s, %s after the bound", r.Attempt, r.Version, r.Server, r.Began.Sub(bound))
+	}
+}
