Changes of a peer are not merged where removals may be missing

Callers can see requests sent to an endpoint that has left, by an entry that goes on listing it; until it lists the store again, which a difference from a peer's copy lets it do 5 s after its last list at the earliest.

The peer has listed the store anew at 121, and answers with what it knows: the changes up to 121 for a copy at 99. The peer's record has a gap between 99 and 121; complete is checked for the position that the call names, not for that of the copy when the response comes.

Polls of the store are not affected: its feed has every change. Agents have it too, they share the table.

--- a/internal/coordination/watch/copies_test.go
+++ b/internal/coordination/watch/copies_test.go
@@ -23,11 +23,12 @@
 // copySizes are the sizes of the fleets.
 var copySizes = []struct {
 	name             string
-	regions, entries int // in each region
+	regions, entries int      // in each region
+	failed           []uint64 // seeds that failed once, beside the first ones
 }{
-	{"one region", 1, 3},
-	{"three regions", 3, 3},
-	{"two regions of many", 2, 8},
+	{"one region", 1, 3, []uint64{62}},
+	{"three regions", 3, 3, []uint64{406}},
+	{"two regions of many", 2, 8, nil},
 }
 
 // listedTooLong returns the endpoints that an entry lists although they were removed, and
@@ -51,7 +52,11 @@
 func TestRemovedEndpointIsForgottenByAllEntries(t *testing.T) {
 	for _, test := range copySizes {
 		t.Run(test.name, func(t *testing.T) {
+			seeds := slices.Clone(test.failed)
 			for seed := range *copySeeds {
+				seeds = append(seeds, seed)
+			}
+			for _, seed := range seeds {
 				t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) { playCopies(t, newCopyFleet(seed, test.regions, test.entries)) })
 				})
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -187,8 +187,9 @@
 // Merge applies the response to a call that was made at the given time. It returns
 // errStale if the response is older than the newest change in the copy, an error that wraps
 // ErrInvalidUpdate if the response is out of bounds, errNewEra if the store has come back
-// from an older copy and the response has not every row, and ErrDiverged if a peer has
-// other rows at the same position. After the last two the table is to be listed.
+// from an older copy and the response has not every row, errIncomplete if the copy may have
+// rows whose removal the response lacks, and ErrDiverged if a peer has other rows at the
+// same position. After errNewEra and ErrDiverged the table is to be listed.
 func (t *Table) Merge(u Update, started time.Duration) error {
 	if err := u.check(); err != nil {
 		return err
@@ -204,6 +205,9 @@
 	if t.synced && !u.Full && t.ofOtherEra(u) {
 		return errNewEra
 	}
+	if t.mayLackRemovals(u) {
+		return errIncomplete
+	}
 	if recovered := t.recoveredAt(); recovered > 0 {
 		t.retainUntil = recovered + t.removalGrace
 	}
@@ -224,6 +228,16 @@
 	return nil
 }
 
+// mayLackRemovals reports whether a row that the copy has got since the call to a peer may
+// have been removed without a record of the peer. Between the position that the call named
+// and the floor, the peer knows the removals of those rows only that were there before.
+func (t *Table) mayLackRemovals(u Update) bool {
+	if u.Full || u.From == "" || !t.position.Before(u.Position) {
+		return false
+	}
+	return u.since.Version < t.position.Version && t.position.Version < u.Floor
+}
+
 // Expire drops the rows whose removal grace period is over.
 func (t *Table) Expire() {
 	t.mu.Lock()
--- a/internal/coordination/watch/table_test.go
+++ b/internal/coordination/watch/table_test.go
@@ -233,6 +233,19 @@
 		require.NoError(t, sync(late, follower))
 		require.Equal(t, []string{"b"}, keys(late))
 	})
+	t.Run("list between a call to a peer and its response", func(t *testing.T) {
+		watcher, follower := copyOf(update(10, liveRow("b", 2))), copyOf(update(10, liveRow("b", 2)))
+		require.NoError(t, watcher.Merge(Update{Position: at(30), Full: true, Rows: []Row{liveRow("b", 2)}}, time.Minute))
+		err := follower.Sync("peer", func() time.Duration { return time.Minute }, func(after Position) (Update, error) {
+			u := watcher.Since(after) // before x was written
+			require.NoError(t, follower.Merge(Update{Position: at(20), Full: true, Rows: []Row{liveRow("b", 2), liveRow("x", 15)}}, time.Minute))
+			return u, nil
+		})
+		require.ErrorIs(t, err, errIncomplete)
+		require.Equal(t, int64(20), follower.State().Version)
+		require.NoError(t, sync(follower, watcher))
+		require.Equal(t, []string{"b"}, keys(follower))
+	})
 	t.Run("row that is there again after a gap", func(t *testing.T) {
 		watcher, peer := copyOf(update(5, liveRow("k", 3))), copyOf(update(5, liveRow("k", 3)))
 		require.NoError(t, watcher.Merge(update(10, deletedRow("k", 10)), time.Minute))
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -43,6 +43,10 @@
 // itself.
 var errNewEra = eris.New("store has come back from an older copy")
 
+// errIncomplete is returned for changes of a peer after an earlier position than that of the
+// copy, if they may lack removals.
+var errIncomplete = eris.New("copy has gone on since the call, removals may be missing")
+
 // ErrDiverged is returned for an update of a peer that has other rows at the same version.
 var ErrDiverged = eris.New("copies differ at the same version")
 
