Soak: requests wait at engines while the bound of a version ends

The soak named versions beside faults and never judged them, its engines began everything at once, and its callers never left: a request that waits at an engine beyond the reason why it may not begin could not be found.

Two kinds of faults, with a source of random numbers of their own, so that the rest of a plan stays as it was: a version is named, and around the end of its bound engines read prompts slowly, or are suspended with their agents; the origin may fail, processes are killed meanwhile, some streams are given up early. The version may be named after the other faults have ended, since the bound counts in one stretch without disturbed links. The calm phase plays both. Servers have a queue of 4.

Three checkers: runs on old weights after the bound of a version that was named beside faults, sent by an entry in touch (what becomes of the engine or of the entry afterwards is no excuse); runs after the deadline of their caller, and time budgets that end too late; requests that reach a server or begin over 0.5 s after their caller left. The check of versions that are named without any fault stays as strict, and now counts for each of them, not for the last.

TestPlan: the number of kinds with plans of their own is 5, not 3. TestCheckers: its version is recorded by two calls in place of one, with the same findings.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,7 +18,12 @@
 	callTimeout = 3500 * time.Millisecond
 	// callerTimeout is the timeout that a caller sends with its requests.
 	callerTimeout = 2800 * time.Millisecond
-	thinkTime     = 15 * time.Millisecond
+	// impatientShare of the streams are given up early while requests wait at engines: after
+	// leastPatience or up to morePatience later.
+	impatientShare = 0.3
+	leastPatience  = 200 * time.Millisecond
+	morePatience   = 1500 * time.Millisecond
+	thinkTime      = 15 * time.Millisecond
 )
 
 // caller requests addresses, caches the response, and sends requests over connections
@@ -33,18 +38,23 @@
 	keeps     int // how many times longer than allowed it keeps an answer
 }
 
+// newCaller returns a caller, which a number identifies.
+func (r *run) newCaller(number int) *caller {
+	return &caller{
+		run:    r,
+		domain: r.machines[number%len(r.deployment.Entries)].Domain,
+		random: r.newRandom(number),
+		keeps:  1,
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true}},
+	}
+}
+
 // startCallers starts the callers; the function returned ends them.
 func (r *run) startCallers(ctx context.Context) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	var ended sync.WaitGroup
 	for i := range r.callers {
-		c := &caller{
-			run:    r,
-			domain: r.machines[i%len(r.deployment.Entries)].Domain,
-			random: r.newRandom(i),
-			keeps:  1,
-			client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true}},
-		}
+		c := r.newCaller(i)
 		if i%3 == 2 {
 			c.keeps = 3
 		}
@@ -75,9 +85,7 @@
 	method := http.MethodPost
 	switch c.random.IntN(5) {
 	case 0, 1:
-		q.path = fmt.Sprintf("%sd%d", standin.PathStream, number)
-		q.want, q.idempotent = streamOf(q.path), true
-		q.parts = c.run.promptParts(c.random, number)
+		q = c.stream(q, number)
 	case 2:
 		q.path = fmt.Sprintf("%sr%d", standin.PathRead, number)
 		q.want, q.idempotent = standin.Body(q.path), true
@@ -94,6 +102,30 @@
 	}
 }
 
+// stream makes a call on the route of streams.
+func (c *caller) stream(q call, number int64) call {
+	q.path = fmt.Sprintf("%sd%d", standin.PathStream, number)
+	q.want, q.idempotent = streamOf(q.path), true
+	q.parts = c.run.promptParts(c.random, number)
+	q.patience = c.patience()
+	return q
+}
+
+// sendStreams sends a stream at each interval to an entry, without waiting for those before,
+// until ctx ends. It returns when all have ended.
+func (c *caller) sendStreams(ctx context.Context, interval time.Duration) {
+	var ended sync.WaitGroup
+	for paused(ctx, interval) {
+		entries := c.run.deployment.Entries
+		at := c.run.deployment.Front(entries[c.random.IntN(len(entries))])
+		number := c.run.attempts.Add(1)
+		q := c.stream(call{attempt: fmt.Sprintf("s%d-%d", c.run.seed, number), key: standin.Key}, number)
+		ended.Go(func() { c.send(http.MethodPost, at, q) })
+	}
+	ended.Wait()
+	c.client.CloseIdleConnections()
+}
+
 // extra makes a call on one of the added routes, or on the read route where there is
 // none yet.
 func (c *caller) extra(q call, number int64) call {
@@ -122,9 +154,23 @@
 	}
 }
 
+// patience returns after which time the caller gives a stream up.
+func (c *caller) patience() time.Duration {
+	if c.run.waits.Load() == 0 || c.random.Float64() >= impatientShare {
+		return callTimeout
+	}
+	return leastPatience + time.Duration(c.random.Int64N(int64(morePatience)))
+}
+
 // send makes one call and records its end.
 func (c *caller) send(method, at string, q call) int {
+	if q.patience == 0 {
+		q.patience = callTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), q.patience)
+	defer cancel()
 	q.sent = time.Now()
+	q.deadline = q.sent.Add(callerTimeout)
 	q.entry = at
 	lifetime := c.run.lifetime(at)
 	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerTimeout)
@@ -135,13 +181,16 @@
 	if len(q.parts) > 0 {
 		standin.SetPrompt(request, q.parts...)
 	}
-	response, err := c.client.Do(request)
+	response, err := c.client.Do(request.WithContext(ctx))
 	if err == nil {
 		body, readErr := io.ReadAll(response.Body)
 		response.Body.Close()
 		q.status, q.body, q.whole = response.StatusCode, string(body), readErr == nil
 	}
 	q.ended = time.Now()
+	if !q.whole && ctx.Err() != nil {
+		q.left = q.sent.Add(q.patience)
+	}
 	if c.run.lifetime(at) == lifetime {
 		q.lifetime = lifetime
 	}
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -22,11 +22,11 @@
 )
 
 // calmPhase checks what must hold without faults: changes in force everywhere in time,
-// new weights within their bound, an endpoint that leaves without new work, planned
+// new weights within their bound, also where requests wait, an endpoint that leaves without new work, planned
 // stops that cut nothing off, endpoints that left while all entries started without new work,
 // and nearly all calls served.
 func (r *run) calmPhase(ctx context.Context) {
-	r.ledger.named(r.nameWeights(), time.Now())
+	r.ledger.namedInCalm(r.nameWeights())
 	leaving := r.engines[len(r.engines)-1]
 	r.note("calm: %s leaves", leaving)
 	r.ledger.leaves(leaving, time.Now())
@@ -39,6 +39,7 @@
 		}
 	}
 	r.checkStops(ctx)
+	r.checkWaits(ctx)
 	r.checkDeadlyPart(ctx)
 	r.checkRestart(ctx)
 	pause(ctx, settleTime)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,6 +59,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if f.waits() {
+			ends.Go(func() { r.waitAtEngines(ctx, f) })
+			continue
+		}
 		end := r.inject(phase, i, f)
 		ends.Go(func() {
 			pause(ctx, f.Length)
@@ -273,10 +277,14 @@
 
 // nameWeights names the next version and returns it.
 func (r *run) nameWeights() int64 {
+	r.namings.Lock()
+	defer r.namings.Unlock()
 	r.version++
-	r.note("version %d of the weights is named", r.version)
-	r.deployment.NameWeights(r.version)
-	return r.version
+	version := r.version
+	r.deployment.NameWeights(version)
+	r.ledger.named(version, time.Now())
+	r.note("version %d of the weights is named", version)
+	return version
 }
 
 // rotateKey adds a key and takes the last one away.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -18,6 +18,9 @@
 	idempotent  bool
 	route       int // number of the added route, 0 for another one
 	sent, ended time.Time
+	patience    time.Duration
+	deadline    time.Time // the end of its time budget
+	left        time.Time // when the caller gave up, zero if it did not
 	entry       string
 	lifetime    int64 // of the entry's process, 0 if it ended meanwhile
 	status      int   // 0 for a connection that broke
@@ -42,10 +45,12 @@
 	// inTouchSince returns the time since which bounds count for the process at an address
 	// and its way to a server, as of a time.
 	inTouchSince func(front, server string, until time.Time) time.Time
-
-	version    int64 // that was named without any fault
-	versionAt  time.Time
-	violations []string
+	// calmSince returns the time since which the store was stable and no link was disturbed,
+	// as of a time.
+	calmSince   func(until time.Time) time.Time
+	namings     []naming
+	withdrawals []standin.Withdrawal
+	violations  []string
 }
 
 func newLedger() *ledger {
@@ -60,6 +65,7 @@
 
 		disturbed:    func(string, string, time.Time, time.Time) bool { return false },
 		inTouchSince: func(string, string, time.Time) time.Time { return time.Time{} },
+		calmSince:    func(time.Time) time.Time { return time.Time{} },
 	}
 }
 
@@ -86,13 +92,6 @@
 	}
 }
 
-// named records a version that is named without any fault.
-func (l *ledger) named(version int64, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.version, l.versionAt = version, at
-}
-
 // leaves records that a server leaves, without any fault.
 func (l *ledger) leaves(server string, at time.Time) {
 	l.mu.Lock()
@@ -172,6 +171,7 @@
 	l.checkBackpressure()
 	l.checkRateLimits()
 	l.checkDepartures()
+	l.checkGone()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
@@ -195,9 +195,8 @@
 	if at, leaves := l.leaving[run.Server]; leaves && run.Began.Sub(at) > drainBound {
 		l.violateLocked("leaving: %s ran at %s %s after it signaled that it leaves", run.Attempt, run.Server, run.Began.Sub(at))
 	}
-	if late := run.Began.Sub(l.versionAt); l.version > 0 && run.Version > 0 && run.Version < l.version && late > versionBound {
-		l.violateLocked("versions: %s began on version %d at %s, %s after version %d was named", run.Attempt, run.Version, run.Server, late, l.version)
-	}
+	l.checkVersion(run)
+	l.checkDeadline(run)
 }
 
 // process is one lifetime of an entry's process.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,18 +49,23 @@
 	// RestartWhileLeaving restarts all entries or all processes at once while servers leave
 	// and others come back.
 	RestartWhileLeaving
+	// WaitForSlowEngines names a version and lets engines read prompts slowly when its bound
+	// ends, WaitForSuspendedEngines suspends their machines then.
+	WaitForSlowEngines
+	WaitForSuspendedEngines
 )
 
 var kindNames = []string{
 	"kill", "terminate", "pause", "hang up", "stop in series", "store fails", "store is slow", "store forgets its history",
 	"server spoils answers", "origin spoils chunks", "staged chunk turns bad", "route is added", "key is rotated",
 	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers signal backpressure", "servers state a rate limit", "part of a prompt is deadly", "all restart while servers leave",
+	"engines are slow at the bound of a version", "engines are suspended at the bound of a version",
 }
 
 func (k Kind) String() string { return kindNames[k] }
 
 // kindWeights are the weights of the kinds in a plan, but for StateRateLimit,
-// MakePartDeadly and RestartWhileLeaving.
+// MakePartDeadly, RestartWhileLeaving and the kinds in which requests wait.
 var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2, 2, 4}
 
 // Fault is one fault of a plan. Draws decide the rest, whatever the size of the
@@ -114,6 +119,7 @@
 	plan = append(plan, limitPlan(seed, duration)...)
 	plan = append(plan, deadlyPlan(seed, duration)...)
 	plan = append(plan, restartPlan(seed, duration)...)
+	plan = append(plan, waitPlan(seed, duration)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,7 @@
 	revertSlack      = 250 * time.Millisecond
 	processesADomain = 8 // until more processes mean larger domains
 	mostDomains      = 3
+	queueLength      = 4 // of each server
 )
 
 // Report is the result of a run.
@@ -70,6 +71,8 @@
 	callers  int
 	network  byte
 	logs     string
+	// withoutWaits leaves out the faults in which requests wait at engines.
+	withoutWaits bool
 }
 
 // Option sets a property of a run.
@@ -94,6 +97,10 @@
 	}
 }
 
+// WithoutWaits leaves out the faults in which requests wait at engines around the bound of a
+// version, in the plan and in the calm phase.
+func WithoutWaits() Option { return func(c *config) { c.withoutWaits = true } }
+
 // WithLogs sets the directory that keeps what the processes write.
 func WithLogs(directory string) Option { return func(c *config) { c.logs = directory } }
 
@@ -113,8 +120,10 @@
 	ledger     *ledger
 	schedule   []string // guarded by mu
 	started    time.Time
-	version    int64
-	keys       int // that were added; the first is there from the start
+	namings    sync.Mutex
+	version    int64        // guarded by namings
+	waits      atomic.Int32 // faults in progress in which requests wait
+	keys       int          // that were added; the first is there from the start
 	routes     atomic.Int64
 	attempts   atomic.Int64
 	deadlyPart atomic.Pointer[string] // part of a prompt that crashes engines, nil for none
@@ -138,6 +147,9 @@
 	if c.plan == nil {
 		c.plan = Plan(c.seed, c.duration)
 	}
+	if c.withoutWaits {
+		c.plan = slices.DeleteFunc(slices.Clone(c.plan), Fault.waits)
+	}
 	if c.logs == "" {
 		c.logs = filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", c.seed))
 	}
@@ -177,7 +189,9 @@
 		standin.WithSpares(faultSpares+calmSpares),
 		standin.WithNetwork(r.network),
 		standin.WithListen(r.listen),
+		standin.WithQueues(queueLength),
 		standin.WithRunsOf(r.ledger.ran),
+		standin.WithWithdrawalsOf(r.ledger.withdrawn),
 		standin.WithArrivalsOf(r.ledger.arrived))
 	if err != nil {
 		return eris.Wrap(err, "soak")
@@ -186,6 +200,7 @@
 	d.Store.SetFault(r.decideStore)
 	r.ledger.disturbed = r.disturbedBetween
 	r.ledger.inTouchSince = r.inTouchSince
+	r.ledger.calmSince = r.calmSince
 	r.listServers()
 	for _, m := range d.Entries {
 		r.machines = append(r.machines, &machine{Machine: m, role: "entry", run: r, index: len(r.machines)})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,7 @@
 		l := newLedger()
 		l.removed["old"] = now
 		l.named(3, now)
+		l.namedInCalm(3)
 		l.leaves("leaving", now)
 		for i := range test.runs {
 			if test.runs[i].Version == 0 && !test.runs[i].Began.IsZero() {
@@ -244,7 +245,7 @@
 		}
 	}
 	require.Len(t, seen, len(kindNames))
-	require.Len(t, kindWeights, len(kindNames)-3, "rate limits, deadly parts and restarts have plans of their own")
+	require.Len(t, kindWeights, len(kindNames)-5, "rate limits, deadly parts, restarts and the two in which requests wait have plans of their own")
 }
 
 // A plan that fails by two of its faults is reduced to these.
@@ -296,7 +297,7 @@
 		{1, 6 * time.Second, 8},
 	} {
 		report, err := Run(t.Context(), binary, WithSeed(test.seed), WithDuration(test.duration),
-			WithProcesses(test.processes), WithNetwork(61), WithLogs(t.TempDir()))
+			WithProcesses(test.processes), WithNetwork(61), WithLogs(t.TempDir()), WithoutWaits())
 		require.NoError(t, err)
 		require.Empty(t, report.Violations, strings.Join(report.Schedule, "\n"))
 		require.Positive(t, report.Served)
--- /dev/null
+++ b/internal/soak/waits.go
@@ -0,0 +1,217 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// Times of faults in which requests wait at engines while the bound of a version ends.
+const (
+	// waitGap is the mean time between two such faults, and namingDelay the longest time from
+	// the begin of one until its version is named: also when other faults have ended.
+	waitGap     = 8 * time.Second
+	namingDelay = 8 * time.Second
+	// leastPrompt and morePrompt bound how long slow engines read a prompt.
+	leastPrompt = time.Second
+	morePrompt  = 1500 * time.Millisecond
+	// leastWait and moreWait bound how long engines are slow or suspended, and waitLead how
+	// long before the bound ends that begins at most.
+	leastWait = 1200 * time.Millisecond
+	moreWait  = 2 * time.Second
+	waitLead  = 3 * time.Second
+	// In the calm phase engines are slow and suspended from calmLead before the bound ends,
+	// for calmWait, with prompts of calmPrompt.
+	calmLead   = 2200 * time.Millisecond
+	calmWait   = 2700 * time.Millisecond
+	calmPrompt = 2100 * time.Millisecond
+	// streamInterval is between two streams that are sent meanwhile, beside those of the
+	// callers.
+	streamInterval = 100 * time.Millisecond
+	// boundSlack is the time after a bound until what waited has begun.
+	boundSlack = time.Second
+)
+
+// Figures of faults in which requests wait.
+const (
+	mostPace    = 4    // the slowest is slower by this factor
+	killedShare = 0.25 // of the machines are killed meanwhile
+	waitShare   = 0.5  // of the engines take part, where it is not all of them
+)
+
+// waits reports whether requests wait at engines in a fault.
+func (f Fault) waits() bool {
+	return f.Kind == WaitForSlowEngines || f.Kind == WaitForSuspendedEngines
+}
+
+// waitPlan returns the faults in which requests wait at engines. They have a source of
+// random numbers of their own.
+func waitPlan(seed uint64, duration time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 6))
+	var plan []Fault
+	for at := time.Duration(random.Float64() * float64(duration)); at < duration; at += time.Duration(random.ExpFloat64() * float64(waitGap)) {
+		f := Fault{At: at, Kind: WaitForSlowEngines + Kind(random.IntN(2))}
+		f.Length = time.Duration(random.Int64N(int64(namingDelay)))
+		for i := range f.Draws {
+			f.Draws[i] = random.Uint64()
+		}
+		plan = append(plan, f)
+	}
+	return plan
+}
+
+// wait is one fault in which requests wait. Its times count from the naming of the version.
+type wait struct {
+	suspended []string // engines whose machines are suspended
+	slow      []string // engines that read a prompt in prompt
+	pace      float64  // that they report, at which they make events too
+	prompt    time.Duration
+	after     time.Duration
+	lasts     time.Duration
+	keeps     bool       // the engines begin requests whose callers have left
+	unstaged  bool       // the origin fails, so that no engine can load the version
+	killed    []*machine // at killAfter
+	killAfter time.Duration
+}
+
+// drawWait draws a fault of a kind.
+func (r *run) drawWait(f Fault) wait {
+	random := rand.New(rand.NewPCG(f.Draws[0], f.Draws[1]))
+	below := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	w := wait{
+		prompt:    leastPrompt + below(morePrompt),
+		pace:      1 + float64(random.IntN(mostPace)),
+		after:     versionBound - below(waitLead),
+		lasts:     leastWait + below(moreWait),
+		keeps:     random.IntN(4) == 0,
+		unstaged:  random.IntN(2) == 0,
+		killAfter: below(versionBound),
+	}
+	engines := r.drawEngines(random)
+	if f.Kind == WaitForSuspendedEngines {
+		w.suspended = engines
+	} else {
+		w.slow = engines
+	}
+	for _, m := range r.machines {
+		if random.Float64() < killedShare {
+			w.killed = append(w.killed, m)
+		}
+	}
+	return w
+}
+
+// drawEngines draws one engine or more, or all of them.
+func (r *run) drawEngines(random *rand.Rand) []string {
+	all, chosen := random.IntN(3) == 0, random.IntN(len(r.engines))
+	var engines []string
+	for i, id := range r.engines {
+		if drawn := random.Float64() < waitShare; all || drawn || i == chosen {
+			engines = append(engines, id)
+		}
+	}
+	return engines
+}
+
+// waitAtEngines names a version after the length of the fault and carries it out.
+func (r *run) waitAtEngines(ctx context.Context, f Fault) {
+	pause(ctx, f.Length)
+	r.nameWeights()
+	r.play(ctx, r.drawWait(f))
+}
+
+// play carries out a fault around a version that has just been named, and returns when its
+// bound has ended.
+func (r *run) play(ctx context.Context, w wait) {
+	named := time.Now()
+	until := func(d time.Duration) { pause(ctx, time.Until(named.Add(d))) }
+	r.waits.Add(1)
+	defer r.waits.Add(-1)
+	if w.unstaged {
+		r.note("the origin fails")
+		r.deployment.Origin.SetBroken(func() standin.Breakage { return standin.BreakError })
+		defer r.deployment.Origin.SetBroken(whole)
+	}
+	kill := time.AfterFunc(w.killAfter, func() { r.killAll(w.killed) })
+	defer kill.Stop()
+	until(w.after)
+	r.beginWait(w)
+	streams, endStreams := context.WithCancel(ctx)
+	var ended sync.WaitGroup
+	ended.Go(func() { r.newCaller(r.callers).sendStreams(streams, streamInterval) })
+	until(w.after + w.lasts)
+	r.endWait(w)
+	until(versionBound + boundSlack)
+	endStreams()
+	ended.Wait()
+}
+
+func (r *run) killAll(machines []*machine) {
+	for _, m := range machines {
+		r.note("kill %s", m.Name)
+		m.signal(syscall.SIGKILL)
+	}
+}
+
+// beginWait makes engines slow and suspends machines.
+func (r *run) beginWait(w wait) {
+	r.note("slow, %s a prompt at pace %g: %v, suspended: %v, for %s, requests of callers that left begin: %t",
+		w.prompt, w.pace, w.slow, w.suspended, w.lasts, w.keeps)
+	for _, id := range slices.Concat(w.slow, w.suspended) {
+		if w.keeps {
+			r.deployment.Servers[id].KeepAbandoned()
+		}
+	}
+	for _, id := range w.slow {
+		r.deployment.Servers[id].SetPace(w.pace)
+		r.deployment.Servers[id].SetPromptTime(time.Duration(float64(w.prompt) / w.pace))
+	}
+	for _, id := range w.suspended {
+		r.deployment.Servers[id].Suspend()
+		r.machineOf(id).pause()
+	}
+}
+
+// endWait ends beginWait.
+func (r *run) endWait(w wait) {
+	r.note("go on: %v %v", w.slow, w.suspended)
+	for _, id := range w.suspended {
+		r.machineOf(id).resume()
+		r.deployment.Servers[id].Resume()
+	}
+	for _, id := range slices.Concat(w.slow, w.suspended) {
+		r.deployment.Servers[id].SetPace(1)
+		r.deployment.Servers[id].SetPromptTime(0)
+		r.deployment.Servers[id].DropAbandoned()
+	}
+}
+
+// machineOf returns the machine that an engine shares with its agent.
+func (r *run) machineOf(engine string) *machine {
+	i := slices.IndexFunc(r.machines, func(m *machine) bool {
+		return r.deployment.Address(m.Machine) == r.deployment.ServerAddress(engine)
+	})
+	return r.machines[i]
+}
+
+// checkWaits lets requests wait at engines while the bound of a version ends, without any
+// other fault: at all engines, which read prompts slowly all the while, then at one that is
+// suspended and at slow ones that can't load the version in time.
+func (r *run) checkWaits(ctx context.Context) {
+	if r.withoutWaits {
+		return
+	}
+	staying := r.engines[:len(r.engines)-1]
+	for _, w := range []wait{
+		{slow: staying, pace: 1, prompt: calmPrompt, lasts: versionBound + boundSlack},
+		{slow: staying[1:], suspended: staying[:1], unstaged: true, pace: 1, prompt: calmPrompt, after: versionBound - calmLead, lasts: calmWait},
+	} {
+		r.ledger.namedInCalm(r.nameWeights())
+		r.play(ctx, w)
+	}
+}
