Soak: time budgets are compared by their length

The check compared points in time where the rule compares what is carried.

A time budget counts by its length when it arrives, against the caller's. A run counts against the deadline that its own request carried. Requests that are sent once more are compared with the first time, and three of them may end late.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -170,7 +170,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), q.patience)
 	defer cancel()
 	q.sent = time.Now()
-	q.deadline = q.sent.Add(callerTimeout)
+	q.budget = callerTimeout
 	q.entry = at
 	lifetime := c.run.lifetime(at)
 	request, err := standin.NewRequest(method, at, q.path, q.attempt, q.key, callerTimeout)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -18,9 +18,9 @@
 	idempotent  bool
 	route       int // number of the added route, 0 for another one
 	sent, ended time.Time
-	patience    time.Duration
-	deadline    time.Time // the end of its time budget
-	left        time.Time // when the caller gave up, zero if it did not
+	budget      time.Duration // the time that it may take
+	patience    time.Duration // the time after which the caller gives up
+	left        time.Time     // when the caller gave up, zero if it did not
 	entry       string
 	lifetime    int64 // of the entry's process, 0 if it ended meanwhile
 	status      int   // 0 for a connection that broke
@@ -172,6 +172,7 @@
 	l.checkRateLimits()
 	l.checkDepartures()
 	l.checkGone()
+	l.checkExtended()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/waited.go
+++ b/internal/soak/waited.go
@@ -14,8 +14,10 @@
 	goneFew   = 3
 	// goneShare is the part of the requests that would have lasted so long.
 	goneShare = 0.25
-	// deadlineSlack is how long after its caller's a request's time budget may end.
+	// deadlineSlack is how much longer than its caller's a request's time budget may be, and
+	// deadlineFew how many requests may get more time when they are sent once more.
 	deadlineSlack = 500 * time.Millisecond
+	deadlineFew   = 3
 )
 
 // naming is the naming of a version of the weights.
@@ -75,19 +77,50 @@
 	return known && !l.inTouchSince(c.entry, run.Server, run.Arrived).After(run.Arrived)
 }
 
-// checkDeadline finds a run that began after the deadline of its caller, or that could have.
+// checkDeadline finds a run that began after the deadline which its request carried, or whose
+// request carried none or a longer time budget than its caller's.
 func (l *ledger) checkDeadline(run standin.Run) {
 	c, known := l.calls[run.Attempt]
-	if !known || c.deadline.IsZero() || !l.sentInTouch(run) {
+	if !known || c.budget == 0 || !l.sentInTouch(run) {
 		return
 	}
-	if late := run.Began.Sub(c.deadline); late > deadlineSlack {
-		l.violateLocked("deadline: %s began at %s %s after its deadline", run.Attempt, run.Server, late)
+	carried := run.Deadline.Sub(run.Arrived)
+	switch {
+	case run.Deadline.IsZero():
+		l.violateLocked("deadline: %s reached %s from %s without a time budget", run.Attempt, run.Server, c.entry)
+	case carried > c.budget+deadlineSlack:
+		l.violateLocked("deadline: %s reached %s from %s with a time budget of %s, its caller's is %s", run.Attempt, run.Server, c.entry, carried, c.budget)
+	case run.Began.Sub(run.Deadline) > deadlineSlack:
+		l.violateLocked("deadline: %s began at %s %s after its deadline", run.Attempt, run.Server, run.Began.Sub(run.Deadline))
 	}
-	if run.Deadline.IsZero() || run.Deadline.Sub(c.deadline) > deadlineSlack {
-		l.violateLocked("deadline: %s reached %s from %s with a time budget until %s, its caller's ends at %s",
-			run.Attempt, run.Server, c.entry, run.Deadline.Format(clockFormat), c.deadline.Format(clockFormat))
+}
+
+// checkExtended finds that more than a few requests got more time than their callers had
+// when they were sent once more.
+func (l *ledger) checkExtended() {
+	extended, attempt := 0, ""
+	for _, runs := range l.runs {
+		for _, again := range runs[1:] {
+			if l.isExtended(runs[0], again) {
+				extended++
+				attempt = again.Attempt
+			}
+		}
+	}
+	if extended > deadlineFew {
+		l.violateLocked("deadline: %d requests that were sent once more got more time than their callers had, among them %s", extended, attempt)
+	}
+}
+
+// isExtended reports whether the time budget of a request that was sent once more, a good
+// while later, ends well after the one of the first time and its caller's.
+func (l *ledger) isExtended(first, again standin.Run) bool {
+	c, known := l.calls[again.Attempt]
+	if !known || c.budget == 0 || again.Arrived.Sub(first.Arrived) <= deadlineSlack || !l.sentInTouch(again) {
+		return false
 	}
+	end := later(first.Deadline, first.Arrived.Add(c.budget))
+	return again.Deadline.Sub(end) > deadlineSlack
 }
 
 // checkGone finds that more than a few requests reached a server long after their callers had
