Soak: engines that are slow all the while or of a sudden, streams that may not be resumed

The stand-in has a route of streams that may not be resumed (PathOnce). While requests wait, ten streams a second are sent beside those of the callers, half of them there; the engines of a fault make events 1, 4 or 16 times slower from the naming on, which they report. The calm phase plays five faults of 9 s each: engines that are slow all the while; the same where none can load and requests of callers that have left begin; one suspended beside slow ones; all slow 1.1 s before the bound, where none can load, and where all can.

TestSoak plays without these faults still.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -85,7 +85,8 @@
 	method := http.MethodPost
 	switch c.random.IntN(5) {
 	case 0, 1:
-		q = c.stream(q, number)
+		q = c.stream(q, standin.PathStream, number)
+		q.idempotent = true
 	case 2:
 		q.path = fmt.Sprintf("%sr%d", standin.PathRead, number)
 		q.want, q.idempotent = standin.Body(q.path), true
@@ -102,24 +103,30 @@
 	}
 }
 
-// stream makes a call on the route of streams.
-func (c *caller) stream(q call, number int64) call {
-	q.path = fmt.Sprintf("%sd%d", standin.PathStream, number)
-	q.want, q.idempotent = streamOf(q.path), true
+// stream makes a call on a route of streams.
+func (c *caller) stream(q call, prefix string, number int64) call {
+	q.path = fmt.Sprintf("%sd%d", prefix, number)
+	q.want = streamOf(q.path)
 	q.parts = c.run.promptParts(c.random, number)
 	q.patience = c.patience()
 	return q
 }
 
 // sendStreams sends a stream at each interval to an entry, without waiting for those before,
-// until ctx ends. It returns when all have ended.
+// until ctx ends: in turn one that may be resumed and one that may not. It returns when all
+// have ended.
 func (c *caller) sendStreams(ctx context.Context, interval time.Duration) {
 	var ended sync.WaitGroup
+	entries := c.run.deployment.Entries
 	for paused(ctx, interval) {
-		entries := c.run.deployment.Entries
 		at := c.run.deployment.Front(entries[c.random.IntN(len(entries))])
 		number := c.run.attempts.Add(1)
-		q := c.stream(call{attempt: fmt.Sprintf("s%d-%d", c.run.seed, number), key: standin.Key}, number)
+		q := call{attempt: fmt.Sprintf("s%d-%d", c.run.seed, number), key: standin.Key, idempotent: number%2 == 0}
+		prefix := standin.PathOnce
+		if q.idempotent {
+			prefix = standin.PathStream
+		}
+		q = c.stream(q, prefix, number)
 		ended.Go(func() { c.send(http.MethodPost, at, q) })
 	}
 	ended.Wait()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -14,7 +14,7 @@
 	attempt     string
 	path        string
 	key         string
-	parts       []string // of a prompt, the call's own last
+	parts       []string // of a stream's prompt, the call's own last
 	idempotent  bool
 	route       int // number of the added route, 0 for another one
 	sent, ended time.Time
--- a/internal/soak/waited.go
+++ b/internal/soak/waited.go
@@ -156,11 +156,11 @@
 	}
 }
 
-// isGone reports whether the caller of a request that may be repeated had left for long at a
-// time, at a process that was in touch since.
+// isGone reports whether the caller of a stream or of a request that may be repeated had left
+// for long at a time, at a process that was in touch since.
 func (l *ledger) isGone(attempt, server string, at time.Time) bool {
 	c, known := l.calls[attempt]
-	if !known || !c.idempotent || c.left.IsZero() || at.Sub(c.left) <= goneSlack {
+	if !known || !c.idempotent && len(c.parts) == 0 || c.left.IsZero() || at.Sub(c.left) <= goneSlack {
 		return false
 	}
 	return !l.inTouchSince(c.entry, server, at).After(c.left)
--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -30,6 +30,8 @@
 	calmLead   = 2200 * time.Millisecond
 	calmWait   = 2700 * time.Millisecond
 	calmPrompt = 2100 * time.Millisecond
+	// suddenLead is how long before the bound engines become slow that were not.
+	suddenLead = 1100 * time.Millisecond
 	// streamInterval is between two streams that are sent meanwhile, beside those of the
 	// callers.
 	streamInterval = 100 * time.Millisecond
@@ -39,11 +41,14 @@
 
 // Figures of faults in which requests wait.
 const (
-	mostPace    = 4    // the slowest is slower by this factor
 	killedShare = 0.25 // of the machines are killed meanwhile
 	waitShare   = 0.5  // of the engines take part, where it is not all of them
 )
 
+// paces are the factors by which engines are slow from the naming of the version on. At the
+// last one, a stream takes most of a second.
+var paces = []float64{1, 4, 16}
+
 // waits reports whether requests wait at engines in a fault.
 func (f Fault) waits() bool {
 	return f.Kind == WaitForSlowEngines || f.Kind == WaitForSuspendedEngines
@@ -69,7 +74,7 @@
 type wait struct {
 	suspended []string // engines whose machines are suspended
 	slow      []string // engines that read a prompt in prompt
-	pace      float64  // that they report, at which they make events too
+	pace      float64  // of both from the naming on, which they report: also of their events
 	prompt    time.Duration
 	after     time.Duration
 	lasts     time.Duration
@@ -85,7 +90,7 @@
 	below := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
 	w := wait{
 		prompt:    leastPrompt + below(morePrompt),
-		pace:      1 + float64(random.IntN(mostPace)),
+		pace:      paces[random.IntN(len(paces))],
 		after:     versionBound - below(waitLead),
 		lasts:     leastWait + below(moreWait),
 		keeps:     random.IntN(4) == 0,
@@ -132,6 +137,8 @@
 	until := func(d time.Duration) { pause(ctx, time.Until(named.Add(d))) }
 	r.waits.Add(1)
 	defer r.waits.Add(-1)
+	r.setPace(w, w.pace)
+	defer r.setPace(w, 1)
 	if w.unstaged {
 		r.note("the origin fails")
 		r.deployment.Origin.SetBroken(func() standin.Breakage { return standin.BreakError })
@@ -139,11 +146,11 @@
 	}
 	kill := time.AfterFunc(w.killAfter, func() { r.killAll(w.killed) })
 	defer kill.Stop()
-	until(w.after)
-	r.beginWait(w)
 	streams, endStreams := context.WithCancel(ctx)
 	var ended sync.WaitGroup
 	ended.Go(func() { r.newCaller(r.callers).sendStreams(streams, streamInterval) })
+	until(w.after)
+	r.beginWait(w)
 	until(w.after + w.lasts)
 	r.endWait(w)
 	until(versionBound + boundSlack)
@@ -158,6 +165,13 @@
 	}
 }
 
+// setPace sets the pace of all engines of a fault.
+func (r *run) setPace(w wait, pace float64) {
+	for _, id := range slices.Concat(w.slow, w.suspended) {
+		r.deployment.Servers[id].SetPace(pace)
+	}
+}
+
 // beginWait makes engines slow and suspends machines.
 func (r *run) beginWait(w wait) {
 	r.note("slow, %s a prompt at pace %g: %v, suspended: %v, for %s, requests of callers that left begin: %t",
@@ -168,7 +182,6 @@
 		}
 	}
 	for _, id := range w.slow {
-		r.deployment.Servers[id].SetPace(w.pace)
 		r.deployment.Servers[id].SetPromptTime(time.Duration(float64(w.prompt) / w.pace))
 	}
 	for _, id := range w.suspended {
@@ -185,7 +198,6 @@
 		r.deployment.Servers[id].Resume()
 	}
 	for _, id := range slices.Concat(w.slow, w.suspended) {
-		r.deployment.Servers[id].SetPace(1)
 		r.deployment.Servers[id].SetPromptTime(0)
 		r.deployment.Servers[id].DropAbandoned()
 	}
@@ -200,18 +212,30 @@
 }
 
 // checkWaits lets requests wait at engines while the bound of a version ends, without any
-// other fault: at all engines, which read prompts slowly all the while, then at one that is
-// suspended and at slow ones that can't load the version in time.
+// other fault.
 func (r *run) checkWaits(ctx context.Context) {
 	if r.withoutWaits {
 		return
 	}
-	staying := r.engines[:len(r.engines)-1]
-	for _, w := range []wait{
-		{slow: staying, pace: 1, prompt: calmPrompt, lasts: versionBound + boundSlack},
-		{slow: staying[1:], suspended: staying[:1], unstaged: true, pace: 1, prompt: calmPrompt, after: versionBound - calmLead, lasts: calmWait},
-	} {
+	for _, w := range calmWaits(r.engines[:len(r.engines)-1]) { // the last one leaves
 		r.ledger.namedInCalm(r.nameWeights())
 		r.play(ctx, w)
 	}
 }
+
+// calmWaits returns the faults of the calm phase. In the first two, engines read prompts
+// slowly all the while; in the third, one is suspended and the others become slow; in the
+// last two, all become slow just before the bound, after streams have taken longer than usual.
+func calmWaits(engines []string) []wait {
+	const (
+		whole  = versionBound + boundSlack
+		sudden = versionBound - suddenLead
+	)
+	return []wait{
+		{slow: engines, pace: 1, prompt: calmPrompt, lasts: whole},
+		{slow: engines, pace: 1, prompt: calmPrompt, lasts: whole, unstaged: true, keeps: true},
+		{slow: engines[1:], suspended: engines[:1], unstaged: true, pace: 1, prompt: calmPrompt, after: versionBound - calmLead, lasts: calmWait},
+		{slow: engines, pace: 16, unstaged: true, prompt: calmPrompt, after: sudden, lasts: whole - sudden},
+		{slow: engines, pace: 4, prompt: calmPrompt, after: sudden, lasts: whole - sudden, keeps: true},
+	}
+}
