Soak: engines load a version between two faults of the calm phase

A fault in which the origin fails was followed at once by the next one, so that no engine had a version that could be used, and all streams were refused: the third to the fifth of the five faults played nothing after the second. The soak now waits until the engines have loaded the version, for 8 s at most. Engines that become slow of a sudden do so 2 s before the bound: an entry sends to old weights until 0.9 s before the bound by its own time of the naming, which may be a second early.

--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -31,12 +31,16 @@
 	calmWait   = 2700 * time.Millisecond
 	calmPrompt = 2100 * time.Millisecond
 	// suddenLead is how long before the bound engines become slow that were not.
-	suddenLead = 1100 * time.Millisecond
+	suddenLead = 2 * time.Second
 	// streamInterval is between two streams that are sent meanwhile, beside those of the
 	// callers.
 	streamInterval = 100 * time.Millisecond
 	// boundSlack is the time after a bound until what waited has begun.
 	boundSlack = time.Second
+	// loadTimeout is the time in which engines have to load a version that they could not
+	// load before, and loadInterval between two looks.
+	loadTimeout  = 8 * time.Second
+	loadInterval = 50 * time.Millisecond
 )
 
 // Figures of faults in which requests wait.
@@ -217,9 +221,28 @@
 	if r.withoutWaits {
 		return
 	}
-	for _, w := range calmWaits(r.engines[:len(r.engines)-1]) { // the last one leaves
-		r.ledger.namedInCalm(r.nameWeights())
+	staying := r.engines[:len(r.engines)-1] // the last one leaves
+	for _, w := range calmWaits(staying) {
+		version := r.nameWeights()
+		r.ledger.namedInCalm(version)
 		r.play(ctx, w)
+		r.awaitLoaded(ctx, staying, version)
+	}
+}
+
+// awaitLoaded waits until engines have loaded a version, so that they serve.
+func (r *run) awaitLoaded(ctx context.Context, engines []string, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	outdated := func(id string) bool {
+		loaded, _ := r.deployment.Servers[id].Version()
+		return loaded < version
+	}
+	for slices.ContainsFunc(engines, outdated) {
+		if !paused(ctx, loadInterval) {
+			r.ledger.violate("recovery: version %d of the weights is not loaded by all of %v within %s", version, engines, loadTimeout)
+			return
+		}
 	}
 }
 
