--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
@@ -74,14 +73,15 @@
 	return plan
 }
 
-// wait is one fault in which requests wait. Its times count from the naming of the version.
+// wait is one fault in which requests wait, from after the naming of the version on.
 type wait struct {
-	suspended []string // engines whose machines are suspended
-	slow      []string // engines that read a prompt in prompt
-	pace      float64  // of both from the naming on, which they report: also of their events
-	prompt    time.Duration
-	after     time.Duration
-	lasts     time.Duration
+	after, lasts time.Duration
+
+	suspended []string      // engines whose machines are suspended
+	slow      []string      // engines that take prompt to read a prompt
+	prompt    time.Duration // at pace
+	pace      float64       // of these engines from the naming on, which they report
+
 	keeps     bool       // the engines begin requests whose callers have left
 	unstaged  bool       // the origin fails, so that no engine can load the version
 	killed    []*machine // at killAfter
@@ -150,16 +150,26 @@
 	}
 	kill := time.AfterFunc(w.killAfter, func() { r.killAll(w.killed) })
 	defer kill.Stop()
-	streams, endStreams := context.WithCancel(ctx)
-	var ended sync.WaitGroup
-	ended.Go(func() { r.newCaller(r.callers).sendStreams(streams, streamInterval) })
+	defer r.startStreams(ctx)()
 	until(w.after)
 	r.beginWait(w)
 	until(w.after + w.lasts)
 	r.endWait(w)
 	until(versionBound + boundSlack)
-	endStreams()
-	ended.Wait()
+}
+
+// startStreams sends streams beside those of the callers; the function returned ends them.
+func (r *run) startStreams(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.newCaller(r.callers).sendStreams(ctx, streamInterval)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
 }
 
 func (r *run) killAll(machines []*machine) {
@@ -251,14 +261,14 @@
 // last two, all become slow just before the bound, after streams have taken longer than usual.
 func calmWaits(engines []string) []wait {
 	const (
-		whole  = versionBound + boundSlack
+		end    = versionBound + boundSlack
 		sudden = versionBound - suddenLead
 	)
 	return []wait{
-		{slow: engines, pace: 1, prompt: calmPrompt, lasts: whole},
-		{slow: engines, pace: 1, prompt: calmPrompt, lasts: whole, unstaged: true, keeps: true},
-		{slow: engines[1:], suspended: engines[:1], unstaged: true, pace: 1, prompt: calmPrompt, after: versionBound - calmLead, lasts: calmWait},
-		{slow: engines, pace: 16, unstaged: true, prompt: calmPrompt, after: sudden, lasts: whole - sudden},
-		{slow: engines, pace: 4, prompt: calmPrompt, after: sudden, lasts: whole - sudden, keeps: true},
+		{slow: engines, pace: 1, prompt: calmPrompt, lasts: end},
+		{slow: engines, pace: 1, prompt: calmPrompt, lasts: end, unstaged: true, keeps: true},
+		{slow: engines[1:], suspended: engines[:1], unstaged: true, keeps: true, pace: 1, prompt: calmPrompt, after: versionBound - calmLead, lasts: calmWait},
+		{slow: engines, pace: 16, unstaged: true, prompt: calmPrompt, after: sudden, lasts: end - sudden},
+		{slow: engines, pace: 16, prompt: calmPrompt, after: sudden, lasts: end - sudden, keeps: true},
 	}
 }
