--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -242,17 +242,20 @@
 
 // awaitLoaded waits until engines have loaded a version, so that they serve.
 func (r *run) awaitLoaded(ctx context.Context, engines []string, version int64) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	timeout, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	outdated := func(id string) bool {
 		loaded, _ := r.deployment.Servers[id].Version()
 		return loaded < version
 	}
 	for slices.ContainsFunc(engines, outdated) {
-		if !paused(ctx, loadInterval) {
+		if paused(timeout, loadInterval) {
+			continue
+		}
+		if ctx.Err() == nil {
 			r.ledger.violate("recovery: version %d of the weights is not loaded by all of %v within %s", version, engines, loadTimeout)
-			return
 		}
+		return
 	}
 }
 
