What an entry does not know of a wait is taken from other endpoints and from requests that ended

Cause: waits are known per entry and endpoint. An entry left its own slow endpoints out and sent to one elsewhere, where it knew no wait and expected 8 ms. And the wait of a request that was withdrawn, or whose caller left, was forgotten, although it had lasted for so long at least.

Fix: where no wait is known of, the median of the known ones counts. A request that was ended before its first event by its caller or a withdrawal counts as a wait if that was 0.5 s or more.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -240,7 +240,7 @@
 	}
 	e.ownLoad.InFlight--
 	e.ownLoad.PrefillTokens -= c.pendingPrefill()
-	e.waits.end(&c)
+	e.waits.end(now, &c, outcome)
 	p.inFlight--
 	e.recordOutcome(now, outcome)
 	if outcome == Stale || outcome == Unreachable {
@@ -401,7 +401,7 @@
 			sampled++
 		}
 		delay := e.firstEventDelay(p.model, p.medianInterval, r.Prompt)
-		if !e.beginsInTime(now, delay) {
+		if !p.beginsInTime(now, e, delay) {
 			continue
 		}
 		score := e.score(delay, p.domain, p.random())
