A stream that ends as its time left does goes on at another endpoint

Fix: the end of a response at the end of its time left, or up to 50 ms sooner, counts as cut, so that the stream goes on elsewhere. A stream that is complete in that very moment is then broken off.

Besides, the last attempt of a stream needs four mean service times before the bound for a shorter time left, as one that may not be resumed does: it has nowhere to go on either.

The case "stream that ends in order goes on at another" fails before (not whole).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -249,7 +249,7 @@
 		if batch.err != nil {
 			return g.interrupted(ctx, q, batch.err, false)
 		}
-		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
+		if err == io.EOF && (events.partial() || last == 0 && unframed(response) || q.limit.pastEnd()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF && events.resumed && !events.progressed {
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -27,8 +27,8 @@
 	// completeFactor is how many mean service times must be left before the bound for an
 	// attempt to count as complete by then. An attempt that can't go on at another endpoint
 	// must not be ended by its bound, so that it needs more.
-	completeFactor            = 2
-	unresumableCompleteFactor = 4
+	completeFactor      = 2
+	finalCompleteFactor = 4
 	// targetInterval is how often the bound is looked up again for an attempt that has not
 	// begun: a newer version may be set, or the time of one corrected, after it was sent.
 	targetInterval = time.Second
@@ -80,14 +80,12 @@
 	end := q.usableUntil - endMargin
 	left := end - q.sentAt
 	mean := q.traffic.placement.ServiceTime(0)
-	if !q.route.Resumable() {
-		if left < unresumableCompleteFactor*mean {
-			return 0
-		}
-		return end
+	hasRetry := q.route.Resumable() && len(q.tried) < max(q.route.MaxAttempts(), 1)
+	factor := time.Duration(finalCompleteFactor)
+	if hasRetry {
+		factor = completeFactor
 	}
-	hasRetry := len(q.tried) < max(q.route.MaxAttempts(), 1)
-	if left >= completeFactor*mean || hasRetry && q.traffic.renewed.Load() {
+	if left >= factor*mean || hasRetry && q.traffic.renewed.Load() {
 		return end
 	}
 	return 0
@@ -153,11 +151,17 @@
 	return left
 }
 
+// pastEnd reports whether the time left of the attempt has ended, or is about to: an endpoint
+// may then end its response in good order before it is complete.
+func (l *attemptLimit) pastEnd() bool {
+	return l.end > 0 && l.gateway.now() >= l.end-endTolerance
+}
+
 // reached reports whether the attempt has come to its end, by this entry's clock or, shortly
 // before, by that of the endpoint.
 func (l *attemptLimit) reached(ctx context.Context) bool {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		return true
 	}
-	return l.end > 0 && l.gateway.now() >= l.end-endTolerance
+	return l.pastEnd()
 }
--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -66,6 +66,7 @@
 	refusesAtEnd                     // it refuses the request as not run when its time left ends
 	timesOutAtEnd                    // it answers 504 when its time left ends
 	streamsOn                        // it sends an event every 100 ms until its time left ends
+	endsInOrder                      // it does so and then ends its answer as if it were whole
 	commentsOnly                     // it sends a comment and waits
 	answersSlowly                    // it sends half of an answer, and the rest after the bound
 )
@@ -121,8 +122,12 @@
 		end := time.After(time.Duration(left) * time.Millisecond)
 		work := time.After(limitWork)
 		switch behaviour {
-		case streamsOn:
+		case streamsOn, endsInOrder:
 			f.streamUntil(w, r, end)
+			if behaviour == endsInOrder {
+				return
+			}
+			panic(http.ErrAbortHandler)
 		case waits:
 			end = nil
 		case commentsOnly:
@@ -166,7 +171,7 @@
 		w.(http.Flusher).Flush()
 		select {
 		case <-end:
-			panic(http.ErrAbortHandler)
+			return
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		case <-tick.C:
@@ -241,6 +246,7 @@
 		{"refused by the endpoint", rawPathStream, refusesAtEnd, true, false, true, http.StatusOK, true, 0},
 		{"times out at the endpoint", rawPathStream, timesOutAtEnd, true, false, true, http.StatusOK, true, 0},
 		{"stream goes on at another", rawPathStream, streamsOn, true, false, true, http.StatusOK, true, 0},
+		{"stream that ends in order goes on at another", rawPathStream, endsInOrder, true, false, true, http.StatusOK, true, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
