--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -297,7 +297,7 @@
 		{1, 6 * time.Second, 8},
 	} {
 		report, err := Run(t.Context(), binary, WithSeed(test.seed), WithDuration(test.duration),
-			WithProcesses(test.processes), WithNetwork(61), WithLogs(t.TempDir()), WithoutWaits())
+			WithProcesses(test.processes), WithNetwork(61), WithLogs(t.TempDir()))
 		require.NoError(t, err)
 		require.Empty(t, report.Violations, strings.Join(report.Schedule, "\n"))
 		require.Positive(t, report.Served)
