--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -108,7 +108,7 @@
 	q.path = fmt.Sprintf("%sd%d", prefix, number)
 	q.want = streamOf(q.path)
 	q.parts = c.run.promptParts(c.random, number)
-	q.patience = c.patience()
+	q.giveUpAfter = c.giveUpAfter()
 	return q
 }
 
@@ -161,8 +161,8 @@
 	}
 }
 
-// patience returns after which time the caller gives a stream up.
-func (c *caller) patience() time.Duration {
+// giveUpAfter returns the time after which the caller cancels a stream.
+func (c *caller) giveUpAfter() time.Duration {
 	if c.run.waits.Load() == 0 || c.random.Float64() >= impatientShare {
 		return callTimeout
 	}
@@ -171,10 +171,10 @@
 
 // send makes one call and records its end.
 func (c *caller) send(method, at string, q call) int {
-	if q.patience == 0 {
-		q.patience = callTimeout
+	if q.giveUpAfter == 0 {
+		q.giveUpAfter = callTimeout
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), q.patience)
+	ctx, cancel := context.WithTimeout(context.Background(), q.giveUpAfter)
 	defer cancel()
 	q.sent = time.Now()
 	q.budget = callerTimeout
@@ -196,7 +196,7 @@
 	}
 	q.ended = time.Now()
 	if !q.whole && ctx.Err() != nil {
-		q.left = q.sent.Add(q.patience)
+		q.left = q.sent.Add(q.giveUpAfter)
 	}
 	if c.run.lifetime(at) == lifetime {
 		q.lifetime = lifetime
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -19,7 +19,7 @@
 	route       int // number of the added route, 0 for another one
 	sent, ended time.Time
 	budget      time.Duration // the time that it may take
-	patience    time.Duration // the time after which the caller gives up
+	giveUpAfter time.Duration // the time after which the caller gives up
 	left        time.Time     // when the caller gave up, zero if it did not
 	entry       string
 	lifetime    int64 // of the entry's process, 0 if it ended meanwhile
