Logs: why no further attempt follows, and how a response ended at its limit

fleetAttemptFailed has cause (of an end at the limit: in good order, broken off, withdrawn) and timeLeft (if shortened), fleetRequestEnded has denied. No decision changes: an end in good order at the limit is still interrupted as broken off.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -78,9 +78,25 @@
 	Unknown
 )
 
+// Denial is why no further attempt follows one without a complete response.
+type Denial string
+
+// The denials. A decision for a retry, or after a complete response, has none.
+const (
+	// DeniedMayRun: the request may run only once, and may have run.
+	DeniedMayRun Denial = "may run only once"
+	// DeniedAttempts: the request has had as many attempts as it may have.
+	DeniedAttempts Denial = "no attempts left"
+	// DeniedTime: too little time is left.
+	DeniedTime Denial = "no time left"
+	// DeniedBudget: the budget of the service allows no retry.
+	DeniedBudget Denial = "no retry budget"
+)
+
 // Decision is what follows an attempt.
 type Decision struct {
 	kind       Kind
+	denial     Denial
 	backoff    time.Duration
 	retryAfter time.Duration
 }
@@ -88,6 +104,9 @@
 // Kind returns the kind of the decision.
 func (d Decision) Kind() Kind { return d.kind }
 
+// Denial returns why the decision is no retry.
+func (d Decision) Denial() Denial { return d.denial }
+
 // Backoff returns the delay before the next attempt.
 func (d Decision) Backoff() time.Duration { return d.backoff }
 
--- a/internal/coordination/retry/sequence.go
+++ b/internal/coordination/retry/sequence.go
@@ -46,14 +46,17 @@
 		s.budget.recordFailedRetry()
 	}
 	if s.mayHaveRun && !s.idempotent {
-		return s.finalDecision(o)
+		return s.finalDecision(o, DeniedMayRun)
 	}
 	if s.attempt >= s.budget.maxAttempts {
-		return s.finalDecision(o)
+		return s.finalDecision(o, DeniedAttempts)
 	}
 	backoff := s.budget.nextBackoff(s.attempt)
-	if timeLeft < backoff+s.minTime || !s.budget.takeToken() {
-		return s.finalDecision(o)
+	if timeLeft < backoff+s.minTime {
+		return s.finalDecision(o, DeniedTime)
+	}
+	if !s.budget.takeToken() {
+		return s.finalDecision(o, DeniedBudget)
 	}
 	s.attempt++
 	return Decision{kind: Retry, backoff: backoff}
@@ -61,11 +64,11 @@
 
 // GiveUp returns the final result of a request that gets no further attempt.
 func (s *Sequence) GiveUp(retryAfter time.Duration) Decision {
-	return s.finalDecision(NeverRan(retryAfter))
+	return s.finalDecision(NeverRan(retryAfter), "")
 }
 
-func (s *Sequence) finalDecision(o Outcome) Decision {
-	d := Decision{kind: NotRun, retryAfter: o.retryAfter}
+func (s *Sequence) finalDecision(o Outcome, why Denial) Decision {
+	d := Decision{kind: NotRun, denial: why, retryAfter: o.retryAfter}
 	if s.mayHaveRun {
 		d.kind = Unknown
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 // the attempt.
 func (g *Gateway) interrupted(ctx context.Context, q *request, err error, brokenOff bool) result {
 	if q.limit.reached(ctx) {
-		return result{outcome: placement.Withdrawn, reason: errWithdrawn.Error()}
+		return result{outcome: placement.Withdrawn, reason: errWithdrawn.Error(), cause: err.Error()}
 	}
 	if ctx.Err() != nil {
 		return result{outcome: placement.Cancelled, reason: ctx.Err().Error()}
@@ -249,9 +249,12 @@
 		if batch.err != nil {
 			return g.interrupted(ctx, q, batch.err, false)
 		}
-		if err == io.EOF && (events.partial() || last == 0 && unframed(response) || q.limit.pastEnd()) {
+		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == io.EOF && q.limit.pastEnd() {
+			return g.interrupted(ctx, q, errEndedWithTime, true)
+		}
 		if err == io.EOF && events.resumed && !events.progressed {
 			return g.interrupted(ctx, q, errNoNewEvent, false)
 		}
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -151,6 +151,15 @@
 	return left
 }
 
+// shortened returns the time left with which the attempt was sent, 0 if it is that of the
+// request or if nothing was sent.
+func (l *attemptLimit) shortened(q *request) time.Duration {
+	if l == nil || l.end == 0 {
+		return 0
+	}
+	return l.end - q.sentAt
+}
+
 // pastEnd reports whether the time left of the attempt has ended, or is about to: an endpoint
 // may then end its response in good order before it is complete.
 func (l *attemptLimit) pastEnd() bool {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -372,9 +372,9 @@
 		return // the record of the request's end includes the endpoint
 	}
 	telemetry.FleetAttemptFailed.Log(ctx, g.logger, "request", q.head.ID, "route", q.route.Name(),
-		"endpoint", v.Choice().ID, "reason", r.reason, "executed", !r.notRun, "waited", v.Waited(),
+		"endpoint", v.Choice().ID, "reason", r.reason, "cause", r.cause, "executed", !r.notRun, "waited", v.Waited(),
 		"sent", q.sinceSent(g.now()), "begun", q.sinceBegun(g.now()), "version", q.version, "usable", q.usableAtSend(),
-		"parts", q.head.SharedParts)
+		"timeLeft", q.limit.shortened(q), "parts", q.head.SharedParts)
 }
 
 // usableAtSend returns how long, from the time of the last attempt, requests could still
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -19,10 +19,11 @@
 	errUnmarkedRefusal  = eris.New("response has the status of a refusal, but does not prove that the request did not run")
 	errNotContinuation  = eris.New("response does not continue the stream that has begun")
 
-	errEventTooLong = eris.New("event in a stream exceeds the size limit")
-	errEventOrder   = eris.New("event in a stream has a lower number than the one before")
-	errNotEvent     = eris.New("text in a stream is no event of it")
-	errNoNewEvent   = eris.New("resumed stream ends without a further event")
+	errEventTooLong  = eris.New("event in a stream exceeds the size limit")
+	errEventOrder    = eris.New("event in a stream has a lower number than the one before")
+	errNotEvent      = eris.New("text in a stream is no event of it")
+	errEndedWithTime = eris.New("response ended in good order as its time left did")
+	errNoNewEvent    = eris.New("resumed stream ends without a further event")
 )
 
 // Outcomes of a request, as written to logs and metrics.
@@ -192,9 +193,9 @@
 
 // abort ends a response whose header was already written. The connection is closed so
 // that the caller can't take the response for complete.
-func (a *responseWriter) abort(q *request, reason string) {
+func (a *responseWriter) abort(q *request, reason string, args ...any) {
 	a.aborted = true
-	a.log(q, outcomeAborted, 0, reason, "events", a.events)
+	a.log(q, outcomeAborted, 0, reason, append(args, "events", a.events)...)
 }
 
 // callerGone ends a request whose caller has disconnected.
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -18,6 +18,8 @@
 type result struct {
 	outcome placement.Outcome
 	reason  string
+	// cause is how the response ended where the reason is the limit of the attempt.
+	cause string
 	// notRun is set if it is proven that the endpoint did not start to process the
 	// request.
 	notRun bool
@@ -43,7 +45,8 @@
 	gateway       *Gateway
 	budget        *retry.Budget
 	attempts      *retry.Sequence
-	mayHaveRun    bool // an attempt may have run at an endpoint
+	mayHaveRun    bool         // an attempt may have run at an endpoint
+	denial        retry.Denial // why no further attempt follows
 	errorResponse *bufferedResponse
 }
 
@@ -73,11 +76,11 @@
 		s.timedOut(ctx, q, r, out)
 		return false
 	}
-	if !s.mayRetry(q, r) || !out.resumable(q) {
-		s.finish(out, q, r.reason, s.retryAfter(q, r))
-		return false
+	if s.mayRetry(q, r) && out.resumable(q) {
+		return true
 	}
-	return true
+	s.finish(out, q, r.reason, s.retryAfter(q, r), "denied", s.denial)
+	return false
 }
 
 // mayRetry reports whether the request may be sent once more.
@@ -88,6 +91,7 @@
 		limit++
 	}
 	if len(q.tried) >= limit {
+		s.denial = retry.DeniedAttempts
 		return false
 	}
 	outcome := retry.MayHaveRun()
@@ -98,7 +102,9 @@
 		// Nothing was sent to an endpoint, so this does not count as a retry.
 		return q.remaining(s.gateway.now()) > minAttemptTime && q.attempts < maxAttempts
 	}
-	return s.attempts.Decide(outcome, q.remaining(s.gateway.now())).Kind() == retry.Retry
+	d := s.attempts.Decide(outcome, q.remaining(s.gateway.now()))
+	s.denial = d.Denial()
+	return d.Kind() == retry.Retry
 }
 
 // minTime returns the least time with which the next attempt is of use. While the request
@@ -136,7 +142,7 @@
 func (s *sequence) finish(out *responseWriter, q *request, reason string, retryAfter time.Duration, args ...any) {
 	switch {
 	case out.headerWritten:
-		out.abort(q, reason)
+		out.abort(q, reason, args...)
 	case s.errorResponse != nil:
 		out.forward(q, s.errorResponse)
 	case s.mayHaveRun:
