--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -62,20 +62,23 @@
 type oldEndpoint int
 
 const (
-	waits         oldEndpoint = iota // it does not answer until it is withdrawn
-	refusesAtEnd                     // it refuses the request as not run when its time left ends
-	timesOutAtEnd                    // it answers 504 when its time left ends
-	streamsOn                        // it sends an event every 100 ms until its time left ends
-	endsInOrder                      // it does so and then ends its answer as if it were whole
-	commentsOnly                     // it sends a comment and waits
-	answersSlowly                    // it sends half of an answer, and the rest after the bound
+	waits          oldEndpoint = iota // it does not answer until it is withdrawn
+	refusesAtEnd                      // it refuses the request as not run when its time left ends
+	timesOutAtEnd                     // it answers 504 when its time left ends
+	streamsOn                         // it sends an event every 100 ms until its time left ends
+	endsInOrder                       // it does so and then ends its answer as if it were whole
+	commentsOnly                      // it sends a comment and waits
+	answersSlowly                     // it sends half of an answer, and the rest after the bound
+	wholeBeforeEnd                    // it ends a whole stream shortly before its time left ends
+	wholeAfterEnd                     // it does so shortly after
+	streamsWhole                      // it sends the whole stream within 3 s, or breaks it off when its time left ends
 )
 
-func startLimitFleet(t *testing.T, behaviour oldEndpoint, withNew, setLater bool) *limitFleet {
+func startLimitFleet(t *testing.T, behaviour oldEndpoint, withNew, setLater bool, options ...Option) *limitFleet {
 	t.Helper()
 	f := &limitFleet{arrived: make(chan struct{}, 1)}
 	f.gateway = New(Identity{Name: "entry-1", Region: "riga", FailureDomain: "riga-a", PeerAddress: "10.0.0.1:1"}, limitCodec(),
-		WithRetries(1, 100), WithConfirmation(boottime.Now, time.Minute), WithVersionBound(limitBound, func(TargetVersion) {}))
+		append([]Option{WithRetries(1, 100), WithConfirmation(boottime.Now, time.Minute), WithVersionBound(limitBound, func(TargetVersion) {})}, options...)...)
 	route := func(name string, resumable bool) *fleet.Route {
 		return fleet.NewRoute(name, "h", name, fleet.WithSplits(fleet.NewSplit("s", 1)), fleet.WithMaxAttempts(2),
 			fleet.WithTimes(limitTimeout, 2*time.Second, time.Second), fleet.WithKind(fleet.Streaming), fleet.WithResumable(resumable))
@@ -116,7 +119,10 @@
 		f.old.Add(1)
 		left, _ := strconv.Atoi(r.Header.Get(rawTimeLeft))
 		f.timeLeft.Store(int64(left))
-		f.arrived <- struct{}{}
+		select {
+		case f.arrived <- struct{}{}:
+		default: // a test of several requests does not wait for each
+		}
 		_, _ = io.Copy(io.Discard, r.Body) // the server notices from then on that the caller leaves
 		w.Header().Set(rawID, r.Header.Get(rawID))
 		end := time.After(time.Duration(left) * time.Millisecond)
@@ -128,6 +134,12 @@
 				return
 			}
 			panic(http.ErrAbortHandler)
+		case wholeBeforeEnd, wholeAfterEnd:
+			f.streamWhole(w, r, time.Duration(left)*time.Millisecond+behaviour.afterEnd())
+			return
+		case streamsWhole:
+			f.streamEvents(w, r, end)
+			return
 		case waits:
 			end = nil
 		case commentsOnly:
