A stream that has begun waits for an endpoint instead of being broken off

What callers saw: streams that were broken off in their middle after one attempt, "no endpoint can take it" or "no room is expected in time", some of them with 31 to 50 events delivered: at the bound of a version the entry had ended them on the promise of another endpoint.

Cause: placement refuses at once what no endpoint is expected to take in time, so that the caller may come back. A request whose response has begun can't be refused: the refusal breaks it off, although an endpoint may be there a moment later, as while endpoints load a version one after the other.

Fix: such a request waits until its deadline, or until its caller leaves. The tests pass.

--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -163,10 +163,11 @@
 	for _, q := range []*queue{&p.onTime, &p.late} {
 		*q = slices.DeleteFunc(*q, func(t *Ticket) bool {
 			reason := p.refusalReason(t)
-			if reason != "" {
-				p.refuse(now, t, reason)
+			if reason == "" || t.request.Begun {
+				return false
 			}
-			return reason != ""
+			p.refuse(now, t, reason)
+			return true
 		})
 	}
 }
@@ -175,8 +176,12 @@
 
 // enqueue queues the request as on time if it is expected to be placed early enough to
 // meet its target, else as late if it is expected to be placed before its wait expires.
-// Otherwise it refuses the request.
+// Otherwise it refuses the request, unless its response has begun.
 func (p *Pool) enqueue(now time.Duration, t *Ticket, reason Reason) {
+	if t.request.Begun && !t.request.tooLate(now) {
+		p.onTime.add(t)
+		return
+	}
 	if refusal := p.refusalReason(t); refusal != "" {
 		p.refuse(now, t, refusal)
 		return
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -81,6 +81,9 @@
 	Exclude []string
 	// PlacedBefore marks a request that was placed before. It precedes all others.
 	PlacedBefore bool
+	// Begun marks a request whose response has begun. It can't be refused any more, so that it
+	// waits until its deadline whatever is expected.
+	Begun bool
 }
 
 // Choice is the endpoint that a request is placed on.
--- a/internal/gateway/attemptlimit_test.go
+++ b/internal/gateway/attemptlimit_test.go
@@ -55,6 +55,7 @@
 	leftAt   atomic.Int64 // when the last one was withdrawn, in boottime nanoseconds
 	renewed  atomic.Int64 // attempts at the new one
 	setAt    time.Duration
+	list     []*fleet.Endpoint
 	arrived  chan struct{} // signals an attempt at the old endpoint
 }
 
@@ -91,6 +92,7 @@
 	if withNew {
 		list = append(list, f.endpoint(t, "new", "riga-b", 2, f.serveNew))
 	}
+	f.list = list
 	f.gateway.ApplyEndpoints(list)
 	f.gateway.ApplyConfiguration(nil, map[string]int64{"m": 1})
 	if !setLater {
--- a/internal/gateway/lostends_test.go
+++ b/internal/gateway/lostends_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// A stream ends with the time left that its entry has shortened, at a moment at which no
+// endpoint has the new version, and is broken off.
+func TestStreamIsLostAtItsTimeLeftWithoutEndpoint(t *testing.T) {
+	f := startLimitFleet(t, streamsWhole, true, false)
+	go func() {
+		<-f.arrived
+		f.gateway.ApplyEndpoints(f.list[:1])
+		<-time.After(limitBound + limitTimeout/10) // the stream has ended there by then
+		f.gateway.ApplyEndpoints(f.list)
+	}()
+	status, whole := f.call(t, rawPathStream)
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, whole)
+	require.Less(t, time.Duration(f.timeLeft.Load())*time.Millisecond, limitBound, "the time left was not shortened")
+}
+
 // Streams that end with the time left that their entry has shortened are broken off for want
 // of a retry.
 func TestStreamIsLostAtItsTimeLeftWithoutRetry(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,7 @@
 	answered          bool // the last attempt has the head of an answer
 	sound             bool // the last attempt was recorded as not having crashed its endpoint
 	attempts          int
+	resumed           bool          // the caller has a part of the response
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	version           int64         // version of the weights that the last attempt was sent to, 0 without one
@@ -338,6 +339,7 @@
 		Account:      q.account,
 		Exclude:      q.tried,
 		PlacedBefore: isRetry,
+		Begun:        q.resumed,
 	})
 	for waiting := true; waiting; {
 		select {
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -77,6 +77,7 @@
 		return false
 	}
 	if s.mayRetry(q, r) && out.resumable(q) {
+		q.resumed = out.headerWritten
 		return true
 	}
 	s.finish(out, q, r.reason, s.retryAfter(q, r), "denied", s.denial)
