The time left of a stream is shortened only if a resumption is promised

What callers saw: streams broken off in their middle with "weights of the endpoint may not be used any longer", beside the bound of a version.

Cause: the time left of an attempt is shortened to end with the bound of its weights where the stream can go on at another endpoint. Whether the retry budget pays for that was known only when it had ended: its tokens are for failures, few at a time, and a bound ends several streams at one moment.

Fix: the budget promises a resumption when the attempt is sent; without one, or without an endpoint that has the new version, the time left stays that of the caller, and only the withdrawal of what has not begun keeps the bound.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -124,11 +124,14 @@
 	retryAfter  time.Duration
 	random      func() float64
 
-	mu       sync.Mutex
-	tokens   float64
-	requests uint64
-	retries  uint64
-	denied   uint64
+	mu        sync.Mutex
+	tokens    float64
+	requests  uint64
+	retries   uint64
+	denied    uint64
+	usage     usage
+	allowance allowance
+	promised  int // resumptions
 }
 
 // Option sets an optional property of a Budget.
@@ -179,6 +182,7 @@
 		o(b)
 	}
 	b.tokens = b.reserve
+	b.allowance = allowance{ratio: b.ratio, reserve: b.reserve}
 	return b
 }
 
@@ -212,6 +216,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests++
+	b.usage.slot().requests++
 	b.tokens = min(b.tokens+b.ratio, b.maxTokens)
 	return s
 }
@@ -234,6 +239,7 @@
 	}
 	b.tokens--
 	b.retries++
+	b.usage.slot().retries++
 	return true
 }
 
--- a/internal/coordination/retry/sequence.go
+++ b/internal/coordination/retry/sequence.go
@@ -62,6 +62,26 @@
 	return Decision{kind: Retry, backoff: backoff}
 }
 
+// Resume returns whether another attempt follows one of a stream that this entry ended
+// itself, after a part of it had reached the caller. It is no sign of a failure, and takes no
+// token of the retries.
+func (s *Sequence) Resume(timeLeft time.Duration) Decision {
+	s.mayHaveRun = true
+	o := MayHaveRun()
+	switch {
+	case !s.idempotent:
+		return s.finalDecision(o, DeniedMayRun)
+	case s.attempt >= s.budget.maxAttempts:
+		return s.finalDecision(o, DeniedAttempts)
+	case timeLeft < s.minTime:
+		return s.finalDecision(o, DeniedTime)
+	case !s.budget.takeResumption():
+		return s.finalDecision(o, DeniedBudget)
+	}
+	s.attempt++
+	return Decision{kind: Retry}
+}
+
 // GiveUp returns the final result of a request that gets no further attempt.
 func (s *Sequence) GiveUp(retryAfter time.Duration) Decision {
 	return s.finalDecision(NeverRan(retryAfter), "")
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/coordination/retry"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
 )
 
@@ -25,10 +26,8 @@
 	// not run by then allows any request to be sent again.
 	endMargin = 200 * time.Millisecond
 	// completeFactor is how many mean service times must be left before the bound for an
-	// attempt to count as complete by then. An attempt that can't go on at another endpoint
-	// must not be ended by its bound, so that it needs more.
-	completeFactor      = 2
-	finalCompleteFactor = 4
+	// attempt to count as complete by then, whether or not it can go on at another endpoint.
+	completeFactor = 4
 	// targetInterval is how often the bound is looked up again for an attempt that has not
 	// begun: a newer version may be set, or the time of one corrected, after it was sent.
 	targetInterval = time.Second
@@ -48,8 +47,10 @@
 	candidate placement.Candidate
 	cancel    context.CancelCauseFunc
 	// end is the time by which the attempt has to be complete, 0 if it need only begin in
-	// time.
-	end time.Duration
+	// time. Promised is set if the budget has promised that it may go on at another endpoint.
+	end      time.Duration
+	budget   *retry.Budget
+	promised bool
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -60,35 +61,37 @@
 // limitAttempt returns the limit of an attempt that is sent now. It calls cancel when the
 // attempt must be withdrawn. It must be released when the attempt has ended.
 func (g *Gateway) limitAttempt(q *request, c placement.Choice, cancel context.CancelCauseFunc) *attemptLimit {
-	l := &attemptLimit{gateway: g, service: q.service, candidate: c.Candidate, cancel: cancel}
+	l := &attemptLimit{gateway: g, service: q.service, candidate: c.Candidate, cancel: cancel, budget: q.traffic.budget}
 	if q.service.Engine() == nil || g.targets.bound == 0 {
 		return l
 	}
-	l.end = g.attemptEnd(q)
+	l.shorten(q)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timer = time.AfterFunc(l.next(), l.check)
 	return l
 }
 
-// attemptEnd returns the time by which the last attempt of a request has to be complete, 0 if
-// it may go on beyond the bound of its weights.
-func (g *Gateway) attemptEnd(q *request) time.Duration {
+// shorten sets the end of an attempt that may not go on beyond the bound of its weights: one
+// that is very likely complete by then, or can go on at another endpoint. For the latter there
+// must be an endpoint that has the new version, an attempt left, and a resumption that is not
+// promised to another.
+func (l *attemptLimit) shorten(q *request) {
 	if q.usableUntil == 0 || q.usableUntil >= q.deadline {
-		return 0
+		return
 	}
 	end := q.usableUntil - endMargin
-	left := end - q.sentAt
-	mean := q.traffic.placement.ServiceTime(0)
-	hasRetry := q.route.Resumable() && len(q.tried) < max(q.route.MaxAttempts(), 1)
-	factor := time.Duration(finalCompleteFactor)
-	if hasRetry {
-		factor = completeFactor
+	left, mean := end-q.sentAt, q.traffic.placement.ServiceTime(0)
+	if left >= completeFactor*mean {
+		l.end = end
+		return
 	}
-	if left >= factor*mean || hasRetry && q.traffic.renewed.Load() {
-		return end
+	if !q.route.Resumable() || len(q.tried) >= max(q.route.MaxAttempts(), 1) || !q.traffic.renewed.Load() {
+		return
+	}
+	if l.budget.Promise() {
+		l.end, l.promised = end, true
 	}
-	return 0
 }
 
 // check withdraws the attempt if its limit has passed, and otherwise waits for it. The bound
@@ -140,6 +143,10 @@
 	if l.timer != nil {
 		l.timer.Stop()
 	}
+	if l.promised {
+		l.budget.TakeBack()
+		l.promised = false
+	}
 }
 
 // timeLeft returns the time that the endpoint may take for an attempt of a request.
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -103,7 +103,13 @@
 		// Nothing was sent to an endpoint, so this does not count as a retry.
 		return q.remaining(s.gateway.now()) > minAttemptTime && q.attempts < maxAttempts
 	}
-	d := s.attempts.Decide(outcome, q.remaining(s.gateway.now()))
+	remaining := q.remaining(s.gateway.now())
+	d := retry.Decision{}
+	if r.outcome == placement.Withdrawn && q.begunAt > 0 {
+		d = s.attempts.Resume(remaining)
+	} else {
+		d = s.attempts.Decide(outcome, remaining)
+	}
 	s.denial = d.Denial()
 	return d.Kind() == retry.Retry
 }
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -16,6 +16,9 @@
 	ratioFraction     = 0.75
 	maxTokensFraction = 0.4
 	refillFraction    = 0.35
+	// allowanceFraction is the fraction up to which streams that entries end themselves at
+	// the bound of their weights may go on, retries included.
+	allowanceFraction = 0.9
 	// budgetWindow is the window in which the operators count retries.
 	budgetWindow = 10 * time.Second
 )
@@ -75,14 +78,17 @@
 
 // refill adds to each retry budget this entry's share of the reserve, the retries
 // that all entries together may make without requests that add to the budget.
-func (t *traffic) refill(now time.Duration, reserve float64, entries int) {
+func (t *traffic) refill(now time.Duration, ratio, reserve float64, entries int) {
 	t.mu.Lock()
 	since := min(now-t.refilledAt, time.Second)
 	t.refilledAt = now
 	t.mu.Unlock()
 	own := reserve / float64(max(entries, 1))
 	added := own * refillFraction * since.Seconds() / budgetWindow.Seconds()
-	t.each(func(_ string, s *serviceTraffic) { s.budget.Refill(added, own*maxTokensFraction) })
+	t.each(func(_ string, s *serviceTraffic) {
+		s.budget.Refill(added, own*maxTokensFraction)
+		s.budget.SetAllowance(now, budgetWindow, ratio*allowanceFraction, own*allowanceFraction)
+	})
 }
 
 func (g *Gateway) newBudget() *retry.Budget {
