A whole stream that ends close to its time left is not broken off

Cause: an end in good order within 50 ms before the end of a shortened time left, or after it, counted as cut. The stream was resumed at another endpoint, which had nothing to add, and that counted as a failure.

Fix: an endpoint counts its time left from a later moment than the entry, so that an earlier end is no cut; 5 ms remain for whole milliseconds. What ends in good order later may be cut: it is sought further elsewhere as before, but a second end in good order without an event confirms that it is whole, and where no endpoint can be asked within half a second it counts as whole.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,8 @@
 	g.countLimited(q, c.Candidate)
 	q.limit = g.limitAttempt(q, *c, cancel)
 	defer q.limit.release()
+	q.confirmation = confirm(out, cancel)
+	defer q.confirmation.Stop()
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
@@ -244,6 +246,7 @@
 			out.flush()
 			g.recordProgress(q)
 			out.events += batch.count
+			q.confirmation.Stop()
 			out.recordPosition(batch)
 		}
 		if batch.err != nil {
@@ -252,14 +255,8 @@
 		if err == io.EOF && (events.partial() || last == 0 && unframed(response)) {
 			err = io.ErrUnexpectedEOF
 		}
-		if err == io.EOF && q.limit.pastEnd() {
-			return g.interrupted(ctx, q, errEndedWithTime, true)
-		}
-		if err == io.EOF && events.resumed && !events.progressed {
-			return g.interrupted(ctx, q, errNoNewEvent, false)
-		}
 		if err == io.EOF {
-			return g.endStream(q, response, out)
+			return g.endStream(ctx, q, &events, response, out)
 		}
 		if err != nil {
 			return g.interrupted(ctx, q, err, true)
@@ -290,7 +287,17 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
-func (g *Gateway) endStream(q *request, response *http.Response, out *responseWriter) result {
+// endStream evaluates a stream that its endpoint has ended in good order. Where its time left
+// ended then, another endpoint may have more of it; one that has not confirms that it is
+// whole.
+func (g *Gateway) endStream(ctx context.Context, q *request, events *eventReader, response *http.Response, out *responseWriter) result {
+	if q.limit.pastEnd() {
+		out.recordEnd(response)
+		return g.interrupted(ctx, q, errEndedWithTime, true)
+	}
+	if events.resumed && !events.progressed && !out.mayBeWhole() {
+		return g.interrupted(ctx, q, errNoNewEvent, false)
+	}
 	g.recordStream(q)
 	if !out.headerWritten {
 		out.writeHeader(response.StatusCode, response.Header, -1)
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -32,8 +32,8 @@
 	// begun: a newer version may be set, or the time of one corrected, after it was sent.
 	targetInterval = time.Second
 	// endTolerance is how much sooner than here the end of an attempt may come by the clock
-	// of its endpoint, which gets the time left in whole milliseconds.
-	endTolerance = 50 * time.Millisecond
+	// of its endpoint, which gets the time left in whole milliseconds, and later.
+	endTolerance = 5 * time.Millisecond
 )
 
 // errWithdrawn is the cause of the end of an attempt at its limit.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -55,6 +55,7 @@
 	lastNumber       int64  // its number, or noNumber
 	unnumbered       bool   // the caller has events without a number
 	events           int
+	endedWith        int // events when an endpoint ended the stream in good order as its time left ended, 0 before
 	endpoint         string
 	timeToFirstEvent time.Duration // from the arrival of the request to the first event
 	longestInterval  time.Duration // longest interval between two events
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -148,6 +148,8 @@
 // "not run" if that is proven, or an error that leaves open whether the request ran.
 func (s *sequence) finish(out *responseWriter, q *request, reason string, retryAfter time.Duration, args ...any) {
 	switch {
+	case out.mayBeWhole():
+		out.finish(q)
 	case out.headerWritten:
 		out.abort(q, reason, args...)
 	case s.errorResponse != nil:
@@ -194,6 +196,8 @@
 	switch {
 	case !isTimeout(ctx) && !s.gateway.drain.hasEnded():
 		out.callerGone(q, r.reason)
+	case out.mayBeWhole():
+		out.finish(q)
 	case out.headerWritten:
 		out.abort(q, reason)
 	case s.mayHaveRun:
