An endpoint's error answer is delivered when the retry after it runs out of time

What callers saw: 504 of the entry in place of a whole 500 of an endpoint.

Cause: the answer is kept for the case that no later attempt gets one, but the end of the request's time, or of a planned stop, did not look at it. Found by looking for other ends that drop an answer that is there.

TestErrorAnswerIsLostAtTheDeadline: 504 before, the endpoint's 500 now.

--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -200,6 +200,8 @@
 		out.finish(q)
 	case out.headerWritten:
 		out.abort(q, reason)
+	case s.errorResponse != nil:
+		out.forward(q, s.errorResponse)
 	case s.mayHaveRun:
 		out.fail(q, http.StatusGatewayTimeout, reason)
 	default:
