Waits: requests that were placed a moment ago do not hide the usual wait

Cause, two parts. An endpoint where own requests wait that have not begun counted as one with a known wait, though their age is only the least that the wait can be; they also counted for the usual wait of the others. And an entry forgot the waits at an endpoint as soon as that left the list to load, so that the usual wait was made of such ages alone.

Evidence: a failing run whose placements were written out. Each prompt took 1.8 s. 1.32 s before the time until which requests had to begin, a request was placed at i-engine-2-2: its own requests had waited for 0.654 s, twice of which is less than 1.315 s, while the usual wait of that entry was 1.35 s. No wait of a request that had begun was known to it, six seconds into the traffic: its preferred endpoints had left the list. The request began 0.25 s after the bound.

Fix: only a wait that has ended makes the wait of an endpoint known; elsewhere the larger of the usual wait and the age of the oldest request counts. Ages count for the usual wait only where they are longer than what is usual otherwise.

--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -64,6 +64,7 @@
 	arrivedAt        time.Duration // last submitted request
 	use              accountUse    // of permits
 	permitsWanted    func()
+	unlistedWaits    unlistedWaits
 }
 
 // Option sets a property of a Pool.
@@ -88,7 +89,7 @@
 
 // New returns a Pool without endpoints.
 func New(options ...Option) *Pool {
-	p := &Pool{random: rand.Float64, uncontendedShare: 1, endpoints: make(map[string]*endpoint), use: newAccountUse()}
+	p := &Pool{random: rand.Float64, uncontendedShare: 1, endpoints: make(map[string]*endpoint), unlistedWaits: make(unlistedWaits), use: newAccountUse()}
 	for _, o := range options {
 		o(p)
 	}
@@ -122,7 +123,7 @@
 		listed[c.ID] = true
 		e := p.endpoints[c.ID]
 		if e == nil {
-			e = &endpoint{}
+			e = &endpoint{waits: p.unlistedWaits.take(c.ID)}
 			p.endpoints[c.ID] = e
 		}
 		if e.Candidate.Address != c.Address || e.Version != c.Version {
@@ -137,8 +138,10 @@
 		p.listed = append(p.listed, e)
 	}
 	p.shuffle()
+	p.unlistedWaits.expire(now)
 	for id, e := range p.endpoints {
 		if !listed[id] && e.ownLoad.InFlight == 0 {
+			p.unlistedWaits.add(now, e)
 			delete(p.endpoints, id)
 		}
 	}
--- a/internal/coordination/placement/waits.go
+++ b/internal/coordination/placement/waits.go
@@ -71,37 +71,86 @@
 	return longest
 }
 
-// known reports whether any wait is known of.
-func (w *waits) known(now time.Duration) bool {
-	return len(w.placed) > 0 || w.lastAt > 0 && now-w.lastAt < waitMemory
+// known reports whether a wait of a request that has begun or ended is known. Those that have
+// not begun yet show only the least that the wait can be.
+func (w *waits) known(now time.Duration) bool { return w.lastAt > 0 && now-w.lastAt < waitMemory }
+
+// unlistedWaits holds, by ID, the waits that are known of endpoints that have left the list:
+// those that load a version of the weights return to it, and show what is usual meanwhile.
+type unlistedWaits map[string]waits
+
+// add keeps the waits at an endpoint that has left the list, if any are known.
+func (u unlistedWaits) add(now time.Duration, e *endpoint) {
+	if e.waits.known(now) {
+		u[e.ID] = e.waits
+	}
+}
+
+// take removes and returns the waits at an endpoint that is listed again.
+func (u unlistedWaits) take(id string) waits {
+	w := u[id]
+	delete(u, id)
+	return w
+}
+
+// expire removes the waits that are long ago.
+func (u unlistedWaits) expire(now time.Duration) {
+	for id, w := range u {
+		if !w.known(now) {
+			delete(u, id)
+		}
+	}
 }
 
-// usualWait returns the median of the longest waits at the endpoints where some are known, 0
-// if there are none.
+// usualWait returns the median of the longest waits at the endpoints, 0 if none is known of.
+// Where no request has begun, the time for which the oldest one has been waiting counts if it
+// is longer than is usual at the others, since a shorter one says nothing yet.
 func (p *Pool) usualWait(now time.Duration) time.Duration {
+	known := p.knownWaits(now)
+	least := max(median(known), minEndedWait)
+	for _, e := range p.endpoints {
+		if wait := e.waits.longest(now); !e.waits.known(now) && wait >= least {
+			known = append(known, wait)
+		}
+	}
+	return median(known)
+}
+
+// knownWaits returns the longest wait of each endpoint where one is known.
+func (p *Pool) knownWaits(now time.Duration) []time.Duration {
 	var known []time.Duration
-	for _, e := range p.listed {
+	for _, e := range p.endpoints {
 		if e.waits.known(now) {
 			known = append(known, e.waits.longest(now))
 		}
 	}
-	if len(known) == 0 {
+	for _, w := range p.unlistedWaits {
+		if w.known(now) {
+			known = append(known, w.longest(now))
+		}
+	}
+	return known
+}
+
+// median returns the median, the upper one of two, 0 if there are no values. It sorts them.
+func median(values []time.Duration) time.Duration {
+	if len(values) == 0 {
 		return 0
 	}
-	slices.Sort(known)
-	return known[len(known)/2]
+	slices.Sort(values)
+	return values[len(values)/2]
 }
 
 // beginsInTime reports whether a request with the given predicted time to the first event
-// very likely begins at the endpoint while that is allowed. Where no wait is known of, it is
-// taken for the usual one.
+// very likely begins at the endpoint while that is allowed. Where no wait is known, it is
+// taken for the usual one, or for that of the oldest request there if it is longer.
 func (p *Pool) beginsInTime(now time.Duration, e *endpoint, delay time.Duration) bool {
 	if e.BeginBefore == 0 {
 		return true
 	}
 	wait := e.waits.longest(now)
 	if !e.waits.known(now) {
-		wait = p.usualWait(now)
+		wait = max(wait, p.usualWait(now))
 	}
 	return now+waitFactor*max(delay, wait) < e.BeginBefore
 }
--- a/internal/coordination/placement/waits_test.go
+++ b/internal/coordination/placement/waits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -140,3 +141,67 @@
 		}
 	}
 }
+
+// Requests that were placed a moment ago say nothing of how long their endpoints let them
+// wait, neither there nor of the usual wait, and the wait at an endpoint that has left the
+// list since, as for a load, is still known.
+func TestWaitIsNotShortenedByRequestsPlacedJustNow(t *testing.T) {
+	const ms = time.Millisecond
+	slow := []time.Duration{1800 * ms}
+	for _, test := range []struct {
+		name   string
+		ended  []time.Duration // waits of the last requests at other endpoints
+		left   bool            // whether those endpoints have left the list since
+		fresh  int             // further endpoints with a request placed a moment ago
+		age    time.Duration   // of a request at the endpoint, 0 for none
+		placed bool
+	}{
+		{"one was placed there a moment ago", slow, false, 0, 100 * ms, false},
+		{"one was placed at each of the others a moment ago", slow, false, 3, 0, false},
+		{"the slow endpoint has left the list", slow, true, 0, 0, false},
+		{"the slow endpoint has left and one was placed a moment ago", slow, true, 2, 100 * ms, false},
+		{"one waits there for less than is usual", slow, false, 0, 600 * ms, false},
+		{"others are fast", []time.Duration{20 * ms}, false, 1, 100 * ms, true},
+		{"one waits there, others are fast", []time.Duration{20 * ms}, false, 1, 800 * ms, false},
+		{"nothing is known", nil, false, 2, 100 * ms, true},
+	} {
+		now := 100 * time.Second
+		p := New(WithRandom(func() float64 { return 0 }))
+		request := Request{Deadline: now + time.Minute}
+		var others []Candidate
+		for i, wait := range test.ended {
+			others = append(others, Candidate{ID: string(rune('a' + i)), Slots: 1, Preferred: true})
+			p.SetEndpoints(now-5*time.Second, others[i:])
+			d := <-p.Submit(now-4*time.Second, request).Decision()
+			c := d.Choice()
+			p.RecordFirstEvent(now-4*time.Second+wait, &c)
+			p.Release(now-2*time.Second, c, Succeeded)
+		}
+		if test.left {
+			others = nil
+			p.SetEndpoints(now-time.Second, nil)
+		}
+		for i := range test.fresh {
+			c := Candidate{ID: string(rune('n' + i)), Slots: 1, Preferred: true}
+			p.SetEndpoints(now-50*ms, []Candidate{c})
+			require.True(t, (<-p.Submit(now-50*ms, request).Decision()).Placed(), test.name)
+			others = append(others, c)
+		}
+		unknown := Candidate{ID: "unknown", Slots: 2, Preferred: true}
+		if test.age > 0 {
+			p.SetEndpoints(now-test.age, []Candidate{unknown})
+			require.True(t, (<-p.Submit(now-test.age, request).Decision()).Placed(), test.name)
+		}
+		for i := range others {
+			others[i].Slots = 0
+		}
+		unknown.BeginBefore = now + 1500*ms
+		p.SetEndpoints(now, append(others, unknown))
+		select {
+		case d := <-p.Submit(now, request).Decision():
+			assert.Equal(t, test.placed, d.Placed(), test.name)
+		default:
+			assert.False(t, test.placed, "%s: waits", test.name)
+		}
+	}
+}
