Connections: the limit of an endpoint holds over all entries

What callers saw: nothing in a report yet. With more entries than half of the connections that an endpoint accepts, the endpoint resets connections that entries count on; the request goes elsewhere or is refused.

Cause: each entry gave itself 0.9 of the limit divided by all entries, but two at least, so that the sum grew with the entries. And an entry that starts knows few of the others: its share was far too large for seconds.

Fix: where there are fewer than two connections for each entry, only as many entries use the endpoint as can have two. All compute the same order: the first entries of each failure domain, in the order in which callers are directed to them, then the next, by rendezvous hash among equals. The others leave the endpoint out of placement, so that no request waits for a connection that its entry can't have. Summaries carry the number of entries that the sender has heard of; for a minute after its start an entry uses the largest number it is told, and takes its rank among those that it has heard of for that among all. Cores are compared in the precision of the summaries, so that all entries compute the same order.

--- /dev/null
+++ b/internal/coordination/placement/connections_test.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleetOf returns entries of three failure domains.
+func fleetOf(n int) []Entry {
+	var list []Entry
+	for i := range n {
+		list = append(list, Entry{Address: fmt.Sprintf("10.%d.0.%03d:1", i%3, i), Domain: fmt.Sprint(i % 3), Cores: float64(1 + i%2)})
+	}
+	return list
+}
+
+// sharesOf returns the shares of one of the entries, which knows all others.
+func sharesOf(list []Entry, i int) *ConnectionShares {
+	others := slices.Delete(slices.Clone(list), i, i+1)
+	return NewConnectionShares(list[i], func() []Entry { return others }, len(list))
+}
+
+// The shares of all entries come to no more than an endpoint accepts, whatever their number,
+// and to most of it.
+func TestConnectionSharesSum(t *testing.T) {
+	for _, entries := range []int{1, 8, 21, 22, 30, 100, 148, 300} {
+		list := fleetOf(entries)
+		for _, accepted := range []int{1, 2, 3, 5, 10, 48, 49, 274, 1932} {
+			for _, endpoint := range []string{"i-1", "i-2"} {
+				sum := 0
+				for i := range list {
+					sum += sharesOf(list, i).Of(endpoint, accepted)
+				}
+				budget := max(accepted*9/10, 1)
+				require.LessOrEqual(t, sum, budget, "%d entries, %d connections", entries, accepted)
+				require.GreaterOrEqual(t, sum, min(budget/2+1, budget), "%d entries, %d connections", entries, accepted)
+			}
+		}
+	}
+}
+
+// Where there are two connections for each entry, each gets the same number.
+func TestConnectionSharesOfSmallSites(t *testing.T) {
+	for _, test := range []struct {
+		entries, accepted, want int
+	}{
+		{8, 274, 30},
+		{8, 49, 5},
+		{8, 110, 12},
+		{21, 48, 2},
+		{148, 1932, 11},
+		{1, 1, 1},
+	} {
+		list := fleetOf(test.entries)
+		for i := range list {
+			require.Equal(t, test.want, sharesOf(list, i).Of("i-1", test.accepted), "%d entries, %d connections", test.entries, test.accepted)
+		}
+	}
+}
+
+// The entries that callers are directed to have connections first, and different ones of the
+// next have those to different endpoints.
+func TestConnectionSharesOfSelectedEntries(t *testing.T) {
+	const entries, accepted, endpoints = 100, 48, 200
+	list := fleetOf(entries)
+	held := make(map[int]int) // endpoints by position in the failure domain
+	for i := range list {
+		s := sharesOf(list, i)
+		for n := range endpoints {
+			if s.Of(fmt.Sprintf("i-%d", n), accepted) > 0 {
+				held[s.order.self.position]++
+			}
+		}
+	}
+	for position := range 7 {
+		require.Equal(t, 3*endpoints, held[position], "position %d of three failure domains", position)
+	}
+	require.Zero(t, held[7])
+	s := sharesOf(list, slices.IndexFunc(list, func(e Entry) bool { return e.Cores == 2 }))
+	few := 0
+	for n := range endpoints {
+		if s.Of(fmt.Sprintf("i-%d", n), 2) > 0 {
+			few++
+		}
+	}
+	require.InDelta(t, endpoints/3, few, endpoints/10, "one of three entries at the same position")
+}
+
+// An entry that has heard of few of the others takes its rank among them for that among all,
+// and uses nothing that it may not share in by that.
+func TestConnectionSharesOfUnknownEntries(t *testing.T) {
+	const accepted = 48
+	list := fleetOf(100)
+	sum := 0
+	for i := range list {
+		others := slices.Delete(slices.Clone(list), i, i+1)
+		known := append(slices.Clone(others[:i/2]), others[i/2+50:]...)
+		sum += NewConnectionShares(list[i], func() []Entry { return known }, len(list)).Of("i-1", accepted)
+	}
+	require.LessOrEqual(t, sum, accepted)
+	alone := NewConnectionShares(list[0], func() []Entry { return nil }, len(list))
+	require.Zero(t, alone.Of("i-1", accepted), "it knows nobody")
+}
--- a/internal/coordination/placement/selection.go
+++ b/internal/coordination/placement/selection.go
@@ -53,14 +53,17 @@
 // concurrently.
 func NewEntrySelection(entries []Entry, slots int) EntrySelection {
 	r := EntrySelection{entries: slices.Clone(entries)}
-	slices.SortFunc(r.entries, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
-	})
+	slices.SortFunc(r.entries, compareEntries)
 	wanted := max(minEntries, (slots+slotsPerEntry-1)/slotsPerEntry)
 	r.selected = min(max(wanted, r.entriesForRate()), len(r.entries))
 	return r
 }
 
+// compareEntries orders the entries of a failure domain: those with the most cores first.
+func compareEntries(a, b Entry) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Address, b.Address))
+}
+
 // entriesForRate returns how many entries, those with the most cores first, have enough
 // processor time for the requests of all entries.
 func (r EntrySelection) entriesForRate() int {
--- a/internal/gateway/addresses.go
+++ b/internal/gateway/addresses.go
@@ -68,7 +68,7 @@
 		Address:       g.self.PeerAddress,
 		CallerAddress: g.self.CallerAddress,
 		Domain:        g.self.FailureDomain,
-		Cores:         g.self.Cores,
+		Cores:         float64(milliCores(g.self)) / 1000,
 		Rate:          g.rate.value(),
 		InFlight:      int(g.active.Load()),
 	}
--- /dev/null
+++ b/internal/gateway/connections.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/primrosetally/primrosetally/internal/coordination/placement"
+	"github.com/primrosetally/primrosetally/internal/state/fleet"
+)
+
+const (
+	// entriesToldTime is the time after its start in which an entry uses the numbers of
+	// entries that others have heard of. Later it has heard of all by itself.
+	entriesToldTime = 60 * time.Second
+	// maxEntries bounds the number of entries that a peer reports.
+	maxEntries = 1 << 12
+)
+
+// connectionShares returns the shares of the connections that endpoints accept.
+func (g *Gateway) connectionShares(now time.Duration) *placement.ConnectionShares {
+	count := g.peers.entries(now)
+	if now-g.started < entriesToldTime {
+		count = max(count, g.peers.entriesTold())
+	}
+	return placement.NewConnectionShares(g.selfEntry(), g.peers.heard, count)
+}
+
+// connectionShare returns how many connections this entry may have to an endpoint of a
+// service that bounds them.
+func connectionShare(id string, s *fleet.Service, shares *placement.ConnectionShares) int {
+	return min(shares.Of(id, s.MaxConnections()), maxConnections)
+}
+
+// limitConnections bounds the requests in flight at a candidate to its connections for this
+// entry, and reports whether there are any.
+func limitConnections(c *placement.Candidate, s *fleet.Service, shares *placement.ConnectionShares) bool {
+	if s.MaxConnections() == 0 {
+		return true
+	}
+	c.MaxInFlight = connectionShare(c.ID, s, shares)
+	return c.MaxInFlight > 0
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -195,6 +195,30 @@
 	return n
 }
 
+// entriesTold returns the largest number of entries that a peer has reported.
+func (p *peers) entriesTold() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, q := range p.known {
+		n = max(n, int(min(q.summary.GetEntries(), maxEntries)))
+	}
+	return n
+}
+
+// heard returns the peers that were heard of in the last forgetAfter.
+func (p *peers) heard() []placement.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []placement.Entry
+	for address, q := range p.known {
+		if q.summary != nil {
+			list = append(list, q.entry(address))
+		}
+	}
+	return list
+}
+
 // live returns the addresses of the live peers.
 func (p *peers) live(now time.Duration) []string {
 	p.mu.Lock()
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -121,6 +121,7 @@
 		return
 	}
 	now := g.now()
+	shares := g.connectionShares(now)
 	candidates := make(map[string][]placement.Candidate)
 	for _, e := range v.endpoints {
 		s := v.configuration.Services()[e.Service()]
@@ -128,7 +129,7 @@
 			continue
 		}
 		c, usable := g.candidate(s, e, now)
-		if usable {
+		if usable && limitConnections(&c, s, shares) {
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
 	}
@@ -193,9 +194,6 @@
 	if limit := g.rateLimits.limits.Limit(quotaEndpoint(c)); limit.Limited() {
 		c.Limited, c.RateLimit = true, limit.PerSecond()
 	}
-	if s.MaxConnections() > 0 {
-		c.MaxInFlight = min(max(s.MaxConnections()*9/10/g.peers.entries(now), 2), maxConnections)
-	}
 	if s.Engine() == nil {
 		return c, true
 	}
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -106,9 +106,10 @@
 		EndpointsContent:     endpoints.Content,
 		OperatorCopy:         copyMessage(operator),
 		EndpointsCopy:        copyMessage(endpoints),
-		MilliCores:           uint32(g.self.Cores * 1000),
+		MilliCores:           milliCores(g.self),
 		RequestRate:          uint32(math.Round(g.rate.value())),
 		Active:               uint32(max(g.active.Load(), 0)),
+		Entries:              uint32(g.peers.entries(now)),
 	}
 	if confirmedAt > 0 {
 		// A confirmation that is newer than now is dated at now, which is a lower
@@ -128,6 +129,10 @@
 	return m
 }
 
+// milliCores returns the cores of an entry in the precision in which others know them, so
+// that all entries put themselves and each other in the same order.
+func milliCores(i Identity) uint32 { return uint32(i.Cores * 1000) }
+
 func copyMessage(s watch.State) *nodev1.TableCopy {
 	return &nodev1.TableCopy{Era: s.Era, Version: s.Version, Digest: s.Digest}
 }
