Connections: idle ones count for the share of an entry

An endpoint that accepts few connections resets those beyond its limit.

Cause: an entry bounded its requests in flight by its share, but the pool of connections had one limit for all endpoints (24). A request that may not use an idle connection, because it is too old for a repeatable one, or was used before, opened another beside it.

Fix: placement gives the pool the share of each endpoint. Before a new connection beyond it the oldest idle one is closed; idle ones beyond a share that has become smaller are closed at once. A probe may be one beyond the share, since it has to tell whether the endpoint is there, and is then not kept. It counts for no share while it connects, so that it takes no connection from a request.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -5,6 +5,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
+	"github.com/primrosetally/primrosetally/internal/transport/endpoints"
 )
 
 const (
@@ -39,3 +40,15 @@
 	c.MaxInFlight = connectionShare(c.ID, s, shares)
 	return c.MaxInFlight > 0
 }
+
+// connectionLimits returns the limits of the connections to all endpoints, idle ones
+// included.
+func connectionLimits(v *snapshot, shares *placement.ConnectionShares) endpoints.Limits {
+	limits := make(endpoints.Limits)
+	for _, e := range v.endpoints {
+		if s := v.configuration.Services()[e.Service()]; s != nil && s.MaxConnections() > 0 {
+			limits[e.Address()] = max(limits[e.Address()], connectionShare(e.ID(), s, shares))
+		}
+	}
+	return limits
+}
--- a/internal/gateway/connections_test.go
+++ b/internal/gateway/connections_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/coordination/placement"
 	"github.com/primrosetally/primrosetally/internal/state/fleet"
+	"github.com/primrosetally/primrosetally/internal/transport/endpoints"
 )
 
 // acceptedConnections is how many connections an endpoint accepts in these tests.
@@ -93,3 +95,25 @@
 	require.GreaterOrEqual(t, placed, 21, "as many have two connections to an endpoint")
 	require.Equal(t, entries, placed+refused)
 }
+
+// Connections that are idle, or too old for a request, count for the share of an entry as
+// well.
+func TestIdleConnectionsAreWithinShare(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	g := newGateway(&clock{at: 10 * time.Second})
+	service := fleet.NewService("s", fleet.WithMaxConnections(4))
+	g.ApplyConfiguration(fleet.NewConfiguration(1, fleet.WithServices(service)), nil)
+	g.ApplyEndpoints([]*fleet.Endpoint{fleet.NewEndpoint("e", "s", l.Addr().String())})
+	opened := 0
+	for ; opened <= acceptedConnections; opened++ {
+		x, err := g.pool.Begin(t.Context(), l.Addr().String(), endpoints.NewConnection)
+		if err != nil {
+			require.ErrorIs(t, err, endpoints.ErrNoConnection)
+			break
+		}
+		defer x.End()
+	}
+	require.Equal(t, 3, opened)
+}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -122,6 +122,7 @@
 	}
 	now := g.now()
 	shares := g.connectionShares(now)
+	g.pool.SetLimits(connectionLimits(v, shares))
 	candidates := make(map[string][]placement.Candidate)
 	for _, e := range v.endpoints {
 		s := v.configuration.Services()[e.Service()]
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -69,11 +69,16 @@
 	limit int
 	now   func() time.Time
 
-	mu    sync.Mutex
-	hosts map[string]*host
-	dials int64
+	mu     sync.Mutex
+	hosts  map[string]*host
+	limits Limits
+	dials  int64
 }
 
+// Limits holds, by address, the largest numbers of connections to endpoints where they are
+// lower than the limit of the pool.
+type Limits map[string]int
+
 type host struct {
 	idle []*conn // newest last
 	open int
@@ -107,6 +112,25 @@
 	return p
 }
 
+// SetLimits replaces the limits of single endpoints. Idle connections beyond a limit are
+// closed; those in use count until their exchanges end. The pool keeps the argument.
+func (p *Pool) SetLimits(limits Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits = limits
+	for address, h := range p.hosts {
+		h.dropBeyond(p.limitOf(address))
+	}
+}
+
+// limitOf returns the largest number of connections to an endpoint.
+func (p *Pool) limitOf(address string) int {
+	if n, limited := p.limits[address]; limited {
+		return min(n, p.limit)
+	}
+	return p.limit
+}
+
 // Dials returns how many connections were opened.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
@@ -139,18 +163,25 @@
 	return &Exchange{pool: p, address: address, conn: c}, nil
 }
 
-// Probe opens a connection to an endpoint, which is kept for an exchange, and returns why it
-// can't. The error wraps ErrRefused where nothing listens.
+// Probe opens a connection to an endpoint and returns why it can't. The error wraps
+// ErrRefused where nothing listens. The connection may be one beyond the limit, and is kept
+// for an exchange if it is not.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	c, err := connect(ctx, address)
 	if err != nil {
 		return err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.since = p.now()
 	h := p.host(address)
+	if h.open >= p.limitOf(address) {
+		c.net.Close()
+		return nil
+	}
+	c.since = p.now()
 	h.idle = append(h.idle, c)
+	h.open++
+	p.dials++
 	return nil
 }
 
@@ -159,6 +190,14 @@
 	if !p.reserve(address) {
 		return nil, eris.Wrap(ErrNoConnection, address)
 	}
+	c, err := connect(ctx, address)
+	if err != nil {
+		p.unreserve(address)
+	}
+	return c, err
+}
+
+func connect(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: tcp.UserTimeout(userTimeout), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3,
 	}}
@@ -166,7 +205,6 @@
 	if err == nil {
 		return newConn(n), nil
 	}
-	p.unreserve(address)
 	if errors.Is(err, unix.ECONNREFUSED) {
 		return nil, errors.Join(ErrRefused, eris.Wrapf(ErrNotSent, "connect: %v", err))
 	}
@@ -185,14 +223,12 @@
 func (p *Pool) reserve(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.host(address)
-	if h.open >= p.limit && len(h.idle) == 0 {
+	h, limit := p.host(address), p.limitOf(address)
+	// The caller wants a newer connection than any that is idle.
+	h.dropBeyond(limit - 1)
+	if h.open >= limit {
 		return false
 	}
-	if h.open >= p.limit {
-		// The caller wants a newer connection than any that is idle.
-		h.drop(0)
-	}
 	h.open++
 	p.dials++
 	return true
@@ -204,6 +240,13 @@
 	p.host(address).open--
 }
 
+// dropBeyond closes idle connections, the oldest first, while there are more than n.
+func (h *host) dropBeyond(n int) {
+	for h.open > n && len(h.idle) > 0 {
+		h.drop(0)
+	}
+}
+
 func (h *host) drop(i int) {
 	h.idle[i].net.Close()
 	h.idle = append(h.idle[:i], h.idle[i+1:]...)
@@ -456,6 +499,7 @@
 	}
 	c.since = x.pool.now()
 	h.idle = append(h.idle, c)
+	h.dropBeyond(x.pool.limitOf(x.address))
 }
 
 func (x *Exchange) reusable() bool {
--- a/internal/transport/endpoints/endpoints_test.go
+++ b/internal/transport/endpoints/endpoints_test.go
@@ -163,6 +163,39 @@
 	require.Equal(t, int64(2), p.Dials())
 }
 
+// Connections to an endpoint with a lower limit than others stay within it, those that are
+// idle and those that were open before included.
+func TestLimitOfEndpoint(t *testing.T) {
+	p := NewPool(WithLimit(3))
+	address := serve(t, answers())
+	var open []*Exchange
+	for range 3 {
+		x, err := p.Begin(t.Context(), address, time.Second)
+		require.NoError(t, err)
+		open = append(open, x)
+	}
+	p.SetLimits(Limits{address: 1})
+	_, err := p.Begin(t.Context(), address, time.Second)
+	require.ErrorIs(t, err, ErrNoConnection)
+	open[0].End()
+	open[1].End()
+	require.Equal(t, 1, p.host(address).open)
+	require.NoError(t, p.Probe(t.Context(), address))
+	require.Equal(t, 1, p.host(address).open)
+	require.Empty(t, p.host(address).idle, "a probe beyond the limit is not kept")
+	open[2].End()
+	require.NoError(t, p.Probe(t.Context(), address))
+	require.Len(t, p.host(address).idle, 1, "a probe within the limit is kept")
+	p.SetLimits(Limits{address: 0})
+	require.Zero(t, p.host(address).open)
+	_, err = p.Begin(t.Context(), address, time.Second)
+	require.ErrorIs(t, err, ErrNoConnection)
+	require.NoError(t, p.Probe(t.Context(), address))
+	p.SetLimits(nil)
+	_, err = p.Begin(t.Context(), address, time.Second)
+	require.NoError(t, err)
+}
+
 // The end of the context closes the connection, at whatever moment it comes.
 func TestCancel(t *testing.T) {
 	p := NewPool()
