A revoked or unconfirmed key no longer ends requests that have begun

What callers saw: a stream whose endpoint broke it off after its key was revoked, or while the configuration was not confirmed, was broken off in the middle of the response. An idempotent request whose first attempt may have run got a 502.

Cause: the key was checked again before every attempt. The bound on revoked keys counts from when the caller sent the request. The first attempt was checked against a confirmation recent enough (the age read before the configuration), so whatever was sent in it had been sent in time, and its later attempts are the same request.

Fix: keyReason is the one check of the key before an attempt, for requests that have not run. One that may have run goes on. One that provably did not run and whose key is gone is rejected with 401 whether or not an endpoint was asked, instead of 503.

--- a/internal/gateway/backpressure.go
+++ b/internal/gateway/backpressure.go
@@ -38,7 +38,8 @@
 	reasonBackpressure    = "endpoint has signaled backpressure since the placement"
 	reasonOutdatedWeights = "weights of the endpoint are too old by now"
 	reasonRateLimited     = "endpoint has a rate limit and the request has no valid permit"
-	reasonUnconfirmed     = "confirmation of the configuration has expired"
+	reasonUnconfirmed     = "configuration is not confirmed"
+	reasonRevoked         = "key was revoked"
 	reasonTooLate         = "too little time is left for a response"
 	reasonQuarantined     = "endpoints have crashed under such requests"
 )
@@ -64,17 +65,5 @@
 	if g.suspicion(q).Kind() == suspects.Quarantined {
 		return reasonQuarantined
 	}
-	if q.account == "" {
-		return ""
-	}
-	// The age is read before the configuration. In the other order, the confirmation
-	// of a newer configuration that arrives between the two reads would be applied to
-	// a key of the older one.
-	if _, fresh := g.fresh(); !fresh {
-		return reasonUnconfirmed
-	}
-	if _, known := g.snapshot.Load().configuration.Account(q.head.Key); !known {
-		return reasonUnconfirmed
-	}
-	return ""
+	return g.keyReason(q)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,7 @@
 	answered          bool // the last attempt has the head of an answer
 	sound             bool // the last attempt was recorded as not having crashed its endpoint
 	attempts          int
+	mayHaveRun        bool          // an attempt may have run at an endpoint
 	sentAt            time.Duration // time of the last attempt
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	version           int64         // version of the weights that the last attempt was sent to, 0 without one
@@ -216,7 +217,7 @@
 	}
 	age, fresh := g.fresh()
 	if !fresh {
-		out.refuse(q.head.ID, http.StatusServiceUnavailable, "configuration is not confirmed", unavailableRetryAfter, "age", age)
+		out.refuse(q.head.ID, http.StatusServiceUnavailable, reasonUnconfirmed, unavailableRetryAfter, "age", age)
 	}
 	return fresh
 }
@@ -273,6 +274,7 @@
 			return
 		}
 		q.minTime = sequence.minTime(q)
+		q.mayHaveRun = sequence.mayHaveRun
 		placementCtx, cancel := g.placementContext(ctx, q, out)
 		v, placed := g.awaitPlacement(placementCtx, q, changed)
 		cancel()
@@ -299,26 +301,43 @@
 }
 
 // recheckKey checks the key again just before a request is sent: the request may have
-// waited, and the machine may have been suspended.
+// waited, and the machine may have been suspended. If the key may not be used any longer, it
+// writes the final response.
 func (g *Gateway) recheckKey(q *request, c placement.Choice, sequence *sequence, out *responseWriter) bool {
-	if q.account == "" {
-		return true
-	}
-	age, fresh := g.fresh()
-	current := g.snapshot.Load().configuration
-	_, known := current.Account(q.head.Key)
-	if fresh && known {
+	reason := g.keyReason(q)
+	if reason == "" {
 		return true
 	}
 	q.traffic.placement.Release(g.now(), c, placement.Cancelled)
-	if !known && len(q.tried) == 0 {
-		out.reject(q.head.ID, http.StatusUnauthorized, "key was revoked")
+	if reason == reasonRevoked {
+		out.reject(q.head.ID, http.StatusUnauthorized, reason)
 		return false
 	}
-	sequence.finish(out, q, "configuration is not confirmed", unavailableRetryAfter, "age", age)
+	age, _ := g.fresh()
+	sequence.finish(out, q, reason, unavailableRetryAfter, "age", age)
 	return false
 }
 
+// keyReason returns why a request must not be sent with its key, or an empty string if it
+// may. One that may have run was sent while its key was valid, which holds for its further
+// attempts too: a revocation applies to the requests that callers send after it.
+func (g *Gateway) keyReason(q *request) string {
+	if q.account == "" || q.mayHaveRun {
+		return ""
+	}
+	// The age is read before the configuration. In the other order, the confirmation
+	// of a newer configuration that arrives between the two reads would be applied to
+	// a key of the older one.
+	_, fresh := g.fresh()
+	if _, known := g.snapshot.Load().configuration.Account(q.head.Key); !known {
+		return reasonRevoked
+	}
+	if !fresh {
+		return reasonUnconfirmed
+	}
+	return ""
+}
+
 // awaitPlacement requests an endpoint and waits for the decision, or until the caller
 // disconnects or the request is in quarantine. Changed is closed when there is another
 // quarantine.
