Requests of a dropped service follow its endpoints until they have ended

What callers saw: after a change that drops or renames a service, a request that waited for it was sent to an endpoint that had begun to drain, or had left the list, since the change; a broken stream of it was resumed there, and not at an endpoint that had started since. A request that no endpoint would take waited to its limit.

Cause: updatePlacement visited the services of the new configuration only, and the rows of endpoints of other services counted as malformed, so that placement kept the endpoints, their limits and their holds as of the change.

Fix: a configuration retains a service that the operators dropped until a later change finds no request of it in progress, and at least until the next one. Its rows are decoded and its endpoints placed as before; no route leads to it. Waiting requests of it that no endpoint will take are refused at once. What is not retained any more has no endpoints.

--- a/internal/coordination/placement/hold.go
+++ b/internal/coordination/placement/hold.go
@@ -13,6 +13,13 @@
 	p.refuseUnplaceable(now)
 }
 
+// RefuseUnplaceable refuses the waiting requests that no endpoint will take in time.
+func (p *Pool) RefuseUnplaceable(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuseUnplaceable(now)
+}
+
 // HoldRemaining returns the time until the first hold ends if all endpoints are held,
 // else 0.
 func (p *Pool) HoldRemaining(now time.Duration) time.Duration {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -101,6 +101,7 @@
 	remaining := q.remaining(g.now())
 	ctx, cancel := g.drain.requestContext(r.Context(), remaining)
 	defer cancel()
+	defer q.traffic.requests.Add(-1)
 	complete := false
 	defer func() { // also after a panic
 		if !complete {
@@ -154,9 +155,11 @@
 		return nil
 	}
 	q.traffic = g.trafficOf(q.service.Name())
+	q.traffic.requests.Add(1)
 	q.setDeadline()
 	g.drain.shorten(q)
 	if !g.readBody(q, v.configuration.Limits(), out, r) {
+		q.traffic.requests.Add(-1)
 		return nil
 	}
 	q.fingerprint = fingerprint(q.account, q.method, q.target, q.body)
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -40,7 +40,7 @@
 	old := g.snapshot.Load()
 	next := *old
 	if c != nil && c.Version() > old.version() {
-		next.configuration = c
+		next.configuration = c.Retaining(g.droppedServices(old.configuration, c)...)
 		telemetry.FleetConfigurationInForce.Log(context.Background(), g.logger, "version", c.Version(), "before", old.version())
 	}
 	g.observeTargets(versions, old.configuration == nil)
@@ -48,6 +48,26 @@
 	g.updatePlacement(&next, g.activeByDomain(g.now()))
 }
 
+// droppedServices returns the services that a configuration drops, and those dropped before
+// that have requests in progress.
+func (g *Gateway) droppedServices(old, c *fleet.Configuration) []*fleet.Service {
+	if old == nil {
+		return nil
+	}
+	var dropped []*fleet.Service
+	for name, s := range old.Services() {
+		if c.Services()[name] == nil {
+			dropped = append(dropped, s)
+		}
+	}
+	for name, s := range old.Retained() {
+		if g.trafficOf(name).requests.Load() > 0 {
+			dropped = append(dropped, s)
+		}
+	}
+	return dropped
+}
+
 // Configuration returns the configuration in force, nil if there is none yet.
 func (g *Gateway) Configuration() *fleet.Configuration {
 	return g.snapshot.Load().configuration
@@ -123,7 +143,7 @@
 	now := g.now()
 	candidates := make(map[string][]placement.Candidate)
 	for _, e := range v.endpoints {
-		s := v.configuration.Services()[e.Service()]
+		s := v.configuration.Service(e.Service())
 		if s == nil || e.Draining() {
 			continue
 		}
@@ -132,19 +152,31 @@
 			candidates[e.Service()] = append(candidates[e.Service()], c)
 		}
 	}
-	for name, s := range v.configuration.Services() {
-		list := candidates[name]
-		g.trafficOf(name).renewed.Store(slices.ContainsFunc(list, func(c placement.Candidate) bool { return c.Version > 0 && c.BeginBefore == 0 }))
-		placement.MarkPreferred(list, active, g.self.FailureDomain, g.self.PeerAddress)
-		pool := g.trafficOf(name).placement
-		pool.SetLatencyModel(latencyModelOf(s.Engine()))
-		pool.SetEndpoints(now, list)
+	for name := range v.configuration.Services() {
+		g.trafficOf(name) // the state of a new service is created
 	}
+	g.traffic.each(func(name string, t *serviceTraffic) {
+		placement.MarkPreferred(candidates[name], active, g.self.FailureDomain, g.self.PeerAddress)
+		t.update(v.configuration.Service(name), candidates[name], now)
+		if v.configuration.Services()[name] == nil {
+			t.placement.RefuseUnplaceable(now) // no more endpoints are expected
+		}
+	})
 	if v.listed {
 		g.updateReadiness(v, candidates, now)
 	}
 }
 
+// update passes the endpoints that may run requests of a service to placement. The service is
+// nil if it was dropped and is not retained.
+func (t *serviceTraffic) update(s *fleet.Service, list []placement.Candidate, now time.Duration) {
+	t.renewed.Store(slices.ContainsFunc(list, func(c placement.Candidate) bool { return c.Version > 0 && c.BeginBefore == 0 }))
+	if s != nil {
+		t.placement.SetLatencyModel(latencyModelOf(s.Engine()))
+	}
+	t.placement.SetEndpoints(now, list)
+}
+
 // updateReadiness makes the entry ready once placement has the endpoints, and later if the
 // times of target versions are to be waited for.
 func (g *Gateway) updateReadiness(v *snapshot, candidates map[string][]placement.Candidate, now time.Duration) {
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -27,6 +27,8 @@
 	// renewed is set while an endpoint has the newest target version, so that a stream that
 	// ends at the bound of an older one can go on there.
 	renewed atomic.Bool
+	// requests is the number of requests in progress.
+	requests atomic.Int64
 }
 
 // traffic holds the request-path state: the services, the refused requests, and the
--- a/internal/state/fleet/configuration.go
+++ b/internal/state/fleet/configuration.go
@@ -59,7 +59,8 @@
 	version  int64
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]*Service
-	accounts map[string]Account // by key
+	retained map[string]*Service // services that it dropped while requests were in progress
+	accounts map[string]Account  // by key
 	limits   Limits
 }
 
@@ -124,6 +125,31 @@
 // Services returns the services by name. The caller must not change it.
 func (c *Configuration) Services() map[string]*Service { return c.services }
 
+// Retaining returns the configuration with services that it dropped. No route leads to
+// them; requests that were accepted before may go on there.
+func (c *Configuration) Retaining(services ...*Service) *Configuration {
+	next := *c
+	next.retained = make(map[string]*Service, len(services))
+	for _, s := range services {
+		if next.services[s.Name()] == nil {
+			next.retained[s.Name()] = s
+		}
+	}
+	return &next
+}
+
+// Retained returns the dropped services that are retained, by name. The caller must not
+// change it.
+func (c *Configuration) Retained() map[string]*Service { return c.retained }
+
+// Service returns a service, also one that is retained, nil if there is none.
+func (c *Configuration) Service(name string) *Service {
+	if s := c.services[name]; s != nil {
+		return s
+	}
+	return c.retained[name]
+}
+
 // Route returns the route with the longest prefix that begins the path, nil
 // where none does.
 func (c *Configuration) Route(host, path string) *Route {
