Polls that the store's return left without an answer are given up in time

Seen by callers: for 0.1 to 0.2 s all entries refused requests (503), 3 s after the store had come back from an older copy with its polls left hanging, more than 2 s after everything had been written again. Cause: a hanging poll of the operators' table ended 2.25 s after it had begun (0.75 s of waiting and 1.5 s of the call's timeout). Only then the copy entered the new era, and it counts as confirmed 2 s later; a confirmation is of use for 3.7 s. Fix: a poll's response is awaited for 0.5 s beyond the time that it waits, twice as long after each failure, since the store may be slow (TestPollWithoutAnswer). The call after a failed one does not wait. A poll ends when the copy counts as current again (TestPollEndsWithRestoreGrace).

--- a/internal/coordination/watch/eras.go
+++ b/internal/coordination/watch/eras.go
@@ -63,3 +63,19 @@
 		}
 	}
 }
+
+// nextExpiry returns the time at which the next retained row expires, or at which the copy
+// counts as current again after the store's return, and whether there is one.
+func (t *Table) nextExpiry() (next time.Duration, pending bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if current := t.restoredAt + restoreGrace; t.restoredAt > 0 && t.now() < current {
+		next, pending = current, true
+	}
+	for _, k := range t.retained {
+		if !pending || k.until < next {
+			next, pending = k.until, true
+		}
+	}
+	return next, pending
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -71,8 +71,12 @@
 // Timeouts and intervals of the calls.
 const (
 	defaultLongPollTimeout = 1200 * time.Millisecond
-	firstBackoff           = 50 * time.Millisecond
-	maxBackoff             = 800 * time.Millisecond
+	// responseTimeout is how long the response to a poll may take beyond the time that the
+	// poll waits. It doubles with each failure, since the store may be slow.
+	responseTimeout    = 500 * time.Millisecond
+	maxResponseTimeout = 2 * time.Second
+	firstBackoff       = 50 * time.Millisecond
+	maxBackoff         = 800 * time.Millisecond
 	// outageThreshold is the time without a response after which rows may have expired
 	// because their writers could not reach the store.
 	outageThreshold = 1500 * time.Millisecond
@@ -275,21 +279,42 @@
 		update.Full = true
 		return update, err
 	}
-	return w.source.Watch(ctx, version, w.currentLongPollTimeout())
+	wait := w.currentLongPollTimeout()
+	if w.longPollTimeout > 0 {
+		// The store may have left the poll without an answer.
+		bounded, cancel := context.WithTimeout(ctx, wait+w.currentResponseTimeout())
+		defer cancel()
+		ctx = bounded
+	}
+	return w.source.Watch(ctx, version, wait)
 }
 
-// currentLongPollTimeout returns the long-poll timeout, shortened so that retained rows
-// are dropped on time.
+// minLongPollTimeout is the shortest wait for a time at which the copy is to change.
+const minLongPollTimeout = 10 * time.Millisecond
+
+// currentLongPollTimeout returns the long-poll timeout, shortened so that retained rows are
+// dropped and a restored copy is confirmed on time. The call after a failed one does not
+// wait.
 func (w *Watcher) currentLongPollTimeout() time.Duration {
-	w.table.mu.Lock()
-	defer w.table.mu.Unlock()
+	if w.failures > 0 {
+		return 0
+	}
 	wait := w.longPollTimeout
-	for _, k := range w.table.retained {
-		wait = min(wait, max(k.until-w.now(), 10*time.Millisecond))
+	if next, pending := w.table.nextExpiry(); pending {
+		wait = min(wait, max(next-w.now(), minLongPollTimeout))
 	}
 	return wait
 }
 
+// currentResponseTimeout returns the response timeout of the next poll.
+func (w *Watcher) currentResponseTimeout() time.Duration {
+	timeout := responseTimeout
+	for range w.failures {
+		timeout = min(2*timeout, maxResponseTimeout)
+	}
+	return timeout
+}
+
 // backoff returns a random delay between half of a bound and the bound, which doubles
 // with each failure up to maxBackoff and is at least the minimum retry delay.
 func (w *Watcher) backoff() time.Duration {
