--- a/internal/coordination/watch/copyfleet_test.go
+++ b/internal/coordination/watch/copyfleet_test.go
@@ -45,6 +45,7 @@
 	extra    *rand.Rand // of shifts and compactions
 	compacts bool       // the store drops its history while entries start
 	trace    *copyTrace
+	costs    copyCosts
 
 	mu      sync.Mutex
 	sent    map[string]uint64     // messages by link
@@ -155,7 +156,7 @@
 }
 
 func (f *copyFleet) newGateway(address string, e *copyEntry) *gateway.Gateway {
-	region := "region-" + address[3:4]
+	region := regionOf(address)
 	self := gateway.Identity{Name: address, Region: region, FailureDomain: region, PeerAddress: address, CallerAddress: address, Incarnation: uint64(copyTime())}
 	return gateway.New(self, gateway.Codec{}, gateway.WithClock(copyTime),
 		gateway.WithPeers(f.all[:1], func(to string, m *nodev1.Datagram) error {
@@ -195,6 +196,7 @@
 			return watch.Update{}, errStopped
 		}
 		u := peer.watcher(name).Table().Since(after)
+		f.costs.fetch(address, from, u)
 		f.trace.add(address, "fetches %s from %s, after %v: %s", name, from, after, updateText(u))
 		delay()
 		return u, nil
@@ -213,11 +215,17 @@
 	return watch.New(watch.Source{
 		List: func(context.Context) (watch.Update, error) {
 			u, err := f.store.list(list)
+			f.costs.call()
 			u.Rows = nil
 			return u, err
 		},
-		Watch: func(_ context.Context, after int64, wait time.Duration) (watch.Update, error) {
+		Watch: func(ctx context.Context, after int64, wait time.Duration) (watch.Update, error) {
+			f.costs.call()
+			era := f.store.era()
 			time.Sleep(wait)
+			if f.store.hangs(era) {
+				return watch.Update{}, awaitTimeout(ctx, copyCallTimeout)
+			}
 			u, _, err := f.store.since(after, false)
 			u.Rows = nil
 			return u, err
@@ -231,10 +239,12 @@
 	return watch.New(watch.Source{
 		List: func(context.Context) (watch.Update, error) {
 			u, err := f.store.list(list)
+			f.costs.list(u)
 			f.trace.add(address, "lists %s: %v", updateText(u), err)
 			return u, err
 		},
 		Watch: func(ctx context.Context, after int64, wait time.Duration) (watch.Update, error) {
+			f.costs.call()
 			u, err := f.store.poll(ctx, poll, after, wait)
 			f.trace.add(address, "polls after %d: %s: %v", after, updateText(u), err)
 			return u, err
@@ -354,3 +364,5 @@
 		}
 	}
 }
+
+func regionOf(address string) string { return "region-" + address[3:4] }
--- a/internal/coordination/watch/copystore_test.go
+++ b/internal/coordination/watch/copystore_test.go
@@ -13,6 +13,7 @@
 // copyStore is a store with one operator row and a table of endpoints.
 type copyStore struct {
 	waits bool // polls since a version that the store does not have wait for it
+	hang  bool // polls that cross a return get no answer
 
 	mu      sync.Mutex
 	at      watch.Position
@@ -170,9 +171,13 @@
 // poll returns the changes after a version as soon as there is one, or none after wait.
 func (s *copyStore) poll(ctx context.Context, delay func(), after int64, wait time.Duration) (watch.Update, error) {
 	delay()
+	era := s.era()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
+		if s.hangs(era) {
+			return watch.Update{}, awaitTimeout(ctx, wait+copyCallTimeout)
+		}
 		u, changed, err := s.since(after, false)
 		if err != nil || len(u.Rows) > 0 {
 			delay()
@@ -188,3 +193,27 @@
 		}
 	}
 }
+
+// copyCallTimeout is how long a caller waits for an answer at most, beyond a poll's wait.
+const copyCallTimeout = 1500 * time.Millisecond
+
+// awaitTimeout waits until the caller gives up, and returns the error of the call.
+func awaitTimeout(ctx context.Context, timeout time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-bounded.Done()
+	return bounded.Err()
+}
+
+func (s *copyStore) era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at.Era
+}
+
+// hangs reports whether a poll that began in an era gets no answer.
+func (s *copyStore) hangs(era int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hang && s.at.Era != era
+}
