--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,7 @@
 	retryRatio      float64
 	retryReserve    float64
 	maxTTL          time.Duration
+	bodyTimeout     time.Duration
 
 	snapshot     atomic.Pointer[snapshot]
 	snapshotMu   sync.Mutex // held by writers of snapshot
@@ -191,6 +192,7 @@
 		confirmedAt:  func() time.Duration { return 0 },
 		retryRatio:   defaultRetryRatio,
 		maxTTL:       defaultMaxTTL,
+		bodyTimeout:  defaultBodyTimeout,
 		pool:         endpoints.NewPool(endpoints.WithLimit(maxConnections)),
 		crashes:      newCrashes(),
 		drain:        newDrain(),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,8 +20,8 @@
 const (
 	// defaultTimeout applies if neither the route nor the caller sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time to read a body.
-	bodyTimeout = 5 * time.Second
+	// defaultBodyTimeout bounds the time to read a body.
+	defaultBodyTimeout = 5 * time.Second
 	// writeGrace is how long, after the deadline of its request, a caller may take to
 	// read the response.
 	writeGrace = 5 * time.Second
@@ -236,7 +236,7 @@
 	if r.ContentLength != 0 {
 		// Without its own deadline, a body could take as long as the caller likes. Setting
 		// it fails only for the writers of tests.
-		timeout := min(bodyTimeout, q.remaining(g.now()))
+		timeout := min(g.bodyTimeout, q.remaining(g.now()))
 		_ = control.SetReadDeadline(time.Now().Add(timeout))
 		defer g.drain.interruptRead(control)()
 	}
