Entries: what net/http turns away, and panics that it reports, have a line and a count

What callers saw: connections closed without an answer, of which the entry's logs said nothing.

Cause: the ErrorLog of every server discarded what it was given, so that a handler that panicked, or connections that were not accepted for want of file descriptors, left no trace. Connections that end between requests though bytes of one have come (a request that crosses the close of a kept or unused connection, a malformed or unfinished head) never reach a handler.

The ErrorLog now counts faults by kind (primrosetally_server_faults_total) and logs panics, failed accepts and others (serverFailed, 738), at most one line a second of each kind, 4 KB of text; faults of TLS and superfluous writes are only counted. Connections of callers are wrapped: one that is closed between requests with bytes read or unread is logged and counted (requestNotRead, 741). net/http's state "active" does not serve for that: it is also set for a head that could not be read.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -138,7 +138,7 @@
 
 func (e *Entry) listen() error {
 	s := e.settings
-	if err := e.serve(s.CallerAddress(), e.gateway); err != nil {
+	if err := e.serve(s.CallerAddress(), e.gateway, e.withUnreadReports); err != nil {
 		return err
 	}
 	if err := e.serve(s.ReadyAddress(), platform.ReadyHandler(e.gateway.Ready)); err != nil {
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -70,12 +69,15 @@
 
 // serve serves HTTP/1.1 at an address. The error of a failed listener is sent to
 // listenerErrors.
-func (p *process) serve(address string, handler http.Handler) error {
+func (p *process) serve(address string, handler http.Handler, options ...serverOption) error {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return p.serveProtocols(address, handler, &protocols, writeTimeout)
+	return p.serveProtocols(address, handler, &protocols, writeTimeout, options...)
 }
 
+// serverOption changes a server and returns the listener for use in place of l.
+type serverOption func(server *http.Server, l net.Listener) net.Listener
+
 // servePeers serves the other processes of the system at the peer address.
 func (p *process) servePeers(handler http.Handler) error {
 	return p.serveProtocols(p.settings.PeerAddress(), handler, nodes.ServerProtocols(), 0)
@@ -83,7 +85,7 @@
 
 // serveProtocols serves the given protocols at an address; a writeTimeout of 0 stands for
 // no limit.
-func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols, writeTimeout time.Duration) error {
+func (p *process) serveProtocols(address string, handler http.Handler, protocols *http.Protocols, writeTimeout time.Duration, options ...serverOption) error {
 	l, err := net.Listen("tcp", p.settings.ListenAddress(address))
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
@@ -95,7 +97,10 @@
 		WriteTimeout:      writeTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
-		ErrorLog:          slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelDebug),
+		ErrorLog:          p.newServerLog(address),
+	}
+	for _, o := range options {
+		l = o(server, l)
 	}
 	newUnusedConns(server)
 	p.servers = append(p.servers, server)
--- a/internal/fleetprocess/unusedconns.go
+++ b/internal/fleetprocess/unusedconns.go
@@ -23,6 +23,9 @@
 
 // record keeps track of the state of a connection.
 func (u *unusedConns) record(c net.Conn, state http.ConnState) {
+	if a, ok := c.(*acceptedConn); ok && state == http.StateIdle {
+		a.setIdle()
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if state == http.StateNew {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -226,7 +225,7 @@
 		telemetry.CallerNotReset.Log(context.Background(), a.gateway.logger, "error", err)
 		return
 	}
-	if t, isTCP := c.(*net.TCPConn); isTCP {
+	if t, isTCP := c.(interface{ SetLinger(seconds int) error }); isTCP {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
 	}
 	c.Close()
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -275,6 +275,14 @@
 		737, "outdatedStart", slog.LevelError,
 		"The response to a request began after the bound of a newer version of the weights than that of its endpoint, by the time at which its first event arrived here. The request waited longer at the endpoint than was left when it was sent. Look at the load of the endpoint and at when it was ordered to load.",
 	}
+	ServerFailed = Event{
+		738, "serverFailed", slog.LevelError,
+		"The HTTP server reports a fault: a handler that panicked, whose caller has no answer, or connections that are not accepted, as when file descriptors are exhausted. The attribute kind says which; at most one line a second is logged of each kind, and primrosetally_server_faults_total counts all.",
+	}
+	RequestNotRead = Event{
+		741, "requestNotRead", slog.LevelInfo,
+		"A caller's connection ended between requests though bytes of one had come: it crossed the close of the connection, or its head was malformed, came too late or not whole. It did not run. The attribute kept tells whether the connection had carried a request before.",
+	}
 	WeightsStaged = Event{
 		721, "weightsStaged", slog.LevelInfo,
 		"Every chunk of the version is verified and staged. The attributes say how long it took and where the bytes came from.",
@@ -297,7 +305,7 @@
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
 		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead, CallerNotReset,
-		OutdatedStart,
+		OutdatedStart, ServerFailed, RequestNotRead,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,11 @@
 
 	// Requests counts callers' requests by service and final outcome.
 	Requests *prometheus.CounterVec
+	// RequestsNotRead counts the connections of callers that were closed between requests
+	// though bytes of one had come.
+	RequestsNotRead prometheus.Counter
+	// ServerFaults counts the faults that HTTP servers reported, by kind.
+	ServerFaults *prometheus.CounterVec
 	// RequestSeconds observes the time from a request's arrival to its final
 	// answer, by service.
 	RequestSeconds *prometheus.HistogramVec
@@ -71,6 +76,8 @@
 	m := &Metrics{
 		registry:            prometheus.NewRegistry(),
 		Requests:            counters("requests_total", "Callers' requests by final outcome.", "service", "outcome"),
+		RequestsNotRead:     counter("requests_not_read_total", "Connections of callers that were closed between requests though bytes of one had come."),
+		ServerFaults:        counters("server_faults_total", "Faults that HTTP servers reported.", "kind"),
 		RequestSeconds:      durations("request_seconds", "Time to the final answer.", "service"),
 		Attempts:            counters("attempts_total", "Attempts by result.", "service", "result"),
 		Admissions:          counters("admissions_total", "Decisions on attempts.", "decision"),
@@ -90,7 +97,7 @@
 	m.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Requests, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
+		m.Requests, m.RequestsNotRead, m.ServerFaults, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
 		m.LimitedEndpoints, m.LimitedRequests, m.QuotaFraction,
 		m.Crashes, m.Quarantines, m.QuarantinedRequests, m.OutdatedStarts,
