Soak: streams that end at their time left, and requests that end without an answer

The stand-in's engines can make long streams that break off, end whole shortly before or after, or end in good order and incomplete with their time left, and report how each request ended. Two new faults: streams that end so around the bound of a version, and changes of timeouts, weights, quotas, keys and size in series, beside each other and beside reloads. The calm phase has two of them, with a planned stop, and with the retry budget used up. The ledger sets the records of the endpoints against those of the callers: a whole stream that was broken off, requests without an answer beside a stop or a reload, more than three at any time, or more than three times as often beside a change. A client that repeats a request by itself since its connection was closed counts.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -188,13 +189,15 @@
 	if len(q.parts) > 0 {
 		standin.SetPrompt(request, q.parts...)
 	}
-	response, err := c.client.Do(request.WithContext(ctx))
+	c.run.ledger.sending(q.attempt)
+	observed := &kept{}
+	response, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, observed.trace())))
 	if err == nil {
 		body, readErr := io.ReadAll(response.Body)
 		response.Body.Close()
 		q.status, q.body, q.whole = response.StatusCode, string(body), readErr == nil
 	}
-	q.ended = time.Now()
+	q.ended, q.closed = time.Now(), observed.closedAt()
 	if !q.whole && ctx.Err() != nil {
 		q.left = q.sent.Add(q.giveUpAfter)
 	}
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -14,7 +14,7 @@
 const recoverySpan = 3 * time.Second
 
 // calmPhase checks what must hold without faults: changes in force everywhere in time,
-// new weights within their bound, also where requests wait, an endpoint that leaves without new work, planned
+// new weights within their bound, also where requests wait, streams that end at their time left whole, an endpoint that leaves without new work, planned
 // stops that cut nothing off, endpoints that left while all entries started without new work,
 // and nearly all calls served.
 func (r *run) calmPhase(ctx context.Context) {
@@ -32,6 +32,7 @@
 	}
 	r.checkStops(ctx)
 	r.checkWaits(ctx)
+	r.checkEnds(ctx)
 	r.checkDeadlyPart(ctx)
 	r.checkRestart(ctx)
 	pause(ctx, settleTime)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,7 +59,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if f.waits() {
+		if f.atBound() {
 			ends.Go(func() { r.waitAtEngines(ctx, f) })
 			continue
 		}
@@ -135,6 +135,11 @@
 		return r.stateRateLimit(f)
 	case MakePartDeadly:
 		return r.makePartDeadly(number)
+	case ChangeInSeries:
+		series, end := context.WithCancel(ctx)
+		random := rand.New(rand.NewPCG(f.Draws[0], f.Draws[1]))
+		r.background.Go(func() { r.changeInSeries(series, random) })
+		return end
 	case RestartWhileLeaving:
 		r.restartWhileLeaving(ctx, f)
 	}
@@ -273,6 +278,7 @@
 func (r *run) addRoute() int {
 	n := int(r.routes.Add(1))
 	r.note("route %d is added", n)
+	r.ledger.planned.changed()
 	r.deployment.AddRoutes(1)
 	return n
 }
@@ -285,6 +291,7 @@
 	version := r.version
 	r.deployment.NameWeights(version)
 	r.ledger.named(version, time.Now())
+	r.ledger.planned.named(time.Now())
 	r.note("version %d of the weights is named", version)
 	return version
 }
@@ -294,6 +301,7 @@
 	r.keys++
 	key := func(n int) string { return fmt.Sprintf("%s-%d", standin.Key, n) }
 	r.note("key %d is added, key %d is taken away", r.keys, r.keys-1)
+	r.ledger.planned.changed()
 	r.deployment.SetKeys(standin.Key, key(r.keys))
 	r.ledger.keyAdded(key(r.keys))
 	if r.keys > 1 {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -21,12 +21,15 @@
 	budget      time.Duration // the time that it may take
 	giveUpAfter time.Duration // the time after which the caller gives up
 	left        time.Time     // when the caller gave up, zero if it did not
-	entry       string
-	lifetime    int64 // of the entry's process, 0 if it ended meanwhile
-	status      int   // 0 for a connection that broke
-	body        string
-	whole       bool
-	want        string
+	// closed is when the kept connection was closed and the client sent the call once more by
+	// itself, zero if that did not happen.
+	closed   time.Time
+	entry    string
+	lifetime int64 // of the entry's process, 0 if it ended meanwhile
+	status   int   // 0 for a connection that broke
+	body     string
+	whole    bool
+	want     string
 }
 
 // ledger holds what callers and servers saw and checks it against the promises. It
@@ -50,7 +53,13 @@
 	calmSince   func(until time.Time) time.Time
 	namings     []naming
 	withdrawals []standin.Withdrawal
-	violations  []string
+	finishes    map[string][]standin.Finish // by attempt
+	sent        map[string]time.Time        // when calls were sent, by attempt
+	planned     plannedWork
+	ends        []string // how many requests ended without an answer, by occasion
+	// soundSince is inTouchSince, but for disturbances of the store and planned stops.
+	soundSince func(front, server string, until time.Time) time.Time
+	violations []string
 }
 
 func newLedger() *ledger {
@@ -62,10 +71,13 @@
 		leaving: make(map[string]time.Time),
 
 		departures: make(map[incarnation][]departure),
+		finishes:   make(map[string][]standin.Finish),
+		sent:       make(map[string]time.Time),
 
 		disturbed:    func(string, string, time.Time, time.Time) bool { return false },
 		inTouchSince: func(string, string, time.Time) time.Time { return time.Time{} },
 		calmSince:    func(time.Time) time.Time { return time.Time{} },
+		soundSince:   func(string, string, time.Time) time.Time { return time.Time{} },
 	}
 }
 
@@ -173,6 +185,7 @@
 	l.checkDepartures()
 	l.checkGone()
 	l.checkExtended()
+	l.checkLost()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
@@ -281,7 +294,7 @@
 	for _, list := range l.runs {
 		runs += len(list)
 	}
-	return &Report{Requests: len(l.calls), Served: l.served, Runs: runs, Violations: l.violations}
+	return &Report{Requests: len(l.calls), Served: l.served, Runs: runs, Violations: l.violations, Ends: l.ends}
 }
 
 // since returns the calls that were sent after a time.
--- /dev/null
+++ b/internal/soak/lost.go
@@ -0,0 +1,258 @@
+package soak
+
+import (
+	"fmt"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
+)
+
+// Bounds of requests that end without an answer.
+const (
+	// lostFew is how many requests an entry may pass on and end without an answer at any time.
+	lostFew = 3
+	// lostFactor is how much more often it may do so beside a change of the configuration.
+	lostFactor = 3
+	// usedTime is the part of its time with which its time may have ended a request.
+	usedTime = callerTimeout * 7 / 10
+	// wholeSlack is how long before the end of its time a stream has to be whole at its
+	// endpoint to be whole at its caller.
+	wholeSlack = 200 * time.Millisecond
+	// workedShare is the part of the time to a planned stop's end in which endpoints that still
+	// work may be cut off, and lateSent how long after its begin their requests were sent.
+	workedShare = 6
+	lateSent    = 3 * time.Second
+)
+
+// kept observes how often a request was written to a connection: a client repeats one by
+// itself if its kept connection is closed without an answer.
+type kept struct {
+	mu      sync.Mutex
+	written []time.Time
+}
+
+func (k *kept) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if i.Err == nil {
+			k.written = append(k.written, time.Now())
+		}
+	}}
+}
+
+// closedAt returns when a connection was closed after the request was written to it and the
+// request written once more, zero if that did not happen.
+func (k *kept) closedAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.written) < 2 {
+		return time.Time{}
+	}
+	return k.written[1]
+}
+
+// finished records the end of a request at a server.
+func (l *ledger) finished(f standin.Finish) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.finishes[f.Attempt] = append(l.finishes[f.Attempt], f)
+}
+
+// sending records that a call is sent now.
+func (l *ledger) sending(attempt string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[attempt] = time.Now()
+}
+
+// isShortened reports whether the time left of an attempt that ends at a time is well shorter
+// than that of its caller.
+func (l *ledger) isShortened(attempt string, end time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent, known := l.sent[attempt]
+	return known && sent.Add(callerTimeout-wholeSlack).After(end)
+}
+
+// tally counts the requests of an entry that were passed on.
+type tally struct{ passed, lost int }
+
+func (t tally) rate() float64 { return float64(t.lost) / float64(max(t.passed, 1)) }
+
+func (t *tally) count(lost bool) {
+	t.passed++
+	if lost {
+		t.lost++
+	}
+}
+
+// losses are the requests that one entry passed on.
+type losses struct {
+	byOccasion [occasions]tally
+	example    [occasions]string
+}
+
+// total returns the sum over some occasions.
+func (s *losses) total(counted func(o occasion) bool) tally {
+	var sum tally
+	for o, t := range s.byOccasion {
+		if counted(occasion(o)) {
+			sum.passed += t.passed
+			sum.lost += t.lost
+		}
+	}
+	return sum
+}
+
+// checkLost finds requests that were passed on by entries without any disturbance and got no
+// complete answer: such as were whole at their endpoint, such as a planned stop or a reload
+// cut off, more than a few, and such as are cut off more often beside a change of the
+// configuration.
+func (l *ledger) checkLost() {
+	entries := make(map[string]*losses)
+	for _, c := range l.calls {
+		runs := l.runs[c.attempt]
+		if len(runs) == 0 || !l.undisturbed(c, runs) {
+			continue
+		}
+		s := entries[c.entry]
+		if s == nil {
+			s = &losses{}
+			entries[c.entry] = s
+		}
+		o := l.planned.beside(c)
+		lost := l.isLost(c)
+		s.byOccasion[o].count(lost)
+		if lost {
+			s.example[o] = c.attempt
+		}
+		l.checkWhole(c, o)
+	}
+	for entry, s := range entries {
+		l.checkRates(entry, s)
+	}
+	l.summarize(entries)
+}
+
+// summarize keeps, for the report, how many requests of all entries ended without an answer.
+func (l *ledger) summarize(entries map[string]*losses) {
+	for o := range occasions {
+		var sum tally
+		for _, s := range entries {
+			sum.passed += s.byOccasion[o].passed
+			sum.lost += s.byOccasion[o].lost
+		}
+		l.ends = append(l.ends, fmt.Sprintf("%d of %d requests got no answer beside %s", sum.lost, sum.passed, o))
+	}
+}
+
+func (l *ledger) undisturbed(c call, runs []standin.Run) bool {
+	for _, run := range runs {
+		if l.soundSince(c.entry, run.Server, c.ended).After(c.sent) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkRates compares how often an entry ends requests beside planned work and at other times.
+func (l *ledger) checkRates(entry string, s *losses) {
+	for _, o := range []occasion{besideStop, besideReload} {
+		if t := s.byOccasion[o]; t.lost > 0 {
+			l.violateLocked("lost: %d of %d requests at %s got no answer beside %s, among them %s", t.lost, t.passed, entry, o, s.example[o])
+		}
+	}
+	other := s.total(func(o occasion) bool { return o != besideChange })
+	if t := s.byOccasion[besideChange]; t.rate() > lostFactor*other.rate() {
+		l.violateLocked("lost: %d of %d requests at %s got no answer beside %s, %d of %d at other times, among them %s",
+			t.lost, t.passed, entry, besideChange, other.lost, other.passed, s.example[besideChange])
+	}
+	if all := s.total(func(occasion) bool { return true }); all.lost > lostFew {
+		l.violateLocked("lost: %d of %d requests at %s got no answer: %s", all.lost, all.passed, entry, s)
+	}
+}
+
+func (s *losses) String() string {
+	text := ""
+	for o, t := range s.byOccasion {
+		if t.lost > 0 {
+			text += fmt.Sprintf("%d of %d beside %s (%s); ", t.lost, t.passed, occasion(o), s.example[o])
+		}
+	}
+	return text
+}
+
+// isLost reports whether a call ended without a complete answer, though neither its caller nor
+// its time nor its endpoint had ended it.
+func (l *ledger) isLost(c call) bool {
+	if !c.closed.IsZero() {
+		return l.runs[c.attempt][0].Began.Before(c.closed)
+	}
+	if c.whole || !c.left.IsZero() || c.ended.Sub(c.sent) >= usedTime {
+		return false
+	}
+	runs := l.runs[c.attempt]
+	for _, f := range l.finishes[c.attempt] {
+		if f.Server == runs[len(runs)-1].Server {
+			return f.Kind == standin.FinishedWhole || !l.stopMayCut(c)
+		}
+	}
+	return false // its endpoint broke it off
+}
+
+// stopMayCut reports whether a call was still in progress at its endpoint when its entry had to
+// end.
+func (l *ledger) stopMayCut(c call) bool {
+	l.planned.mu.Lock()
+	defer l.planned.mu.Unlock()
+	for _, w := range l.planned.list {
+		end := w.begun.Add(stopTimeout)
+		if w.occasion == besideStop && w.entry == c.entry && c.sent.Sub(w.begun) <= lateSent &&
+			c.ended.After(end.Add(-stopTimeout/workedShare)) && c.ended.Before(w.ends) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkWhole finds a stream that ended whole at its endpoint, long enough before the end of its
+// caller's time, and was broken off at the caller.
+func (l *ledger) checkWhole(c call, o occasion) {
+	if c.whole || !c.left.IsZero() {
+		return
+	}
+	for _, f := range l.finishes[c.attempt] {
+		if f.Kind == standin.FinishedWhole && f.At.Before(c.sent.Add(callerTimeout-wholeSlack)) {
+			l.violateLocked("lost: %s was whole at %s, %s after the end of its time left, and broken off at its caller %s later, beside %s",
+				c.attempt, f.Server, f.At.Sub(f.Deadline), c.ended.Sub(f.At), o)
+			return
+		}
+	}
+}
+
+// soundSince returns the time since which a process at an address, its callers' way to it and
+// its way to a server are undisturbed, as of a time. Disturbances of the store and planned
+// stops do not count.
+func (r *run) soundSince(front, server string, until time.Time) time.Time {
+	var last time.Time
+	if l := r.hiddenLink(serverLink(r.deployment.ServerAddress(server))); l != nil {
+		last = l.contact.last(until)
+	}
+	for _, l := range r.links {
+		last = later(last, l.silences.last(until))
+	}
+	for _, m := range r.machines {
+		if r.deployment.Front(m.Machine) != front {
+			continue
+		}
+		last = later(last, later(m.halts.last(until), m.restarts.lastExcept(until, terminating)))
+		last = later(last, later(m.peers.contact.last(until), m.front.contact.last(until)))
+	}
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(contactTime)
+}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -22,6 +22,8 @@
 	restartDelay = 300 * time.Millisecond
 	// restarting is the number of a fault that lasts until the next start of a process.
 	restarting = 0
+	// terminating is the number of a planned stop, which lasts as long.
+	terminating = 1
 	// listenNetworks is added to the second number of the addresses by which others
 	// reach a process: it listens there, behind the proxies.
 	listenNetworks = 30
@@ -117,6 +119,7 @@
 	}
 	m.restarts.moment()
 	m.restarts.finish(restarting)
+	m.restarts.finish(terminating)
 	m.lifetime.Add(1)
 	m.ended = make(chan struct{})
 	go m.watch(c, m.ended)
@@ -146,7 +149,13 @@
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s != syscall.SIGHUP {
+	switch front := m.run.deployment.Front(m.Machine); s {
+	case syscall.SIGHUP:
+		m.run.ledger.planned.reloaded(front)
+	case syscall.SIGTERM:
+		m.run.ledger.planned.stopped(front)
+		m.restarts.begin(terminating)
+	default:
 		m.restarts.begin(restarting)
 	}
 	// A process that has just ended is started again; the signal is then lost.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -59,6 +59,7 @@
 	Served     int
 	Runs       int
 	Violations []string
+	Ends       []string // how many requests ended without an answer, by occasion
 }
 
 type config struct {
@@ -97,8 +98,8 @@
 	}
 }
 
-// WithoutWaits leaves out the faults in which requests wait at engines around the bound of a
-// version, in the plan and in the calm phase.
+// WithoutWaits leaves out the faults in which requests wait or end at engines around the bound
+// of a version, in the plan and in the calm phase.
 func WithoutWaits() Option { return func(c *config) { c.withoutWaits = true } }
 
 // WithLogs sets the directory that keeps what the processes write.
@@ -148,7 +149,7 @@
 		c.plan = Plan(c.seed, c.duration)
 	}
 	if c.withoutWaits {
-		c.plan = slices.DeleteFunc(slices.Clone(c.plan), Fault.waits)
+		c.plan = slices.DeleteFunc(slices.Clone(c.plan), Fault.atBound)
 	}
 	if c.logs == "" {
 		c.logs = filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", c.seed))
@@ -193,6 +194,7 @@
 		standin.WithQueues(queueLength),
 		standin.WithRunsOf(r.ledger.ran),
 		standin.WithWithdrawalsOf(r.ledger.withdrawn),
+		standin.WithFinishesOf(r.ledger.finished),
 		standin.WithArrivalsOf(r.ledger.arrived))
 	if err != nil {
 		return eris.Wrap(err, "soak")
@@ -202,6 +204,7 @@
 	r.ledger.disturbed = r.disturbedBetween
 	r.ledger.inTouchSince = r.inTouchSince
 	r.ledger.calmSince = r.calmSince
+	r.ledger.soundSince = r.soundSince
 	r.listServers()
 	for _, m := range d.Entries {
 		r.machines = append(r.machines, &machine{Machine: m, role: "entry", run: r, index: len(r.machines)})
@@ -344,6 +347,9 @@
 // keep writes the schedule and the violations beside the logs.
 func (r *run) keep(report *Report) error {
 	text := strings.Join(report.Schedule, "\n") + "\n"
+	for _, e := range report.Ends {
+		text += "ENDS " + e + "\n"
+	}
 	for _, v := range report.Violations {
 		text += "VIOLATION " + v + "\n"
 	}
--- a/internal/soak/spans.go
+++ b/internal/soak/spans.go
@@ -9,6 +9,9 @@
 // be used at any time.
 const lasting = -1
 
+// noFault is the number of no fault.
+const noFault = -2
+
 // span is the time of one fault; it has no end while the fault is there.
 type span struct {
 	fault      int
@@ -62,12 +65,15 @@
 
 // last returns the end of the fault that ended last, as of a time: that time if a fault is
 // still there, zero if there was none before.
-func (s *spans) last(until time.Time) time.Time {
+func (s *spans) last(until time.Time) time.Time { return s.lastExcept(until, noFault) }
+
+// lastExcept is last without the faults of one number.
+func (s *spans) lastExcept(until time.Time, fault int) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var last time.Time
 	for _, p := range s.list {
-		if !p.begun.Before(until) {
+		if p.fault == fault || !p.begun.Before(until) {
 			continue
 		}
 		if p.end.IsZero() || p.end.After(until) {
--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -57,6 +57,9 @@
 	return f.Kind == WaitForSlowEngines || f.Kind == WaitForSuspendedEngines
 }
 
+// atBound reports whether a fault names a version and lasts until its bound.
+func (f Fault) atBound() bool { return f.waits() || f.Kind == EndStreamsAtTimeLeft }
+
 // waitPlan returns the faults in which requests wait at engines. They have a source of
 // random numbers of their own.
 func waitPlan(seed uint64, duration time.Duration) []Fault {
@@ -130,6 +133,10 @@
 // waitAtEngines names a version after the length of the fault and carries it out.
 func (r *run) waitAtEngines(ctx context.Context, f Fault) {
 	pause(ctx, f.Length)
+	if f.Kind == EndStreamsAtTimeLeft {
+		r.playEnds(ctx, r.drawEnds(f))
+		return
+	}
 	r.nameWeights()
 	r.play(ctx, r.drawWait(f))
 }
@@ -150,7 +157,7 @@
 	}
 	kill := time.AfterFunc(w.killAfter, func() { r.killAll(w.killed) })
 	defer kill.Stop()
-	defer r.startStreams(ctx)()
+	defer r.startStreams(ctx, streamInterval)()
 	until(w.after)
 	r.beginWait(w)
 	until(w.after + w.lasts)
@@ -158,13 +165,14 @@
 	until(versionBound + boundSlack)
 }
 
-// startStreams sends streams beside those of the callers; the function returned ends them.
-func (r *run) startStreams(ctx context.Context) func() {
+// startStreams sends streams at an interval beside those of the callers; the function returned
+// ends them.
+func (r *run) startStreams(ctx context.Context, interval time.Duration) func() {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		r.newCaller(r.callers).sendStreams(ctx, streamInterval)
+		r.newCaller(r.callers).sendStreams(ctx, interval)
 	}()
 	return func() {
 		cancel()
