Soak: requests that a process must have read and never passed on

The rule LOST also counts a request that was not sent on and whose connection closes long after its last byte. Those of more than 0.5 s do now, whatever the occasion. In the calm phase all but one engine lack the new weights at the bound of a version, so that more streams come to a shortened time left.

--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -157,7 +157,7 @@
 		return
 	}
 	staying := r.engines[:len(r.engines)-1] // the last one leaves
-	outdated := staying[:max(len(staying)/2, 1)]
+	outdated := staying[:max(len(staying)-1, 1)]
 	entries, endings := r.entryMachines(), r.endings()
 	random := rand.New(rand.NewPCG(r.seed, 10))
 	for _, e := range []ends{
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -24,6 +24,9 @@
 	// work may be cut off, and lateSent how long after its begin their requests were sent.
 	workedShare = 6
 	lateSent    = 3 * time.Second
+	// readTime is the time after which a process must have read a request, so that it owes an
+	// answer whether it has passed it on or not.
+	readTime = 500 * time.Millisecond
 )
 
 // kept observes how often a request was written to a connection: a client repeats one by
@@ -77,19 +80,19 @@
 	return known && sent.Add(callerTimeout-wholeSlack).After(end)
 }
 
-// tally counts the requests of an entry that were passed on.
-type tally struct{ passed, lost int }
+// tally counts the requests of an entry.
+type tally struct{ sent, lost int }
 
-func (t tally) rate() float64 { return float64(t.lost) / float64(max(t.passed, 1)) }
+func (t tally) rate() float64 { return float64(t.lost) / float64(max(t.sent, 1)) }
 
 func (t *tally) count(lost bool) {
-	t.passed++
+	t.sent++
 	if lost {
 		t.lost++
 	}
 }
 
-// losses are the requests that one entry passed on.
+// losses are the requests of one entry.
 type losses struct {
 	byOccasion [occasions]tally
 	example    [occasions]string
@@ -100,22 +103,21 @@
 	var sum tally
 	for o, t := range s.byOccasion {
 		if counted(occasion(o)) {
-			sum.passed += t.passed
+			sum.sent += t.sent
 			sum.lost += t.lost
 		}
 	}
 	return sum
 }
 
-// checkLost finds requests that were passed on by entries without any disturbance and got no
+// checkLost finds requests that entries without any disturbance have read and that got no
 // complete answer: such as were whole at their endpoint, such as a planned stop or a reload
 // cut off, more than a few, and such as are cut off more often beside a change of the
 // configuration.
 func (l *ledger) checkLost() {
 	entries := make(map[string]*losses)
 	for _, c := range l.calls {
-		runs := l.runs[c.attempt]
-		if len(runs) == 0 || !l.undisturbed(c, runs) {
+		if !l.undisturbed(c) {
 			continue
 		}
 		s := entries[c.entry]
@@ -142,36 +144,38 @@
 	for o := range occasions {
 		var sum tally
 		for _, s := range entries {
-			sum.passed += s.byOccasion[o].passed
+			sum.sent += s.byOccasion[o].sent
 			sum.lost += s.byOccasion[o].lost
 		}
-		l.ends = append(l.ends, fmt.Sprintf("%d of %d requests got no answer beside %s", sum.lost, sum.passed, o))
+		l.ends = append(l.ends, fmt.Sprintf("%d of %d requests got no answer beside %s", sum.lost, sum.sent, o))
 	}
 }
 
-func (l *ledger) undisturbed(c call, runs []standin.Run) bool {
-	for _, run := range runs {
-		if l.soundSince(c.entry, run.Server, c.ended).After(c.sent) {
+// undisturbed reports whether a call's entry and its ways to the servers were.
+func (l *ledger) undisturbed(c call) bool {
+	sound := func(server string) bool { return !l.soundSince(c.entry, server, c.ended).After(c.sent) }
+	for _, run := range l.runs[c.attempt] {
+		if !sound(run.Server) {
 			return false
 		}
 	}
-	return true
+	return sound("")
 }
 
 // checkRates compares how often an entry ends requests beside planned work and at other times.
 func (l *ledger) checkRates(entry string, s *losses) {
 	for _, o := range []occasion{besideStop, besideReload} {
 		if t := s.byOccasion[o]; t.lost > 0 {
-			l.violateLocked("lost: %d of %d requests at %s got no answer beside %s, among them %s", t.lost, t.passed, entry, o, s.example[o])
+			l.violateLocked("lost: %d of %d requests at %s got no answer beside %s, among them %s", t.lost, t.sent, entry, o, s.example[o])
 		}
 	}
 	other := s.total(func(o occasion) bool { return o != besideChange })
 	if t := s.byOccasion[besideChange]; t.rate() > lostFactor*other.rate() {
 		l.violateLocked("lost: %d of %d requests at %s got no answer beside %s, %d of %d at other times, among them %s",
-			t.lost, t.passed, entry, besideChange, other.lost, other.passed, s.example[besideChange])
+			t.lost, t.sent, entry, besideChange, other.lost, other.sent, s.example[besideChange])
 	}
 	if all := s.total(func(occasion) bool { return true }); all.lost > lostFew {
-		l.violateLocked("lost: %d of %d requests at %s got no answer: %s", all.lost, all.passed, entry, s)
+		l.violateLocked("lost: %d of %d requests at %s got no answer: %s", all.lost, all.sent, entry, s)
 	}
 }
 
@@ -179,7 +183,7 @@
 	text := ""
 	for o, t := range s.byOccasion {
 		if t.lost > 0 {
-			text += fmt.Sprintf("%d of %d beside %s (%s); ", t.lost, t.passed, occasion(o), s.example[o])
+			text += fmt.Sprintf("%d of %d beside %s (%s); ", t.lost, t.sent, occasion(o), s.example[o])
 		}
 	}
 	return text
@@ -188,13 +192,16 @@
 // isLost reports whether a call ended without a complete answer, though neither its caller nor
 // its time nor its endpoint had ended it.
 func (l *ledger) isLost(c call) bool {
+	runs := l.runs[c.attempt]
 	if !c.closed.IsZero() {
-		return l.runs[c.attempt][0].Began.Before(c.closed)
+		return c.closed.Sub(c.sent) > readTime || len(runs) > 0 && runs[0].Began.Before(c.closed)
 	}
 	if c.whole || !c.left.IsZero() || c.ended.Sub(c.sent) >= usedTime {
 		return false
 	}
-	runs := l.runs[c.attempt]
+	if len(runs) == 0 {
+		return c.ended.Sub(c.sent) > readTime && !l.stopMayCut(c)
+	}
 	for _, f := range l.finishes[c.attempt] {
 		if f.Server == runs[len(runs)-1].Server {
 			return f.Kind == standin.FinishedWhole || !l.stopMayCut(c)
@@ -234,8 +241,8 @@
 }
 
 // soundSince returns the time since which a process at an address, its callers' way to it and
-// its way to a server are undisturbed, as of a time. Disturbances of the store and planned
-// stops do not count.
+// its way to a server, if one is given, are undisturbed, as of a time. Disturbances of the
+// store and planned stops do not count.
 func (r *run) soundSince(front, server string, until time.Time) time.Time {
 	var last time.Time
 	if l := r.hiddenLink(serverLink(r.deployment.ServerAddress(server))); l != nil {
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// Requests that never reached a server and got no answer.
+func TestCheckersOfUnsentRequests(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name  string
+		took  time.Duration
+		touch time.Duration // since when the entry is undisturbed
+		find  string
+	}{
+		{"the process must have read them", 2 * readTime, 0, "lost"},
+		{"they crossed its close", readTime, 0, ""},
+		{"their time has ended", usedTime, 0, ""},
+		{"beside a disturbance", 2 * readTime, time.Millisecond, ""},
+	} {
+		l := newLedger()
+		l.soundSince = func(string, string, time.Time) time.Time { return now.Add(test.touch) }
+		for i := range lostFew + 1 {
+			l.answered(call{attempt: fmt.Sprintf("a%d", i), path: "/p", entry: "e", sent: now, ended: now.Add(test.took)})
+		}
+		requireFinding(t, l, test.find, test.name)
+	}
+}
+
 // A client that sends a request once more by itself, since its kept connection was closed
 // without an answer.
 func TestCheckersOfClosedConnections(t *testing.T) {
