Soak: a resumption with nothing to add after an endpoint has broken off

The rule LOST does not count what a server broke off, and the entry can't tell the two by what it has. It does count where the entry itself had ended the stream before.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -202,10 +202,15 @@
 	if len(runs) == 0 {
 		return c.ended.Sub(c.sent) > readTime && !l.stopMayCut(c)
 	}
-	for _, f := range l.finishes[c.attempt] {
-		if f.Server == runs[len(runs)-1].Server {
-			return f.Kind == standin.FinishedWhole || !l.stopMayCut(c)
+	finishes := l.finishes[c.attempt]
+	for _, f := range finishes {
+		switch {
+		case f.Server != runs[len(runs)-1].Server:
+			continue
+		case f.Kind == standin.FinishedEmpty:
+			return len(finishes) == len(runs) // otherwise an endpoint broke it off after its last event
 		}
+		return f.Kind == standin.FinishedWhole || !l.stopMayCut(c)
 	}
 	return false // its endpoint broke it off
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -32,6 +32,7 @@
 		{"the caller gave up", standin.FinishedWhole, time.Second, false, true, 0, ""},
 		{"beside a disturbance", standin.FinishedWhole, time.Second, false, false, time.Millisecond, ""},
 		{"broken off at both", standin.FinishedByTime, time.Second, false, false, 0, ""},
+		{"the endpoint had nothing to add", standin.FinishedEmpty, time.Second, false, false, 0, ""},
 	} {
 		l := newLedger()
 		l.soundSince = func(string, string, time.Time) time.Time { return now.Add(test.sound) }
@@ -97,6 +98,33 @@
 	}
 }
 
+// Streams whose last endpoint had nothing to add.
+func TestCheckersOfEmptyResumptions(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name  string
+		first *standin.FinishKind // nil for one that its endpoint broke off
+		find  string
+	}{
+		{"cut by the time left before", new(standin.FinishedByTime), "lost"},
+		{"broken off by the endpoint before", nil, ""},
+	} {
+		l := newLedger()
+		for i := range lostFew + 1 {
+			name := fmt.Sprintf("a%d", i)
+			for _, server := range []string{"i", "j"} {
+				l.ran(standin.Run{Attempt: name, Target: "/p", Account: standin.Account, Server: server, Began: now})
+			}
+			if test.first != nil {
+				l.finished(standin.Finish{Attempt: name, Server: "i", Kind: *test.first, At: now})
+			}
+			l.finished(standin.Finish{Attempt: name, Server: "j", Kind: standin.FinishedEmpty, At: now})
+			l.answered(call{attempt: name, path: "/p", entry: "e", idempotent: true, sent: now, ended: now.Add(time.Second)})
+		}
+		requireFinding(t, l, test.find, test.name)
+	}
+}
+
 // Requests that never reached a server and got no answer.
 func TestCheckersOfUnsentRequests(t *testing.T) {
 	now := time.Now()
