Soak: streams that end in good order before they are complete

Such a stream counts by itself now: three at most, or half of those that were ended so, may be given as whole, and none after another engine was asked. Any other body still counts at once.

--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -98,6 +98,39 @@
 	}
 }
 
+// Streams that engines end in good order before they are complete, and callers get as whole.
+func TestCheckersOfStreamsInOrder(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name       string
+		taken, all int
+		body       string
+		again      bool // another engine ran the stream afterwards
+		find       string
+	}{
+		{"a few", takenFew, takenFew, "x", false, ""},
+		{"most", takenFew + 1, 2*takenFew + 1, "x", false, "answers"},
+		{"a part", takenFew + 1, 2*takenFew + 2, "x", false, ""},
+		{"another body", 1, 1, "y", false, "answers"},
+		{"another engine had been asked", 1, 1, "x", true, "answers"},
+	} {
+		l := newLedger()
+		for i := range test.all {
+			c := call{attempt: fmt.Sprintf("a%d", i), path: "/p", entry: "e", idempotent: true, status: 200, body: "xyz", want: "xyz", sent: now, ended: now, whole: true}
+			l.ran(standin.Run{Attempt: c.attempt, Target: "/p", Account: standin.Account, Server: "i", Began: now})
+			l.finished(standin.Finish{Attempt: c.attempt, Server: "i", Kind: standin.FinishedInOrder, At: now})
+			if test.again {
+				l.ran(standin.Run{Attempt: c.attempt, Target: "/p", Account: standin.Account, Server: "j", Began: now})
+			}
+			if i < test.taken {
+				c.body = test.body
+			}
+			l.answered(c)
+		}
+		requireFinding(t, l, test.find, test.name)
+	}
+}
+
 // Streams whose last endpoint had nothing to add.
 func TestCheckersOfEmptyResumptions(t *testing.T) {
 	now := time.Now()
