A reload does not end a planned stop

Cause: reload handed SIGHUP back to the system when the stop began, and by default it ends a process. Fix: it is caught until the end of the process. TestHangUpDuringStop dies of 'signal: hangup' without that.

--- a/internal/fleetprocess/main.go
+++ b/internal/fleetprocess/main.go
@@ -94,7 +94,7 @@
 	logger := slog.New(slog.NewJSONHandler(lines, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, file, logger)
+	go reload(ctx, catchHangups(), file, logger)
 	err := r.run(ctx, s, logger)
 	if err != nil {
 		telemetry.ProcessStopped.Log(ctx, logger, "error", err)
@@ -107,12 +107,18 @@
 	return statusOK
 }
 
-// reload reads and checks the settings again on SIGHUP. A running process keeps its
-// addresses and limits: the platform restarts it to change them.
-func reload(ctx context.Context, file string, logger *slog.Logger) {
+// catchHangups returns a channel of the SIGHUPs that the process gets until its end. One that
+// is not caught ends the process, also in the middle of a planned stop.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// reload reads and checks the settings again on SIGHUP. A running process keeps its
+// addresses and limits: the platform restarts it to change them. It ignores a SIGHUP once it
+// stops.
+func reload(ctx context.Context, hangups <-chan os.Signal, file string, logger *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
