--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -106,7 +106,7 @@
 		r.deployment.Servers[id].SetStreams(streamTime, draw)
 	}
 	for _, id := range e.outdated {
-		r.deployment.Servers[id].DelayCalls("stage-put")
+		r.deployment.Servers[id].DelayCalls(standin.CallStageWrite)
 	}
 	return func() {
 		for _, id := range r.engines {
