--- a/internal/gateway/configurationchange_test.go
+++ b/internal/gateway/configurationchange_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -71,7 +73,8 @@
 // endpoints that the service has then: those that left meanwhile get no request, and one that
 // started does.
 func TestStreamGoesOnAfterItsServiceIsDropped(t *testing.T) {
-	f := startRawFleet(t, 2, nil)
+	var lines bytes.Buffer
+	f := startRawFleet(t, 2, nil, WithLogger(slog.New(slog.NewJSONHandler(&lines, nil))))
 	started := fleet.NewEndpoint("e3", "s", f.listen("e3"), fleet.WithPlace("riga-a"), fleet.WithSlots(rawSlots))
 	broken := firstOf(eventsOf(1, 3))
 	broken.before = func() {
@@ -86,6 +89,8 @@
 	seen := f.seen()
 	require.Len(t, seen, 2)
 	require.Equal(t, "e3", seen[1].endpoint)
+	f.server.Close() // waits for the last line of the log
+	require.Regexp(t, `"outcome":"answered".*"configuration":2,.*"accepted":1,`, lines.String())
 }
 
 // A service is dropped while a request waits for its only endpoint, which is full and then
--- a/internal/gateway/rawfleet_test.go
+++ b/internal/gateway/rawfleet_test.go
@@ -73,6 +73,7 @@
 	t         *testing.T
 	endpoints []*fleet.Endpoint
 	front     string
+	server    *httptest.Server
 
 	mu       sync.Mutex
 	gateway  *Gateway // changed by the test alone
@@ -121,6 +122,7 @@
 	server.Config.ErrorLog = log.New(io.Discard, "", 0) // of panics that a test causes
 	server.Start()
 	t.Cleanup(server.Close)
+	f.server = server
 	f.front = server.Listener.Addr().String()
 	return f
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,7 @@
 	body              []byte
 	priority          int
 	arrived           time.Duration
+	configuration     int64         // version in force when it arrived
 	sinceFirstAttempt time.Duration // time since the caller's first attempt, if it was refused before
 	deadline          time.Duration
 	minTime           time.Duration // least time left with which the next attempt is of use
@@ -141,6 +142,8 @@
 		host:    r.Host,
 		header:  r.Header,
 		arrived: out.arrived,
+
+		configuration: v.version(),
 	}
 	if q.route == nil {
 		out.reject(head.ID, http.StatusNotFound, "no route")
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -237,7 +237,7 @@
 	if outcome == outcomeAnswered {
 		a.gateway.metrics.RequestSeconds.WithLabelValues(service).Observe((a.gateway.now() - a.arrived).Seconds())
 	}
-	args = append(args, "route", q.route.Name(), "account", q.account, "endpoint", a.endpoint, "attempts", q.attempts)
+	args = append(args, "route", q.route.Name(), "account", q.account, "endpoint", a.endpoint, "attempts", q.attempts, "accepted", q.configuration)
 	if c := a.decision.Choice(); a.decision.Placed() {
 		args = append(args, "first", a.timeToFirstEvent, "pause", a.longestInterval, "spent", q.sinceFirstAttempt, "waited", a.decision.Waited(), "predicted", c.FirstEventDelay(),
 			"inFlight", c.InFlight(), "unread", c.PrefillTokens(), "prompt", q.head.PromptTokens, "home", c.Preferred,
