One line and a counter for the store's return from an older copy

On-call saw a return only as tableCopied with a higher era, without the position before. The event storeRestored (740) has both positions and where the rows came from, once for each table and era (TestRestoredPositions); primrosetally_store_returns_total counts them. TestRequestsThroughReturnOfStore looks for the line.

--- a/internal/coordination/watch/eras.go
+++ b/internal/coordination/watch/eras.go
@@ -26,7 +26,7 @@
 // another era.
 func (t *Table) enterEra(u Update, now time.Duration) (changed bool) {
 	known, removed := maps.Clone(t.effective()), t.removed()
-	restored := t.synced
+	restored, before := t.synced, t.position
 	t.rows, t.digest, t.record = make(map[string]Row, len(u.Rows)), 0, newRemovals(u.Version)
 	t.position, t.contentVersion, t.synced = Position{Era: u.Era}, 0, true
 	t.replace(u, now)
@@ -34,6 +34,7 @@
 		t.restoredAt = now
 		t.offsetKnown.Store(false)
 		t.retainLost(known, removed, now)
+		t.onRestored(before, t.position, u.From)
 	}
 	return true
 }
--- a/internal/coordination/watch/hangingpoll_test.go
+++ b/internal/coordination/watch/hangingpoll_test.go
@@ -74,3 +74,20 @@
 	f.clock += 300 * time.Millisecond
 	require.Equal(t, defaultLongPollTimeout, f.currentLongPollTimeout())
 }
+
+// Each era that a copy enters after its first one is reported once, with both positions.
+func TestRestoredPositions(t *testing.T) {
+	list := func(era, version int64) step {
+		return step{update: Update{Position: Position{Era: era, Version: version}, Full: true}}
+	}
+	f := newFixture(list(1, 5), step{err: ErrCompacted}, list(2, 3), step{err: ErrCompacted}, list(2, 4), step{err: ErrCompacted}, list(1, 9))
+	var seen [][2]Position
+	WithOnRestored(func(before, after Position, from string) {
+		require.Empty(t, from)
+		seen = append(seen, [2]Position{before, after})
+	})(f.Watcher)
+	for len(f.script.steps) > 0 {
+		_ = f.Poll(t.Context()) // lost histories and the late answer are errors
+	}
+	require.Equal(t, [][2]Position{{{Era: 1, Version: 5}, {Era: 2, Version: 3}}}, seen)
+}
--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -71,6 +71,7 @@
 type Table struct {
 	onChange     func(rows map[string]Row)
 	onReplaced   func(s State, from string)
+	onRestored   func(before, after Position, from string)
 	now          func() time.Duration
 	removalGrace time.Duration
 	recoveredAt  func() time.Duration // when the store last recovered, 0 for never
@@ -104,6 +105,7 @@
 	return &Table{
 		onChange:     onChange,
 		onReplaced:   func(State, string) {},
+		onRestored:   func(Position, Position, string) {},
 		now:          now,
 		removalGrace: removalGrace,
 		recoveredAt:  func() time.Duration { return 0 },
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -122,6 +122,13 @@
 	return func(w *Watcher) { w.table.onReplaced = replaced }
 }
 
+// WithOnRestored sets the function that is called after the copy has entered another era, with
+// its positions before and after, and the address of the peer that the rows came from, empty
+// for the store.
+func WithOnRestored(restored func(before, after Position, from string)) Option {
+	return func(w *Watcher) { w.table.onRestored = restored }
+}
+
 // WithOutageCallbacks sets two functions: lost is called with the first error after a
 // success, restored at the first success after an error, with the time since the last
 // success.
--- a/internal/fleetprocess/process.go
+++ b/internal/fleetprocess/process.go
@@ -143,8 +143,13 @@
 		telemetry.TableCopied.Log(context.Background(), p.logger, "table", table, "from", from, "era", s.Era, "version", s.Version,
 			"rows", s.Rows, "digest", s.Digest)
 	}
+	onRestored := func(before, after watch.Position, from string) {
+		p.telemetry.Metrics().StoreReturns.WithLabelValues(table).Inc()
+		telemetry.StoreRestored.Log(context.Background(), p.logger, "table", table, "from", from, "eraBefore", before.Era,
+			"versionBefore", before.Version, "era", after.Era, "version", after.Version)
+	}
 	return watch.New(source, append([]watch.Option{
-		watch.WithOnChange(apply), watch.WithOnReplaced(onReplaced), watch.WithOutageCallbacks(onOutage, onRecovery),
+		watch.WithOnChange(apply), watch.WithOnRestored(onRestored), watch.WithOnReplaced(onReplaced), watch.WithOutageCallbacks(onOutage, onRecovery),
 	}, options...)...)
 }
 
--- a/internal/fleetprocess/storereturn_test.go
+++ b/internal/fleetprocess/storereturn_test.go
@@ -106,6 +106,7 @@
 
 			s.requireServed(test.r.begin(s.Store, older))
 			require.Equal(t, arrivals, leaving.Arrivals(), "an endpoint that leaves gets requests again")
+			require.Contains(t, s.logs.String(), `"msg":"storeRestored"`)
 			s.AddRoutes(1)
 			s.requireAtAll(standin.PathExtra(2), standin.Key, http.StatusOK, returnBound)
 		})
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -255,6 +255,10 @@
 		732, "tableCopied", slog.LevelInfo,
 		"The process has read a table of the store as a whole, from the store or from the entry that the attribute from names. Copies of one version with the same digest have the same rows.",
 	}
+	StoreRestored = Event{
+		740, "storeRestored", slog.LevelWarn,
+		"The store has come back from an older copy of itself. The copy of the table has gone from the position before to the other one. What was known is served for 2 s, in which the operators and the endpoints write again what was lost; the configuration never goes back.",
+	}
 	CopiesDiffer = Event{
 		733, "copiesDiffer", slog.LevelWarn,
 		"The copies of two entries have other rows at the same version. This entry reads the table from the store again. The lines tableCopied of both say where each came from.",
@@ -297,7 +301,7 @@
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
 		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead, CallerNotReset,
-		OutdatedStart,
+		OutdatedStart, StoreRestored,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -65,6 +65,9 @@
 	// OutdatedStarts counts the responses that began on weights whose bound had passed, by
 	// service.
 	OutdatedStarts *prometheus.CounterVec
+	// StoreReturns counts the eras of the store that a copy has entered after its first one,
+	// by table.
+	StoreReturns *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -85,6 +88,7 @@
 		Quarantines:         gauge("quarantines", "Quarantines in force."),
 		QuarantinedRequests: counters("quarantined_requests_total", "Requests refused because endpoints crash under such requests.", "service"),
 		OutdatedStarts:      counters("outdated_starts_total", "Responses that began on weights whose bound had passed.", "service"),
+		StoreReturns:        counters("store_returns_total", "Returns of the store from an older copy of itself.", "table"),
 		LimitedRequests:     counters("limited_requests_total", "Requests sent to endpoints with a known rate limit.", "service"),
 	}
 	m.registry.MustRegister(
@@ -94,6 +98,7 @@
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
 		m.LimitedEndpoints, m.LimitedRequests, m.QuotaFraction,
 		m.Crashes, m.Quarantines, m.QuarantinedRequests, m.OutdatedStarts,
+		m.StoreReturns,
 	)
 	return m
 }
