A removal takes the position of its row, not a bare version

Seen: a time of a target version that was listed before a return of the store from an older copy could be removed after it, though another row had got its version since. Cause: Remove took a version, which the store gives out again. Evidence: TestRemoveInLaterEra failed before (the new row is removed). Between the return and the first answer of the new era nobody can tell: a precondition of the store names versions alone.

--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -37,6 +37,10 @@
 	since Position // the changes are those after it
 }
 
+// PositionOf returns the position at which a row of the update was written, as far as its era
+// tells: a row that the store had when it came back may be of an earlier one.
+func (u Update) PositionOf(r Row) Position { return Position{Era: u.Era, Version: r.Version} }
+
 // State identifies what a copy holds.
 type State struct {
 	// Position is the newest one of the store that the copy covers.
--- a/internal/fleetprocess/weights.go
+++ b/internal/fleetprocess/weights.go
@@ -72,7 +72,7 @@
 		if r.age > targetVersionTTL {
 			// Another entry may have removed the row; if the call failed, the next read
 			// removes it.
-			_ = e.store.Remove(ctx, platform.TableWeights, r.row.key(), r.rowVersion)
+			_ = e.store.Remove(ctx, platform.TableWeights, r.row.key(), r.written)
 			continue
 		}
 		e.gateway.ApplyTargetVersion(r.row.Model, r.row.Version, e.tables.operator.Table().LocalTime(page.StoreTime-r.age))
@@ -86,9 +86,9 @@
 
 // recordedVersion is a row with the time at which a target version was set.
 type recordedVersion struct {
-	row        targetVersionRow
-	rowVersion int64
-	age        time.Duration // since the version was set, by the store's clock
+	row     targetVersionRow
+	written watch.Position
+	age     time.Duration // since the version was set, by the store's clock
 }
 
 // decodeTargetVersions returns the rows of a page, and those that no entry has written.
@@ -100,7 +100,7 @@
 			continue
 		}
 		age := page.StoreTime - time.Duration(row.SetAtMS)*time.Millisecond
-		rows = append(rows, recordedVersion{row: row, rowVersion: r.Version, age: max(age, 0)})
+		rows = append(rows, recordedVersion{row: row, written: page.PositionOf(r), age: max(age, 0)})
 	}
 	return rows, failures
 }
