--- a/internal/fleetprocess/storereturn_test.go
+++ b/internal/fleetprocess/storereturn_test.go
@@ -83,6 +83,7 @@
 		{"away with 429", storeReturn{away: standin.FaultLimited, pause: 500 * time.Millisecond}},
 		{"away and silent", storeReturn{away: standin.FaultSilent, options: []standin.RestoreOption{standin.WithHangingFeeds()}}},
 		{"slow afterwards", storeReturn{delay: 240 * time.Millisecond, options: []standin.RestoreOption{standin.WithCutFeeds()}}},
+		{"the era is missing in answers", storeReturn{options: []standin.RestoreOption{standin.WithEraMissing()}}},
 		{"twice", storeReturn{again: 600 * time.Millisecond}},
 		{"twice, polls hang", storeReturn{again: 600 * time.Millisecond, options: []standin.RestoreOption{standin.WithHangingFeeds()}}},
 	} {
