Entries: every request ends once, with an answer, a refusal or a stated cause

What callers saw: connections closed without an answer, some of them with no line of the entry. callerLeft stood for several causes, and a panic while a request was handled closed the connection without any line, and kept the slot of its endpoint for good.

Cause: the end of a request was logged wherever it was decided, and nothing checked that it was. What had not been logged by then counted as left by its caller; net/http's recovery of a panic bypassed that as well.

responseWriter.end, deferred by ServeHTTP, now owns the end of each request. After a panic the caller is refused (503) if nothing was sent, gets 502 if something was, and a response that has begun is cut; requestPanicked (739) has the stack. callerLeft has a cause: callerClosed, writeFailed or writeTimeout; unknown and brokenOff have one too, and a body that is not read is told by readTimeout, callerClosed or stopping. A large response whose caller does not take it was brokenOff and is callerLeft. The slot of an endpoint is released also after a panic.

telemetry.RequestCounts counts requests at their head and at their end, under one lock: requests read = answered + refused + ended with a stated cause + in progress at any time. primrosetally_requests_missing is the difference, and requestsCounted (740) logs the sum at a stop; primrosetally logs prints what is missing, and explain how a caller left.

Every test of a deployment in internal/fleetprocess reads the sum in the logs after its stop.

drain_test.go makes its writers by the constructor, as ServeHTTP does.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -105,6 +105,7 @@
 	case err = <-e.listenerErrors:
 	}
 	e.stop(ctx)
+	e.logRequests(ctx)
 	cancel()
 	for _, done := range stopped {
 		<-done
@@ -323,3 +324,10 @@
 	e.gateway.StopAccepting()
 	e.shutdown(shutdownCtx)
 }
+
+// logRequests logs how the requests of the entry have ended.
+func (e *Entry) logRequests(ctx context.Context) {
+	t := e.telemetry.Metrics().RequestCounts.Totals()
+	telemetry.RequestsCounted.Log(ctx, e.logger, "read", t.Read(), "answered", t.Ended(telemetry.EndAnswered),
+		"refused", t.Ended(telemetry.EndRefused), "stated", t.Ended(telemetry.EndStated), "inProgress", t.InProgress(), "missing", t.Missing())
+}
--- a/internal/fleetprocess/system_test.go
+++ b/internal/fleetprocess/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosetally/primrosetally/internal/telemetry"
 	"github.com/primrosetally/primrosetally/platform"
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
@@ -163,11 +165,27 @@
 		server.Close()
 	}
 	s.Close()
+	s.requireNoneMissing()
 	if s.t.Failed() {
 		s.t.Logf("log lines:\n%s", s.logs)
 	}
 }
 
+// requireNoneMissing checks the counts that entries log at their stop: every request that was
+// read has ended once, with an answer, a refusal or a stated cause, or is in progress.
+func (s *system) requireNoneMissing() {
+	for line := range strings.Lines(s.logs.String()) {
+		var l struct {
+			Event   string `json:"msg"`
+			Missing int    `json:"missing"`
+		}
+		require.NoError(s.t, json.Unmarshal([]byte(line), &l))
+		if l.Event == telemetry.RequestsCounted.Name() {
+			require.Zero(s.t, l.Missing, line)
+		}
+	}
+}
+
 // callResult is the outcome of a call.
 type callResult struct {
 	status  int
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -12,6 +12,8 @@
 	// reasonStopping is the reason of the final response to a request that a draining entry
 	// refuses or ends.
 	reasonStopping = "the entry stops"
+	// reasonTimeOver is that of a request whose deadline has passed.
+	reasonTimeOver = "time is over"
 	// stoppingRetryAfter is short since other entries take the request at once.
 	stoppingRetryAfter = 100 * time.Millisecond
 	// repeatableDeviations and unrepeatableDeviations are the mean deviations above the mean
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -76,7 +76,7 @@
 		g.drain.shorten(q)
 		require.LessOrEqual(t, q.deadline, begun+stop, test.name)
 		response := httptest.NewRecorder()
-		out := &responseWriter{gateway: g, w: response, arrived: c.at}
+		out := g.newResponseWriter(response, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil))
 		require.Equal(t, test.refused, g.mustNotStart(q, out), test.name)
 		if !test.refused {
 			continue
@@ -123,7 +123,7 @@
 				defer close(done)
 				ctx, cancel := g.drain.requestContext(t.Context(), test.left)
 				defer cancel()
-				g.dispatch(ctx, q, &responseWriter{gateway: g, w: response, arrived: q.arrived})
+				g.dispatch(ctx, q, g.newResponseWriter(response, httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil)))
 			}()
 			require.Eventually(t, func() bool { return pool.Waiting() == 1 }, 10*time.Second, time.Millisecond)
 			begun := g.now()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -91,8 +91,9 @@
 	g.rate.count.Add(1)
 	g.requestStarted()
 	defer g.active.Add(-1)
+	out := g.newResponseWriter(w, r)
+	defer out.end()
 	g.refreshLoads(g.now())
-	out := &responseWriter{gateway: g, w: w, arrived: g.now(), lastNumber: noNumber, unframed: !r.ProtoAtLeast(1, 1)}
 	q := g.accept(out, r)
 	if q == nil {
 		return
@@ -100,18 +101,10 @@
 	remaining := q.remaining(g.now())
 	ctx, cancel := g.drain.requestContext(r.Context(), remaining)
 	defer cancel()
-	complete := false
-	defer func() { // also after a panic
-		if !complete {
-			out.reset()
-		}
-	}()
 	// A caller that does not read the response must not block the request forever.
 	// Setting the deadline fails only for the writers of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeGrace))
 	g.dispatch(ctx, q, out)
-	out.abortIncomplete(q)
-	complete = true
 }
 
 // accept reads and validates a request. It returns nil if it has written the final
@@ -140,6 +133,7 @@
 		header:  r.Header,
 		arrived: out.arrived,
 	}
+	out.request = q
 	if q.route == nil {
 		out.reject(head.ID, http.StatusNotFound, "no route")
 		return nil
@@ -248,6 +242,7 @@
 	case err != nil:
 		// The deadline stays: net/http would wait for the rest of the body before it writes
 		// the response.
+		out.cause = g.readCause(err)
 		out.refuse(q.head.ID, http.StatusRequestTimeout, "could not read the body: "+err.Error(), 0)
 		return false
 	}
@@ -285,8 +280,7 @@
 		}
 		c := v.Choice()
 		out.setPlacement(v)
-		r := g.attempt(ctx, q, &c, out)
-		q.traffic.placement.Release(g.now(), c, r.outcome)
+		r := g.attemptPlaced(ctx, q, &c, out)
 		g.logAttempt(ctx, q, v, r)
 		if r.brokenOff {
 			g.recordBreak(ctx, q, c.Candidate)
@@ -298,6 +292,14 @@
 	}
 }
 
+// attemptPlaced makes an attempt at the endpoint that placement has chosen, and releases its
+// slot, also after a panic.
+func (g *Gateway) attemptPlaced(ctx context.Context, q *request, c *placement.Choice, out *responseWriter) (r result) {
+	r.outcome = placement.Cancelled
+	defer func() { q.traffic.placement.Release(g.now(), *c, r.outcome) }()
+	return g.attempt(ctx, q, c, out)
+}
+
 // recheckKey checks the key again just before a request is sent: the request may have
 // waited, and the machine may have been suspended.
 func (g *Gateway) recheckKey(q *request, c placement.Choice, sequence *sequence, out *responseWriter) bool {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -41,7 +42,11 @@
 type responseWriter struct {
 	gateway *Gateway
 	w       http.ResponseWriter
-	arrived time.Duration
+	counted *telemetry.CountedRequest
+	// callerErr returns an error once the caller's connection has ended.
+	callerErr func() error
+	request   *request // nil until its head was understood
+	arrived   time.Duration
 	// unframed is set if the caller's version of HTTP has no chunks: a response without
 	// a length then ends with its connection.
 	unframed bool
@@ -50,6 +55,8 @@
 	status           int    // the status, once it is written
 	aborted          bool   // the connection must be closed, since the response is incomplete
 	logged           bool   // the end of the request was logged
+	cause            string // why it ended without an answer
+	writeErr         error  // of the first write that failed
 	lastEvent        string // id of the last numbered event, empty before it
 	lastNumber       int64  // its number, or noNumber
 	unnumbered       bool   // the caller has events without a number
@@ -126,13 +133,22 @@
 	n, err := a.w.Write(data)
 	if err != nil {
 		a.aborted = true
+		a.recordWriteErr(err)
 	}
 	return n, err
 }
 
+// flush sends what was written. If it fails, the next write returns the error.
 func (a *responseWriter) flush() {
-	// If flushing fails, the next write returns the error.
-	_ = http.NewResponseController(a.w).Flush()
+	if err := http.NewResponseController(a.w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		a.recordWriteErr(err)
+	}
+}
+
+func (a *responseWriter) recordWriteErr(err error) {
+	if a.writeErr == nil {
+		a.writeErr = err
+	}
 }
 
 // resumable reports whether another attempt may follow. A response that has begun goes on
@@ -193,27 +209,20 @@
 // abort ends a response whose header was already written. The connection is closed so
 // that the caller can't take the response for complete.
 func (a *responseWriter) abort(q *request, reason string, args ...any) {
+	if a.writeErr != nil {
+		a.callerGone(q, reason)
+		return
+	}
 	a.aborted = true
 	a.log(q, outcomeAborted, 0, reason, append(args, "events", a.events)...)
 }
 
-// callerGone ends a request whose caller has disconnected.
+// callerGone ends a request whose caller has disconnected or does not read the response.
 func (a *responseWriter) callerGone(q *request, reason string) {
 	a.aborted = true
 	a.log(q, outcomeCallerGone, 0, reason, "events", a.events)
 }
 
-// abortIncomplete aborts the connection if the response is incomplete. A request that
-// has not been logged yet counts as abandoned by the caller.
-func (a *responseWriter) abortIncomplete(q *request) {
-	if !a.logged {
-		a.callerGone(q, "caller disconnected")
-	}
-	if a.aborted {
-		panic(http.ErrAbortHandler)
-	}
-}
-
 // reset closes the connection of a response that is incomplete. Without chunks, the caller
 // could take an orderly close for the end of the response.
 func (a *responseWriter) reset() {
@@ -248,6 +257,10 @@
 func (a *responseWriter) logID(id, service, outcome string, status int, reason string, args ...any) {
 	a.logged = true
 	g := a.gateway
+	a.counted.End(a.endOf(outcome, reason))
+	if a.cause != "" {
+		args = append(args, "cause", a.cause)
+	}
 	g.metrics.Requests.WithLabelValues(service, outcome).Inc()
 	telemetry.FleetRequestEnded.Log(context.Background(), g.logger, append([]any{
 		"request", id, "outcome", outcome, "status", status, "reason", reason,
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -180,7 +180,7 @@
 // timedOut ends a request whose caller disconnected or whose deadline passed, or that a
 // planned stop ends.
 func (s *sequence) timedOut(ctx context.Context, q *request, r result, out *responseWriter) {
-	reason, retryAfter := "time is over", unavailableRetryAfter
+	reason, retryAfter := reasonTimeOver, unavailableRetryAfter
 	if q.shortened || s.gateway.drain.hasEnded() {
 		reason, retryAfter = reasonStopping, stoppingRetryAfter
 	}
--- a/internal/logbook/cause.go
+++ b/internal/logbook/cause.go
@@ -29,11 +29,24 @@
 	case "brokenOff":
 		return fmt.Sprintf("broke off after %d events: %s%s", end.Events, end.Reason, attemptsOf(s))
 	case "callerLeft":
-		return fmt.Sprintf("the caller went away after %s, before the answer was whole%s", round(end.Took), attemptsOf(s))
+		return fmt.Sprintf("%s after %s, before the answer was whole%s", leaveOf(end), round(end.Took), attemptsOf(s))
 	}
 	return fmt.Sprintf("ended with the outcome %q: %s", end.Outcome, end.Reason)
 }
 
+// leaveOf tells how a caller left.
+func leaveOf(end Line) string {
+	switch end.Cause {
+	case "callerClosed":
+		return "the caller closed its connection, or its sending side,"
+	case "writeFailed":
+		return "the answer could not be written: the caller's connection ended"
+	case "writeTimeout":
+		return "the caller did not read the answer and was cut off"
+	}
+	return "the caller went away"
+}
+
 // unended tells of a request without a final answer in the logs.
 func unended(s *Story) string {
 	if len(s.dropped) > 0 {
--- a/internal/logbook/read.go
+++ b/internal/logbook/read.go
@@ -29,6 +29,7 @@
 	Outcome  string `json:"outcome"`
 	Status   int    `json:"status"`
 	Reason   string `json:"reason"`
+	Cause    string `json:"cause"`
 	Route    string `json:"route"`
 	Account  string `json:"account"`
 	Table    string `json:"table"`
@@ -46,6 +47,7 @@
 	InFlight int  `json:"inFlight"`
 	Unread   int  `json:"unread"`
 	Lines    int  `json:"lines"`
+	Missing  int  `json:"missing"`
 
 	Took       time.Duration `json:"took"`
 	Waited     time.Duration `json:"waited"`
--- a/internal/logbook/summary.go
+++ b/internal/logbook/summary.go
@@ -36,6 +36,7 @@
 	events    map[string]int
 	seconds   map[int64]map[string]int
 	lost      int // lines that processes dropped
+	missing   int // requests of the counts of entries
 	other     int
 }
 
@@ -60,6 +61,10 @@
 // Lost returns the number of lines that processes dropped.
 func (u *Summary) Lost() int { return u.lost }
 
+// Missing returns the number of requests that ended, by the counts that entries log at their
+// stop, without an answer, a refusal or a stated cause.
+func (u *Summary) Missing() int { return u.missing }
+
 // Seconds returns the outcomes second by second.
 func (u *Summary) Seconds() []Second {
 	var list []Second
@@ -98,6 +103,7 @@
 		if is(l, telemetry.LinesDropped) {
 			u.lost += l.Lines
 		}
+		u.missing += l.Missing
 		return
 	}
 	u.requests++
@@ -109,12 +115,21 @@
 	if l.Outcome == "answered" {
 		return
 	}
-	u.reasons[named(l.Outcome+": "+l.Reason)]++
+	u.reasons[named(l.Outcome+": "+whyOf(l))]++
 	u.routes[named(l.Route)]++
 	u.accounts[named(l.Account)]++
 	u.processes[named(l.Process)]++
 }
 
+// whyOf returns why a request was not answered whole. That of a caller that left is told by
+// the cause.
+func whyOf(l Line) string {
+	if l.Outcome == "callerLeft" {
+		return cmp.Or(l.Cause, l.Reason)
+	}
+	return l.Reason
+}
+
 // named makes a missing name visible.
 func named(text string) string {
 	text = strings.TrimSuffix(text, ": ")
@@ -147,6 +162,9 @@
 	if u.lost > 0 {
 		fmt.Fprintf(&b, "%d lines are missing: the counts are too low\n", u.lost)
 	}
+	if u.missing != 0 {
+		fmt.Fprintf(&b, "%d requests ended without an answer, a refusal or a cause, by the counts of their entries\n", u.missing)
+	}
 	section("not answered whole, by outcome and reason", u.Reasons())
 	section("by route", u.Routes())
 	section("by account", u.Accounts())
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -279,6 +279,14 @@
 		738, "serverFailed", slog.LevelError,
 		"The HTTP server reports a fault: a handler that panicked, whose caller has no answer, or connections that are not accepted, as when file descriptors are exhausted. The attribute kind says which; at most one line a second is logged of each kind, and primrosetally_server_faults_total counts all.",
 	}
+	RequestPanicked = Event{
+		739, "requestPanicked", slog.LevelError,
+		"The entry failed to handle a request, by a fault of its own. The line fleetRequestEnded with the same request says what its caller got. Report it with the stack.",
+	}
+	RequestsCounted = Event{
+		740, "requestsCounted", slog.LevelInfo,
+		"The requests of an entry at its stop. Those that were read are answered, refused, ended with a stated cause or in progress; if missing is not 0, some ended otherwise. Report it.",
+	}
 	RequestNotRead = Event{
 		741, "requestNotRead", slog.LevelInfo,
 		"A caller's connection ended between requests though bytes of one had come: it crossed the close of the connection, or its head was malformed, came too late or not whole. It did not run. The attribute kept tells whether the connection had carried a request before.",
@@ -305,7 +313,7 @@
 		SettingsNotReloaded, ManifestNotFetched, WeightsStaged, EndpointNoticed, EndpointAsks, DatagramNotRead,
 		EndpointLimited, EndpointLimitMalformed, QuotaGrantor, EndpointCrashed, QuarantineBegun, QuarantineEnded, EndpointNotChecked,
 		TableCopied, CopiesDiffer, StagedReadsSlow, RowNotRead, CallerNotReset,
-		OutdatedStart, ServerFailed, RequestNotRead,
+		OutdatedStart, ServerFailed, RequestPanicked, RequestsCounted, RequestNotRead,
 	}
 	slices.SortFunc(all, func(a, b Event) int { return a.number - b.number })
 	return all
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,8 @@
 
 	// Requests counts callers' requests by service and final outcome.
 	Requests *prometheus.CounterVec
+	// RequestCounts counts the requests of an entry from their head to their end.
+	RequestCounts *RequestCounts
 	// RequestsNotRead counts the connections of callers that were closed between requests
 	// though bytes of one had come.
 	RequestsNotRead prometheus.Counter
@@ -76,6 +78,7 @@
 	m := &Metrics{
 		registry:            prometheus.NewRegistry(),
 		Requests:            counters("requests_total", "Callers' requests by final outcome.", "service", "outcome"),
+		RequestCounts:       newRequestCounts(),
 		RequestsNotRead:     counter("requests_not_read_total", "Connections of callers that were closed between requests though bytes of one had come."),
 		ServerFaults:        counters("server_faults_total", "Faults that HTTP servers reported.", "kind"),
 		RequestSeconds:      durations("request_seconds", "Time to the final answer.", "service"),
@@ -97,7 +100,7 @@
 	m.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Requests, m.RequestsNotRead, m.ServerFaults, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
+		m.Requests, m.RequestCounts, m.RequestsNotRead, m.ServerFaults, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
 		m.LimitedEndpoints, m.LimitedRequests, m.QuotaFraction,
 		m.Crashes, m.Quarantines, m.QuarantinedRequests, m.OutdatedStarts,
