Soak: no request ends at an entry without an answer, a refusal or a cause

After the calm phase it reads primrosetally_requests_missing of all entries that run, and requestsCounted in the logs of those that have stopped; anything but 0 is a violation.

The check has not found a fault yet.

--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -89,6 +89,11 @@
 	return []*link{m.store, m.peers}
 }
 
+// listenIP returns the address at which the process listens, behind the proxies.
+func (m *machine) listenIP() string {
+	return strings.Replace(m.IP, fmt.Sprintf("127.%d.", m.run.network), fmt.Sprintf("127.%d.", int(m.run.network)+listenNetworks), 1)
+}
+
 func (m *machine) start() error {
 	settings := filepath.Join(m.run.logs, m.Name+".conf")
 	text := m.run.deployment.Settings(m.Machine, m.storeAt)
@@ -105,8 +110,7 @@
 	if m.stopped {
 		return nil
 	}
-	listen := strings.Replace(m.IP, fmt.Sprintf("127.%d.", m.run.network), fmt.Sprintf("127.%d.", int(m.run.network)+listenNetworks), 1)
-	c := exec.Command(m.run.binary, m.role, "--settings", settings, "--listen-ip", listen)
+	c := exec.Command(m.run.binary, m.role, "--settings", settings, "--listen-ip", m.listenIP())
 	c.Stdout, c.Stderr = output, output
 	if err := c.Start(); err != nil {
 		return eris.Wrap(err, "soak")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -177,6 +177,7 @@
 	unwatch()
 	<-memory
 	r.checkWeights()
+	r.checkRequests(ctx)
 	r.ledger.conclude()
 	report := r.ledger.report()
 	report.Seed, report.Plan, report.Schedule = c.seed, c.plan, r.schedule
