Responses that have begun wait in a queue of their own

What callers saw (review of, by tests): with one stream that waits for an endpoint other than the only one that is listed, a new request was refused, "no room is expected in time", although that endpoint was idle; with three, a queued request was not placed for as long as the streams waited.

Cause: such a stream precedes all others in the queue, and those behind it count it as ahead of them.

Fix: a queue of its own, tried first and counted by nobody. An endpoint that was tried may take its stream again once it has newer weights. A stream does not go on at an endpoint whose bound could end it once more, and is not refused for want of a permit.

--- a/internal/coordination/placement/permits.go
+++ b/internal/coordination/placement/permits.go
@@ -93,7 +93,7 @@
 	if p.limitedCount == 0 {
 		return Demands{}
 	}
-	waiting := len(p.onTime) + len(p.late)
+	waiting := len(p.begun) + len(p.onTime) + len(p.late)
 	arrivals := p.expectedArrivals(now)
 	if waiting+arrivals == 0 {
 		return Demands{}
@@ -171,7 +171,7 @@
 func (p *Pool) permitRate(now time.Duration, r Request) (rate float64, known bool) {
 	for _, e := range p.listed {
 		switch {
-		case r.excludes(e.ID):
+		case r.excludes(e):
 		case !e.Limited:
 			return 0, false
 		case e.shareAt > 0 && now-e.shareAt < shareTTL:
@@ -208,7 +208,7 @@
 	unreserved := p.needsUnreserved(now, r)
 	for _, e := range p.listed {
 		switch {
-		case r.excludes(e.ID):
+		case r.excludes(e):
 		case !e.Limited:
 			return false
 		case !e.hasPermit(now, unreserved) && e.isAvailable(now) && e.freeSlots(p.overcommit) > 0:
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -48,6 +48,7 @@
 	mu               sync.Mutex
 	endpoints        map[string]*endpoint
 	listed           []*endpoint // those that may be used, shuffled
+	begun            queue       // requests whose response has begun
 	onTime           queue       // requests that can meet their target
 	late             queue       // requests that can no longer meet it
 	placedSinceLate  int         // placements since the last one from the late queue
@@ -193,7 +194,7 @@
 	defer p.requestPermits(now)
 	p.placeQueued(now)
 	p.setWaitLimits(now, t)
-	if t.ahead = p.onTime.countAhead(t); t.ahead == 0 {
+	if t.ahead = p.queueOf(r).countAhead(t); t.ahead == 0 {
 		e, delay := p.bestEndpoint(now, r)
 		if e != nil && p.admits(now, t, e, delay) {
 			p.place(now, t, e, delay)
@@ -204,6 +205,14 @@
 	return t
 }
 
+// queueOf returns the queue in which a request that has just arrived would wait first.
+func (p *Pool) queueOf(r Request) queue {
+	if r.Begun {
+		return p.begun
+	}
+	return p.onTime
+}
+
 // lagOf returns the lag of preferred endpoints, or of other endpoints.
 func (p *Pool) lagOf(preferred bool) *lag {
 	if preferred {
@@ -228,8 +237,10 @@
 func (p *Pool) Cancel(t *Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.onTime.remove(t) {
-		p.late.remove(t)
+	for _, q := range []*queue{&p.begun, &p.onTime, &p.late} {
+		if q.remove(t) {
+			return
+		}
 	}
 }
 
@@ -276,7 +287,7 @@
 func (p *Pool) Waiting() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.onTime) + len(p.late)
+	return len(p.begun) + len(p.onTime) + len(p.late)
 }
 
 // Loads returns the entry's own load on each endpoint where it has requests in flight.
@@ -381,6 +392,16 @@
 	return n / max(counted, 1)
 }
 
+// resumedFactor is how many mean service times must be left before the bound of an endpoint's
+// weights for a stream to go on there.
+const resumedFactor = 2
+
+// endsAgain reports whether the bound of an endpoint's weights could end a stream once more
+// that has broken off.
+func (p *Pool) endsAgain(now time.Duration, e *endpoint, r Request) bool {
+	return r.Begun && e.BeginBefore > 0 && now+resumedFactor*p.serviceTime.average() > e.BeginBefore
+}
+
 // otherSampleSize is the number of endpoints other than the preferred ones that are
 // considered for one request. Their reported load is old, so that the best of all of them
 // would be chosen by every entry at the same time.
@@ -397,7 +418,7 @@
 	for i := range p.listed {
 		e := p.listed[(start+i)%len(p.listed)]
 		sample := !e.Preferred && !e.Limited
-		if sample && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit, unreserved) || r.excludes(e.ID) {
+		if sample && sampled >= otherSampleSize || !e.hasCapacity(now, p.overcommit, unreserved) || r.excludes(e) || p.endsAgain(now, e, r) {
 			continue
 		}
 		if sample {
--- a/internal/coordination/placement/queue.go
+++ b/internal/coordination/placement/queue.go
@@ -148,7 +148,7 @@
 	reason := ReasonNoEndpoint
 	for _, e := range p.listed {
 		switch {
-		case t.request.excludes(e.ID):
+		case t.request.excludes(e):
 		case e.hold.until > max(t.expiresAt, t.onTimeUntil):
 			reason = ReasonHeld
 		default:
@@ -163,23 +163,25 @@
 	for _, q := range []*queue{&p.onTime, &p.late} {
 		*q = slices.DeleteFunc(*q, func(t *Ticket) bool {
 			reason := p.refusalReason(t)
-			if reason == "" || t.request.Begun {
-				return false
+			if reason != "" {
+				p.refuse(now, t, reason)
 			}
-			p.refuse(now, t, reason)
-			return true
+			return reason != ""
 		})
 	}
 }
 
-func (r Request) excludes(id string) bool { return slices.Contains(r.Exclude, id) }
+// excludes reports whether a request must not be placed on an endpoint.
+func (r Request) excludes(e *endpoint) bool {
+	return slices.Contains(r.Exclude, e.ID) && !(r.Begun && e.Version > r.Version)
+}
 
 // enqueue queues the request as on time if it is expected to be placed early enough to
 // meet its target, else as late if it is expected to be placed before its wait expires.
 // Otherwise it refuses the request, unless its response has begun.
 func (p *Pool) enqueue(now time.Duration, t *Ticket, reason Reason) {
 	if t.request.Begun && !t.request.tooLate(now) {
-		p.onTime.add(t)
+		p.begun.add(t)
 		return
 	}
 	if refusal := p.refusalReason(t); refusal != "" {
@@ -223,15 +225,18 @@
 	}
 }
 
-// expire refuses the late requests whose wait is over.
+// expire refuses the late requests whose wait is over, and those whose response has begun and
+// whose deadline has come.
 func (p *Pool) expire(now time.Duration) {
-	p.late = slices.DeleteFunc(p.late, func(t *Ticket) bool {
-		expired := now >= t.expiresAt
-		if expired {
-			p.refuse(now, t, ReasonExpired)
-		}
-		return expired
-	})
+	for _, q := range []*queue{&p.begun, &p.late} {
+		*q = slices.DeleteFunc(*q, func(t *Ticket) bool {
+			expired := now >= t.expiresAt
+			if expired {
+				p.refuse(now, t, ReasonExpired)
+			}
+			return expired
+		})
+	}
 }
 
 // placeQueued places waiting requests while there is capacity.
@@ -243,12 +248,29 @@
 
 // placeNext places one waiting request and reports whether it did.
 func (p *Pool) placeNext(now time.Duration) bool {
+	if p.placeBegun(now) {
+		return true
+	}
 	if len(p.late) > 0 && p.placedSinceLate >= placementsPerLate && p.placeLate(now) {
 		return true
 	}
 	return p.placeOnTime(now) || len(p.onTime) == 0 && p.placeLate(now)
 }
 
+// placeBegun places the first request whose response has begun and that an endpoint can take.
+// One that none can take yet does not delay any other request.
+func (p *Pool) placeBegun(now time.Duration) bool {
+	for _, t := range p.begun {
+		e, delay := p.bestEndpoint(now, t.request)
+		if e != nil && !t.request.tooLate(now) {
+			p.begun.remove(t)
+			p.place(now, t, e, delay)
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) placeOnTime(now time.Duration) bool {
 	skipped := 0
 	for _, t := range p.onTime {
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -82,8 +82,10 @@
 	// PlacedBefore marks a request that was placed before. It precedes all others.
 	PlacedBefore bool
 	// Begun marks a request whose response has begun. It can't be refused any more, so that it
-	// waits until its deadline whatever is expected.
-	Begun bool
+	// waits until its deadline whatever is expected. Version is that of the weights of the last
+	// attempt: an endpoint that was tried may take the request again with a newer one.
+	Begun   bool
+	Version int64
 }
 
 // Choice is the endpoint that a request is placed on.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,7 +63,6 @@
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	version           int64         // version of the weights that the last attempt was sent to, 0 without one
 	limit             *attemptLimit // of the last attempt
-	confirmation      *time.Timer   // ends the last attempt if it brings nothing more of a stream that may be whole
 	usableUntil       time.Duration // time from which none may begin on that version, 0 for any time
 	tried             []string      // IDs of the endpoints tried, in order
 	addresses         []string      // their addresses
@@ -368,6 +367,7 @@
 		Exclude:      q.tried,
 		PlacedBefore: isRetry,
 		Begun:        q.resumed,
+		Version:      q.version,
 	})
 	for waiting := true; waiting; {
 		select {
