A promise of a resumption is a token that is taken at once

Cause: resumptions were counted beside the tokens, and promises only against each other.

Fix: a promise takes its token when it is made and is refunded if it is not used. Beyond the tokens there are a fifth of the ratio for the requests of the last window, which later retries pay back. No time left is shortened without a promise: of routes that may not be resumed it never is. The promise pays for a request that was withdrawn before it began, too.

--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -124,14 +124,14 @@
 	retryAfter  time.Duration
 	random      func() float64
 
-	mu        sync.Mutex
-	tokens    float64
-	requests  uint64
-	retries   uint64
-	denied    uint64
-	usage     usage
-	allowance allowance
-	promised  int // resumptions
+	promiseRatio float64
+
+	mu       sync.Mutex
+	tokens   float64 // below 0 after promises beyond them
+	requests uint64
+	retries  uint64
+	denied   uint64
+	recent   recentRequests
 }
 
 // Option sets an optional property of a Budget.
@@ -182,7 +182,6 @@
 		o(b)
 	}
 	b.tokens = b.reserve
-	b.allowance = allowance{ratio: b.ratio, reserve: b.reserve}
 	return b
 }
 
@@ -216,7 +215,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests++
-	b.usage.slot().requests++
+	b.recent.add()
 	b.tokens = min(b.tokens+b.ratio, b.maxTokens)
 	return s
 }
@@ -239,7 +238,6 @@
 	}
 	b.tokens--
 	b.retries++
-	b.usage.slot().retries++
 	return true
 }
 
@@ -247,7 +245,9 @@
 func (b *Budget) recordFailedRetry() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens *= failedRetryFactor
+	if b.tokens > 0 {
+		b.tokens *= failedRetryFactor
+	}
 }
 
 // nextBackoff returns a uniformly random delay below a bound that doubles with each
--- a/internal/coordination/retry/sequence.go
+++ b/internal/coordination/retry/sequence.go
@@ -62,10 +62,9 @@
 	return Decision{kind: Retry, backoff: backoff}
 }
 
-// Resume returns whether another attempt follows one of a stream that this entry ended
-// itself, after a part of it had reached the caller. It is no sign of a failure, and takes no
-// token of the retries.
-func (s *Sequence) Resume(timeLeft time.Duration) Decision {
+// Resume returns whether another attempt follows one that this entry ended itself. It is no
+// sign of a failure, and the promise pays for it.
+func (s *Sequence) Resume(p *Promise, timeLeft time.Duration) Decision {
 	s.mayHaveRun = true
 	o := MayHaveRun()
 	switch {
@@ -75,9 +74,10 @@
 		return s.finalDecision(o, DeniedAttempts)
 	case timeLeft < s.minTime:
 		return s.finalDecision(o, DeniedTime)
-	case !s.budget.takeResumption():
+	case p == nil:
 		return s.finalDecision(o, DeniedBudget)
 	}
+	p.use()
 	s.attempt++
 	return Decision{kind: Retry}
 }
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -26,7 +26,7 @@
 	// not run by then allows any request to be sent again.
 	endMargin = 200 * time.Millisecond
 	// completeFactor is how many mean service times must be left before the bound for an
-	// attempt to count as complete by then, whether or not it can go on at another endpoint.
+	// attempt to count as likely to be complete by then.
 	completeFactor = 4
 	// targetInterval is how often the bound is looked up again for an attempt that has not
 	// begun: a newer version may be set, or the time of one corrected, after it was sent.
@@ -47,10 +47,10 @@
 	candidate placement.Candidate
 	cancel    context.CancelCauseFunc
 	// end is the time by which the attempt has to be complete, 0 if it need only begin in
-	// time. Promised is set if the budget has promised that it may go on at another endpoint.
-	end      time.Duration
-	budget   *retry.Budget
-	promised bool
+	// time.
+	end time.Duration
+	// promise is that of a resumption; it is used only by the goroutine of the request.
+	promise *retry.Promise
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -61,7 +61,7 @@
 // limitAttempt returns the limit of an attempt that is sent now. It calls cancel when the
 // attempt must be withdrawn. It must be released when the attempt has ended.
 func (g *Gateway) limitAttempt(q *request, c placement.Choice, cancel context.CancelCauseFunc) *attemptLimit {
-	l := &attemptLimit{gateway: g, service: q.service, candidate: c.Candidate, cancel: cancel, budget: q.traffic.budget}
+	l := &attemptLimit{gateway: g, service: q.service, candidate: c.Candidate, cancel: cancel}
 	if q.service.Engine() == nil || g.targets.bound == 0 {
 		return l
 	}
@@ -72,26 +72,32 @@
 	return l
 }
 
-// shorten sets the end of an attempt that may not go on beyond the bound of its weights: one
-// that is very likely complete by then, or can go on at another endpoint. For the latter there
-// must be an endpoint that has the new version, an attempt left, and a resumption that is not
-// promised to another.
+// shorten sets the end of an attempt that may not go on beyond the bound of its weights. It
+// must be able to go on at another endpoint: there must be an attempt left and the promise of
+// a resumption, and an endpoint that has the new version, unless the attempt is likely to be
+// complete by then.
 func (l *attemptLimit) shorten(q *request) {
-	if q.usableUntil == 0 || q.usableUntil >= q.deadline {
+	if q.usableUntil == 0 || q.usableUntil >= q.deadline || !q.route.Resumable() || len(q.tried) >= max(q.route.MaxAttempts(), 1) {
 		return
 	}
 	end := q.usableUntil - endMargin
-	left, mean := end-q.sentAt, q.traffic.placement.ServiceTime(0)
-	if left >= completeFactor*mean {
-		l.end = end
+	if !q.traffic.renewed.Load() && end-q.sentAt < completeFactor*q.traffic.placement.ServiceTime(0) {
 		return
 	}
-	if !q.route.Resumable() || len(q.tried) >= max(q.route.MaxAttempts(), 1) || !q.traffic.renewed.Load() {
-		return
+	if l.promise = q.traffic.budget.Promise(); l.promise != nil {
+		l.end = end
 	}
-	if l.budget.Promise() {
-		l.end, l.promised = end, true
+}
+
+// takePromise returns the promise of a resumption of the attempt, nil if there is none or it
+// was taken. The caller must use or refund it.
+func (l *attemptLimit) takePromise() *retry.Promise {
+	if l == nil {
+		return nil
 	}
+	p := l.promise
+	l.promise = nil
+	return p
 }
 
 // check withdraws the attempt if its limit has passed, and otherwise waits for it. The bound
@@ -143,10 +149,6 @@
 	if l.timer != nil {
 		l.timer.Stop()
 	}
-	if l.promised {
-		l.budget.TakeBack()
-		l.promised = false
-	}
 }
 
 // timeLeft returns the time that the endpoint may take for an attempt of a request.
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -63,6 +63,8 @@
 // retryOrFinish reports whether another attempt follows. If not, it writes the final
 // response.
 func (s *sequence) retryOrFinish(ctx context.Context, q *request, r result, out *responseWriter) bool {
+	promise := q.limit.takePromise()
+	defer promise.Refund()
 	if r.responded || out.aborted {
 		return false
 	}
@@ -76,7 +78,7 @@
 		s.timedOut(ctx, q, r, out)
 		return false
 	}
-	if s.mayRetry(q, r) && out.resumable(q) {
+	if out.resumable(q) && s.mayRetry(q, r, promise) {
 		q.resumed = out.headerWritten
 		return true
 	}
@@ -84,8 +86,9 @@
 	return false
 }
 
-// mayRetry reports whether the request may be sent once more.
-func (s *sequence) mayRetry(q *request, r result) bool {
+// mayRetry reports whether the request may be sent once more. An attempt that this entry ended
+// goes on with its promise, which may be nil.
+func (s *sequence) mayRetry(q *request, r result, promise *retry.Promise) bool {
 	limit := max(q.route.MaxAttempts(), 1)
 	if r.notRun {
 		// Only endpoints that run the request count against the limit.
@@ -105,9 +108,10 @@
 	}
 	remaining := q.remaining(s.gateway.now())
 	d := retry.Decision{}
-	if r.outcome == placement.Withdrawn && q.begunAt > 0 {
-		d = s.attempts.Resume(remaining)
+	if r.outcome == placement.Withdrawn && promise != nil {
+		d = s.attempts.Resume(promise, remaining)
 	} else {
+		promise.Refund()
 		d = s.attempts.Decide(outcome, remaining)
 	}
 	s.denial = d.Denial()
@@ -148,8 +152,6 @@
 // "not run" if that is proven, or an error that leaves open whether the request ran.
 func (s *sequence) finish(out *responseWriter, q *request, reason string, retryAfter time.Duration, args ...any) {
 	switch {
-	case out.mayBeWhole():
-		out.finish(q)
 	case out.headerWritten:
 		out.abort(q, reason, args...)
 	case s.errorResponse != nil:
@@ -196,8 +198,6 @@
 	switch {
 	case !isTimeout(ctx) && !s.gateway.drain.hasEnded():
 		out.callerGone(q, r.reason)
-	case out.mayBeWhole():
-		out.finish(q)
 	case out.headerWritten:
 		out.abort(q, reason)
 	case s.errorResponse != nil:
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -25,7 +25,7 @@
 	now := g.now()
 	g.recordOutage(now)
 	g.rate.advance(now)
-	g.traffic.refill(now, g.retryRatio, g.retryReserve, g.peers.entries(now))
+	g.traffic.refill(now, g.retryReserve, g.peers.entries(now))
 	g.refreshFor(active)
 	regionSummary := g.summary(now)
 	regionSummary.Peers = r.peers
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -16,9 +16,9 @@
 	ratioFraction     = 0.75
 	maxTokensFraction = 0.4
 	refillFraction    = 0.35
-	// allowanceFraction is the fraction up to which streams that entries end themselves at
-	// the bound of their weights may go on, retries included.
-	allowanceFraction = 0.9
+	// promiseFraction is the fraction of the ratio up to which resumptions may be promised
+	// beyond the retry tokens.
+	promiseFraction = 0.2
 	// budgetWindow is the window in which the operators count retries.
 	budgetWindow = 10 * time.Second
 )
@@ -80,7 +80,7 @@
 
 // refill adds to each retry budget this entry's share of the reserve, the retries
 // that all entries together may make without requests that add to the budget.
-func (t *traffic) refill(now time.Duration, ratio, reserve float64, entries int) {
+func (t *traffic) refill(now time.Duration, reserve float64, entries int) {
 	t.mu.Lock()
 	since := min(now-t.refilledAt, time.Second)
 	t.refilledAt = now
@@ -89,10 +89,11 @@
 	added := own * refillFraction * since.Seconds() / budgetWindow.Seconds()
 	t.each(func(_ string, s *serviceTraffic) {
 		s.budget.Refill(added, own*maxTokensFraction)
-		s.budget.SetAllowance(now, budgetWindow, ratio*allowanceFraction, own*allowanceFraction)
+		s.budget.Advance(now, budgetWindow)
 	})
 }
 
 func (g *Gateway) newBudget() *retry.Budget {
-	return retry.NewBudget(retry.WithRatio(g.retryRatio*ratioFraction), retry.WithReserve(1))
+	return retry.NewBudget(retry.WithRatio(g.retryRatio*ratioFraction), retry.WithReserve(1),
+		retry.WithPromiseRatio(g.retryRatio*promiseFraction))
 }
