A stream that ends in good order as its time left ends is whole only if confirmed

Cause: what could not be confirmed counted as whole, since all ends in good order that were seen were whole.

Fix: it is whole if another endpoint ends it too without an event, whenever that comes before the deadline; otherwise it is broken off, visibly. Comments are no events: one beside the confirmation broke a whole stream off (TestWholeStreamIsConfirmedBeside- Comments).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,8 +84,6 @@
 	g.countLimited(q, c.Candidate)
 	q.limit = g.limitAttempt(q, *c, cancel)
 	defer q.limit.release()
-	q.confirmation = confirm(out, cancel)
-	defer q.confirmation.Stop()
 	response, err := x.Send(ctx, g.headFor(q, *c, out), q.body, func(h http.Header) endpoints.Match { return g.codec.Match(h, q.head.ID) })
 	if errors.Is(err, endpoints.ErrNotSent) {
 		return g.unreachable(ctx, err)
@@ -245,8 +243,7 @@
 			}
 			out.flush()
 			g.recordProgress(q)
-			out.events += batch.count
-			q.confirmation.Stop()
+			out.events += batch.count - batch.comments
 			out.recordPosition(batch)
 		}
 		if batch.err != nil {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -112,9 +112,6 @@
 // placementContext returns the context in which a request waits for an endpoint. It ends at
 // the last start of the request.
 func (g *Gateway) placementContext(ctx context.Context, q *request, out *responseWriter) (context.Context, context.CancelFunc) {
-	if out.mayBeWhole() {
-		return context.WithTimeout(ctx, confirmWait)
-	}
 	if out.headerWritten {
 		return ctx, func() {}
 	}
