--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -37,6 +37,10 @@
 	since Position // the changes are those after it
 }
 
+// PositionOf returns the position at which a row of the update was written, as far as its era
+// tells: a row that the store had when it came back may be of an earlier one.
+func (u Update) PositionOf(r Row) Position { return Position{Era: u.Era, Version: r.Version} }
+
 // State identifies what a copy holds.
 type State struct {
 	// Position is the newest one of the store that the copy covers.
@@ -71,6 +75,7 @@
 type Table struct {
 	onChange     func(rows map[string]Row)
 	onReplaced   func(s State, from string)
+	onRestored   func(before, after Position, from string)
 	now          func() time.Duration
 	removalGrace time.Duration
 	recoveredAt  func() time.Duration // when the store last recovered, 0 for never
@@ -104,6 +109,7 @@
 	return &Table{
 		onChange:     onChange,
 		onReplaced:   func(State, string) {},
+		onRestored:   func(Position, Position, string) {},
 		now:          now,
 		removalGrace: removalGrace,
 		recoveredAt:  func() time.Duration { return 0 },
--- a/internal/fleetprocess/storereturn_test.go
+++ b/internal/fleetprocess/storereturn_test.go
@@ -83,6 +83,7 @@
 		{"away with 429", storeReturn{away: standin.FaultLimited, pause: 500 * time.Millisecond}},
 		{"away and silent", storeReturn{away: standin.FaultSilent, options: []standin.RestoreOption{standin.WithHangingFeeds()}}},
 		{"slow afterwards", storeReturn{delay: 240 * time.Millisecond, options: []standin.RestoreOption{standin.WithCutFeeds()}}},
+		{"the era is missing in answers", storeReturn{options: []standin.RestoreOption{standin.WithEraMissing()}}},
 		{"twice", storeReturn{again: 600 * time.Millisecond}},
 		{"twice, polls hang", storeReturn{again: 600 * time.Millisecond, options: []standin.RestoreOption{standin.WithHangingFeeds()}}},
 	} {
@@ -106,6 +107,7 @@
 
 			s.requireServed(test.r.begin(s.Store, older))
 			require.Equal(t, arrivals, leaving.Arrivals(), "an endpoint that leaves gets requests again")
+			require.Contains(t, s.logs.String(), `"msg":"storeRestored"`)
 			s.AddRoutes(1)
 			s.requireAtAll(standin.PathExtra(2), standin.Key, http.StatusOK, returnBound)
 		})
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -32,6 +32,8 @@
 
 	// Requests counts callers' requests by service and final outcome.
 	Requests *prometheus.CounterVec
+	// RequestCounts counts the requests of an entry from their head to their end.
+	RequestCounts *RequestCounts
 	// RequestsNotRead counts the connections of callers that were closed between requests
 	// though bytes of one had come.
 	RequestsNotRead prometheus.Counter
@@ -70,12 +72,16 @@
 	// OutdatedStarts counts the responses that began on weights whose bound had passed, by
 	// service.
 	OutdatedStarts *prometheus.CounterVec
+	// StoreReturns counts the eras of the store that a copy has entered after its first one,
+	// by table.
+	StoreReturns *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
 	m := &Metrics{
 		registry:            prometheus.NewRegistry(),
 		Requests:            counters("requests_total", "Callers' requests by final outcome.", "service", "outcome"),
+		RequestCounts:       newRequestCounts(),
 		RequestsNotRead:     counter("requests_not_read_total", "Connections of callers that were closed between requests though bytes of one had come."),
 		ServerFaults:        counters("server_faults_total", "Faults that HTTP servers reported.", "kind"),
 		RequestSeconds:      durations("request_seconds", "Time to the final answer.", "service"),
@@ -92,15 +98,17 @@
 		Quarantines:         gauge("quarantines", "Quarantines in force."),
 		QuarantinedRequests: counters("quarantined_requests_total", "Requests refused because endpoints crash under such requests.", "service"),
 		OutdatedStarts:      counters("outdated_starts_total", "Responses that began on weights whose bound had passed.", "service"),
+		StoreReturns:        counters("store_returns_total", "Returns of the store from an older copy of itself.", "table"),
 		LimitedRequests:     counters("limited_requests_total", "Requests sent to endpoints with a known rate limit.", "service"),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.Requests, m.RequestsNotRead, m.ServerFaults, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
+		m.Requests, m.RequestCounts, m.RequestsNotRead, m.ServerFaults, m.RequestSeconds, m.Attempts, m.Admissions, m.DroppedParts,
 		m.ChunkBytes, m.CorruptChunks, m.Revision, m.SummariesNotSent,
 		m.LimitedEndpoints, m.LimitedRequests, m.QuotaFraction,
 		m.Crashes, m.Quarantines, m.QuarantinedRequests, m.OutdatedStarts,
+		m.StoreReturns,
 	)
 	return m
 }
