--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -315,11 +315,10 @@
 
 // currentResponseTimeout returns the response timeout of the next poll.
 func (w *Watcher) currentResponseTimeout() time.Duration {
-	timeout := responseTimeout
-	for range w.failures {
-		timeout = min(2*timeout, maxResponseTimeout)
+	if w.failures < 2 {
+		return responseTimeout << w.failures
 	}
-	return timeout
+	return maxResponseTimeout
 }
 
 // backoff returns a random delay between half of a bound and the bound, which doubles
