Soak: the store comes back from an older copy

A fault of its own plan: a copy of up to 4 s is kept, the store comes back from it, in a third of the faults twice, with polls answered, cut or left hanging and writes of before carried out afterwards; then the rows of the operator and the servers are written again in random order. Other faults of a seed stay as they were. Last before the restarts of the calm phase a return from a copy that is 8 s old, with a route that all entries serve and a revocation that is 8 s old, both lost. Checkers: no 404 for that route, no run under the revoked key, and nine tenths of the calls served in each half second from 2 to 6 s after everything was written again (TestCheckersOfReturns). TestPlan counts one more kind with a plan of its own.

--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -33,6 +33,7 @@
 	r.checkStops(ctx)
 	r.checkWaits(ctx)
 	r.checkDeadlyPart(ctx)
+	r.checkReturn(ctx)
 	r.checkRestart(ctx)
 	pause(ctx, settleTime)
 	r.checkRecovery()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -135,6 +135,8 @@
 		return r.stateRateLimit(f)
 	case MakePartDeadly:
 		return r.makePartDeadly(number)
+	case ReturnStore:
+		return r.returnStore(number, f)
 	case RestartWhileLeaving:
 		r.restartWhileLeaving(ctx, f)
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -50,6 +50,7 @@
 	calmSince   func(until time.Time) time.Time
 	namings     []naming
 	withdrawals []standin.Withdrawal
+	returns     []storeReturn
 	violations  []string
 }
 
@@ -173,6 +174,7 @@
 	l.checkDepartures()
 	l.checkGone()
 	l.checkExtended()
+	l.checkReturns()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,6 +53,8 @@
 	// ends, WaitForSuspendedEngines suspends their machines then.
 	WaitForSlowEngines
 	WaitForSuspendedEngines
+	// ReturnStore lets the store come back from an older copy of itself.
+	ReturnStore
 )
 
 var kindNames = []string{
@@ -60,12 +62,13 @@
 	"server spoils answers", "origin spoils chunks", "staged chunk turns bad", "route is added", "key is rotated",
 	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers signal backpressure", "servers state a rate limit", "part of a prompt is deadly", "all restart while servers leave",
 	"engines are slow at the bound of a version", "engines are suspended at the bound of a version",
+	"store comes back from an older copy",
 }
 
 func (k Kind) String() string { return kindNames[k] }
 
 // kindWeights are the weights of the kinds in a plan, but for StateRateLimit,
-// MakePartDeadly, RestartWhileLeaving and the kinds in which requests wait.
+// MakePartDeadly, RestartWhileLeaving, ReturnStore and the kinds in which requests wait.
 var kindWeights = []int{2, 2, 2, 1, 1, 4, 1, 2, 8, 1, 3, 2, 2, 2, 8, 2, 2, 4}
 
 // Fault is one fault of a plan. Draws decide the rest, whatever the size of the
@@ -120,6 +123,7 @@
 	plan = append(plan, deadlyPlan(seed, duration)...)
 	plan = append(plan, restartPlan(seed, duration)...)
 	plan = append(plan, waitPlan(seed, duration)...)
+	plan = append(plan, returnPlan(seed, duration)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -131,6 +131,7 @@
 	leavers, leaversInCalm []*leaver
 	background             sync.WaitGroup // faults that go on by themselves
 	storeDisturbed         spans
+	returning              sync.Mutex // held while the store comes back from an older copy
 
 	mu          sync.Mutex
 	storeFaults []storeFault
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -245,7 +245,7 @@
 		}
 	}
 	require.Len(t, seen, len(kindNames))
-	require.Len(t, kindWeights, len(kindNames)-5, "rate limits, deadly parts, restarts and the two in which requests wait have plans of their own")
+	require.Len(t, kindWeights, len(kindNames)-6, "rate limits, deadly parts, restarts, returns of the store and the two in which requests wait have plans of their own")
 }
 
 // A plan that fails by two of its faults is reduced to these.
