--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -34,6 +34,7 @@
 	r.checkWaits(ctx)
 	r.checkEnds(ctx)
 	r.checkDeadlyPart(ctx)
+	r.checkReturn(ctx)
 	r.checkRestart(ctx)
 	pause(ctx, settleTime)
 	r.checkRecovery()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -140,6 +140,8 @@
 		random := rand.New(rand.NewPCG(f.Draws[0], f.Draws[1]))
 		r.background.Go(func() { r.changeInSeries(series, random) })
 		return end
+	case ReturnStore:
+		return r.returnStore(number, f)
 	case RestartWhileLeaving:
 		r.restartWhileLeaving(ctx, f)
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -61,6 +61,7 @@
 	ends        []string // how many requests ended without an answer, by occasion
 	// soundSince is inTouchSince, but for disturbances of the store and planned stops.
 	soundSince func(front, server string, until time.Time) time.Time
+	returns    []storeReturn
 	violations []string
 }
 
@@ -191,6 +192,7 @@
 	l.checkExtended()
 	l.checkLost()
 	l.checkInOrder()
+	l.checkReturns()
 }
 
 func (l *ledger) checkCall(attempt string, c call, runs []standin.Run) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,6 +58,8 @@
 	// EndStreamsAtTimeLeft names a version and lets streams end at their time left, which the
 	// bound of the version shortens.
 	EndStreamsAtTimeLeft
+	// ReturnStore lets the store come back from an older copy of itself.
+	ReturnStore
 )
 
 var kindNames = []string{
@@ -66,6 +68,7 @@
 	"weights are named", "link is disturbed", "machine is cut off", "key is taken away during a cut", "servers signal backpressure", "servers state a rate limit", "part of a prompt is deadly", "all restart while servers leave",
 	"engines are slow at the bound of a version", "engines are suspended at the bound of a version",
 	"configuration changes in series", "streams end at their time left",
+	"store comes back from an older copy",
 }
 
 func (k Kind) String() string { return kindNames[k] }
@@ -127,6 +130,7 @@
 	plan = append(plan, restartPlan(seed, duration)...)
 	plan = append(plan, waitPlan(seed, duration)...)
 	plan = append(plan, changesPlan(seed, duration)...)
+	plan = append(plan, returnPlan(seed, duration)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
