--- a/internal/coordination/watch/table.go
+++ b/internal/coordination/watch/table.go
@@ -38,7 +38,7 @@
 }
 
 // PositionOf returns the position at which a row of the update was written, as far as its era
-// tells: a row that the store had when it came back may be of an earlier one.
+// shows: a row that the store had when it came back may be of an earlier one.
 func (u Update) PositionOf(r Row) Position { return Position{Era: u.Era, Version: r.Version} }
 
 // State identifies what a copy holds.
--- a/internal/fleetprocess/largeconfiguration_test.go
+++ b/internal/fleetprocess/largeconfiguration_test.go
@@ -11,15 +11,15 @@
 )
 
 // Large configurations follow one another while callers send requests. None waits for a
-// configuration beyond the patience of a caller, who abandons a connection on which its
+// configuration for longer than a caller, who abandons a connection on which its
 // request is not read within a third of its time, and the last one is in force in time.
 func TestRequestsDoNotWaitForConfigurations(t *testing.T) {
 	const (
-		routes   = 350                   // some more than a row of the store holds
-		interval = 60 * time.Millisecond // between configurations
-		length   = 2 * time.Second
-		patience = 800 * time.Millisecond // a third of the time of a call
-		inForce  = 2 * time.Second
+		routes        = 350                   // some more than a row of the store holds
+		interval      = 60 * time.Millisecond // between configurations
+		length        = 2 * time.Second
+		callerTimeout = 800 * time.Millisecond // a third of the time of a call
+		inForce       = 2 * time.Second
 	)
 	s := startSystem(t, standin.WithSize(1, 1, 1, 1))
 	s.AddRoutes(routes)
@@ -44,7 +44,7 @@
 		}
 	}
 	t.Logf("longest of %d calls: %v", calls, longest)
-	require.Less(t, longest, patience)
+	require.Less(t, longest, callerTimeout)
 	s.AddRoutes(1)
 	require.Eventually(t, func() bool {
 		return s.call("GET", standin.PathExtra(routes+1), standin.Key).status == http.StatusOK
--- a/internal/fleetprocess/serverlog.go
+++ b/internal/fleetprocess/serverlog.go
@@ -28,7 +28,7 @@
 	faultOther    = "other"
 )
 
-// serverFault tells the kind of a fault by a part of its text. Minor ones are only counted.
+// serverFault identifies the kind of a fault by a part of its text. Minor ones are only counted.
 type serverFault struct {
 	kind  string
 	text  []byte
--- a/internal/fleetprocess/serverlog_test.go
+++ b/internal/fleetprocess/serverlog_test.go
@@ -42,7 +42,7 @@
 	return 0
 }
 
-// A handler that panics leaves its caller without an answer; only the ErrorLog tells of it.
+// A handler that panics leaves its caller without an answer; only the ErrorLog reports it.
 func TestHandlerPanicIsLogged(t *testing.T) {
 	p, logs := newLoggedProcess()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -93,7 +93,7 @@
 	}
 }
 
-// A request that crosses the close of its connection is told, and no other close is.
+// A request that crosses the close of its connection is reported, and no other close is.
 func TestRequestNotReadIsLogged(t *testing.T) {
 	const whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	for _, test := range []struct {
--- a/internal/gateway/otherends_test.go
+++ b/internal/gateway/otherends_test.go
@@ -59,7 +59,7 @@
 }
 
 // A change of the configuration drops the service of a stream that its entry ends at the bound.
-// The stream waits for endpoints that placement is told of no more.
+// The stream waits for endpoints that placement does not get any more.
 func TestStreamIsLostAsItsServiceIsDropped(t *testing.T) {
 	f := startLimitFleet(t, streamsWhole, true, false)
 	go func() {
--- a/internal/logbook/cause.go
+++ b/internal/logbook/cause.go
@@ -34,7 +34,7 @@
 	return fmt.Sprintf("ended with the outcome %q: %s", end.Outcome, end.Reason)
 }
 
-// leaveOf tells how a caller left.
+// leaveOf returns how a caller left.
 func leaveOf(end Line) string {
 	switch end.Cause {
 	case "callerClosed":
--- a/internal/logbook/ends_test.go
+++ b/internal/logbook/ends_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// How a caller left is told, and so are requests that ended without any cause.
+// The summary shows how a caller left, and the requests that ended without any cause.
 func TestEndsAreTold(t *testing.T) {
 	for _, test := range []struct {
 		cause string
--- a/internal/logbook/summary.go
+++ b/internal/logbook/summary.go
@@ -121,7 +121,7 @@
 	u.processes[named(l.Process)]++
 }
 
-// whyOf returns why a request was not answered whole. That of a caller that left is told by
+// whyOf returns why a request was not answered whole. That of a caller that left follows from
 // the cause.
 func whyOf(l Line) string {
 	if l.Outcome == "callerLeft" {
