--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -75,10 +75,6 @@
 	dials  int64
 }
 
-// Limits holds, by address, the largest numbers of connections to endpoints where they are
-// lower than the limit of the pool.
-type Limits map[string]int
-
 type host struct {
 	idle []*conn // newest last
 	open int
@@ -112,25 +108,6 @@
 	return p
 }
 
-// SetLimits replaces the limits of single endpoints. Idle connections beyond a limit are
-// closed; those in use count until their exchanges end. The pool keeps the argument.
-func (p *Pool) SetLimits(limits Limits) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.limits = limits
-	for address, h := range p.hosts {
-		h.dropBeyond(p.limitOf(address))
-	}
-}
-
-// limitOf returns the largest number of connections to an endpoint.
-func (p *Pool) limitOf(address string) int {
-	if n, limited := p.limits[address]; limited {
-		return min(n, p.limit)
-	}
-	return p.limit
-}
-
 // Dials returns how many connections were opened.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
@@ -240,13 +217,6 @@
 	p.host(address).open--
 }
 
-// dropBeyond closes idle connections, the oldest first, while there are more than n.
-func (h *host) dropBeyond(n int) {
-	for h.open > n && len(h.idle) > 0 {
-		h.drop(0)
-	}
-}
-
 func (h *host) drop(i int) {
 	h.idle[i].net.Close()
 	h.idle = append(h.idle[:i], h.idle[i+1:]...)
