The time left is shortened without a promise, too, where it is likely to be enough

They had just turned slow, so that no wait was known, and the retry budget had no promise left.

TestLongStreamIsLostWithoutAPromise shows what this costs, a stream that takes longer and is cut: known red.

--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -72,19 +72,22 @@
 	return l
 }
 
-// shorten sets the end of an attempt that may not go on beyond the bound of its weights. It
-// must be able to go on at another endpoint: there must be an attempt left and the promise of
-// a resumption, and an endpoint that has the new version, unless the attempt is likely to be
-// complete by then.
+// shorten sets the end of an attempt that may not go on beyond the bound of its weights: one
+// that is likely to be complete by then, or that can go on at another endpoint. For the latter
+// there must be an attempt left, an endpoint that has the new version, and the promise of a
+// resumption, which the former gets too if there is one.
 func (l *attemptLimit) shorten(q *request) {
-	if q.usableUntil == 0 || q.usableUntil >= q.deadline || !q.route.Resumable() || len(q.tried) >= max(q.route.MaxAttempts(), 1) {
+	if q.usableUntil == 0 || q.usableUntil >= q.deadline {
 		return
 	}
 	end := q.usableUntil - endMargin
-	if !q.traffic.renewed.Load() && end-q.sentAt < completeFactor*q.traffic.placement.ServiceTime(0) {
-		return
+	mean, known := q.traffic.placement.KnownServiceTime()
+	likely := known && end-q.sentAt >= completeFactor*mean
+	resumable := q.route.Resumable() && len(q.tried) < max(q.route.MaxAttempts(), 1)
+	if resumable && (likely || q.traffic.renewed.Load()) {
+		l.promise = q.traffic.budget.Promise()
 	}
-	if l.promise = q.traffic.budget.Promise(); l.promise != nil {
+	if likely || l.promise != nil {
 		l.end = end
 	}
 }
