--- a/review/stand/streams.go
+++ b/review/stand/streams.go
@@ -36,6 +36,9 @@
 	// stopTimeout is bounds.grace-s in the settings.
 	stopTimeout = 8 * time.Second
 	stops       = 2 // of each entry
+	// ownEnd is the time before the end of a client's own time budget in which a cut stream
+	// does not count: the server may have stopped work for that.
+	ownEnd = 200 * time.Millisecond
 )
 
 // streamEnd is how a stream ended at its client.
@@ -45,6 +48,7 @@
 	total  int
 	whole  bool // it looked whole
 	sentAt time.Time
+	took   time.Duration
 }
 
 // streamList holds the ends of all streams. It is safe for concurrent use.
@@ -198,6 +202,7 @@
 	e := streamEnd{total: total, sentAt: time.Now()}
 	err := c.read(id, &e)
 	e.whole = err == nil && e.status == http.StatusOK
+	e.took = time.Since(e.sentAt)
 	c.streams.add(id, e)
 	c.fleet.record.linef("stream %s of %d events, sent to %s %.3f s ago: status %d, %d events, looks whole: %t %v",
 		id, total, c.to.Name, time.Since(e.sentAt).Seconds(), e.status, e.events, e.whole, err)
@@ -240,9 +245,11 @@
 			refused++
 		case !e.whole:
 			broken++
+		case e.events < e.total && e.took > streamTime-ownEnd:
+			r.notef("stream %s looks whole with %d of %d events, at the end of its client's time budget: not counted", id, e.events, e.total)
 		case e.events < e.total:
 			cut++
-			r.notef("stream %s looks whole with %d of %d events", id, e.events, e.total)
+			r.notef("stream %s looks whole with %d of %d events, %.3f s after it was sent", id, e.events, e.total, e.took.Seconds())
 		default:
 			whole++
 		}
