Gateway: a response that ends with its time left may be a cut

Hypotheses: the entry ends the stream as whole itself, at its own timer or at the shutdown of its server; or the endpoint ends it and the entry believes that.

Cause: an endpoint stops work when the time left ends that it was given. Only where the bound of a version had shortened that time was an end in good order doubted. The caller's time, the route's timeout, a planned stop, and what an earlier attempt leaves set it too, and not only streams end there.

Fix: the attempt remembers the time left that it gave (endpointDeadline). Whatever set it, an end in good order at or after it, less 5 ms and a thousandth of the time, is that of a cut unless a length shows that the response is whole. A stream that may be resumed goes on elsewhere while it has time, as before; else the response is broken off, or 504 if nothing was passed on.

The soak kept endpoints from ending streams in good order at the callers' own time, since nobody can go on there. That exception is gone: such a stream must not look whole either.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,7 +106,7 @@
 // the endpoint broke off the attempt, rather than the caller, the deadline or the limit of
 // the attempt.
 func (g *Gateway) interrupted(ctx context.Context, q *request, err error, brokenOff bool) result {
-	if q.limit.reached(ctx) {
+	if q.limit.reached(ctx, q) {
 		return result{outcome: placement.Withdrawn, reason: errWithdrawn.Error(), cause: err.Error()}
 	}
 	if ctx.Err() != nil {
@@ -117,10 +117,13 @@
 
 func (g *Gateway) headFor(q *request, c placement.Choice, out *responseWriter) endpoints.Head {
 	h := withoutHopByHop(q.header)
+	now := g.now()
+	left := q.limit.timeLeft(q, now)
+	q.endpointDeadline = now + left
 	f := ForwardHead{
 		EndpointID: c.ID,
 		Account:    q.account,
-		TimeLeft:   q.limit.timeLeft(q, g.now()),
+		TimeLeft:   left,
 		Version:    c.Version,
 		LastEvent:  out.lastEvent,
 	}
@@ -144,7 +147,7 @@
 	if isRefusal(response.StatusCode) {
 		return g.interrupted(ctx, q, errUnmarkedRefusal, false)
 	}
-	if response.StatusCode == http.StatusGatewayTimeout && q.limit.reached(ctx) {
+	if response.StatusCode == http.StatusGatewayTimeout && q.limit.reached(ctx, q) {
 		return g.interrupted(ctx, q, errWithdrawn, false)
 	}
 	success := response.StatusCode < http.StatusMultipleChoices
@@ -159,6 +162,7 @@
 		return g.forwardStream(ctx, q, c, response, out)
 	}
 	q.limit.begin()
+	isTimeout := !success && q.pastEndpointDeadline(g.now()) // made because the time left is over, and whole
 	body, err := readStart(q, response)
 	if err != nil {
 		return g.interrupted(ctx, q, err, true)
@@ -166,6 +170,9 @@
 	if len(body) > maxBufferedResponse {
 		return g.forwardLarge(ctx, q, response, body, out)
 	}
+	if !isTimeout && q.mayBeCut(g.now(), response) {
+		return g.endedWithTime(ctx, q)
+	}
 	g.recordAnswer(q, success)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError && q.route.Kind() == fleet.Idempotent {
@@ -210,6 +217,11 @@
 		out.abort(q, r.reason)
 		return r
 	}
+	if q.mayBeCut(g.now(), response) {
+		r := g.endedWithTime(ctx, q)
+		out.abort(q, r.reason)
+		return r
+	}
 	out.finish(q)
 	return result{outcome: placement.Succeeded, responded: true}
 }
@@ -285,12 +297,12 @@
 }
 
 // endStream evaluates a stream that its endpoint has ended in good order. Where its time left
-// ended then, another endpoint may have more of it; one that has not confirms that it is
-// whole.
+// ended then, another endpoint may have more of it if the request has time; one that has not
+// confirms that it is whole.
 func (g *Gateway) endStream(ctx context.Context, q *request, events *eventReader, response *http.Response, out *responseWriter) result {
-	if q.limit.pastEnd() {
+	if q.mayBeCut(g.now(), response) {
 		out.recordEnd(response)
-		return g.interrupted(ctx, q, errEndedWithTime, true)
+		return g.endedWithTime(ctx, q)
 	}
 	if events.resumed && !events.progressed && !out.mayBeWhole() {
 		return g.interrupted(ctx, q, errNoNewEvent, false)
--- a/internal/gateway/attemptlimit.go
+++ b/internal/gateway/attemptlimit.go
@@ -31,9 +31,6 @@
 	// targetInterval is how often the bound is looked up again for an attempt that has not
 	// begun: a newer version may be set, or the time of one corrected, after it was sent.
 	targetInterval = time.Second
-	// endTolerance is how much sooner than here the end of an attempt may come by the clock
-	// of its endpoint, which gets the time left in whole milliseconds, and later.
-	endTolerance = 5 * time.Millisecond
 )
 
 // errWithdrawn is the cause of the end of an attempt at its limit.
@@ -172,17 +169,11 @@
 	return l.end - q.sentAt
 }
 
-// pastEnd reports whether the time left of the attempt has ended, or is about to: an endpoint
-// may then end its response in good order before it is complete.
-func (l *attemptLimit) pastEnd() bool {
-	return l.end > 0 && l.gateway.now() >= l.end-endTolerance
-}
-
-// reached reports whether the attempt has come to its end, by this entry's clock or, shortly
-// before, by that of the endpoint.
-func (l *attemptLimit) reached(ctx context.Context) bool {
+// reached reports whether an attempt of a request has come to its end, by this entry's clock
+// or, shortly before, by that of the endpoint.
+func (l *attemptLimit) reached(ctx context.Context, q *request) bool {
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		return true
 	}
-	return l.pastEnd()
+	return l.end > 0 && q.pastEndpointDeadline(l.gateway.now())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,6 +63,7 @@
 	begunAt           time.Duration // time of the first event of the last attempt, 0 before
 	version           int64         // version of the weights that the last attempt was sent to, 0 without one
 	limit             *attemptLimit // of the last attempt
+	endpointDeadline  time.Duration // end of the time left that its endpoint was given
 	usableUntil       time.Duration // time from which none may begin on that version, 0 for any time
 	tried             []string      // IDs of the endpoints tried, in order
 	addresses         []string      // their addresses
@@ -435,6 +436,15 @@
 	return now - q.sentAt
 }
 
+// endpointLeft returns how much of the time left of the last attempt remains, negative after
+// its end and 0 if nothing was sent.
+func (q *request) endpointLeft(now time.Duration) time.Duration {
+	if q.sentAt == 0 {
+		return 0
+	}
+	return q.endpointDeadline - now
+}
+
 // sinceBegun returns the time since the first event of the last attempt, 0 if there was
 // none.
 func (q *request) sinceBegun(now time.Duration) time.Duration {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -250,7 +250,7 @@
 	if c := a.decision.Choice(); a.decision.Placed() {
 		args = append(args, "first", a.timeToFirstEvent, "pause", a.longestInterval, "spent", q.sinceFirstAttempt, "waited", a.decision.Waited(), "predicted", c.FirstEventDelay(),
 			"inFlight", c.InFlight(), "unread", c.PrefillTokens(), "prompt", q.head.PromptTokens, "home", c.Preferred,
-			"version", q.version, "usable", q.usableAtSend())
+			"version", q.version, "usable", q.usableAtSend(), "endpointLeft", q.endpointLeft(a.gateway.now()))
 	}
 	a.logID(q.head.ID, service, outcome, status, reason, args...)
 }
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -31,6 +31,8 @@
 	// brokenOff is set if the endpoint broke off the attempt, rather than the caller or
 	// the deadline.
 	brokenOff bool
+	// timeOver is set if the endpoint ended its response as the time of the request ended.
+	timeOver bool
 }
 
 // bufferedResponse is a complete response of an endpoint.
@@ -74,7 +76,7 @@
 	if r.errorResponse != nil {
 		s.errorResponse = r.errorResponse
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.timeOver {
 		s.timedOut(ctx, q, r, out)
 		return false
 	}
@@ -196,7 +198,7 @@
 		reason, retryAfter = reasonStopping, stoppingRetryAfter
 	}
 	switch {
-	case !isTimeout(ctx) && !s.gateway.drain.hasEnded():
+	case !isTimeout(ctx) && !r.timeOver && !s.gateway.drain.hasEnded():
 		out.callerGone(q, r.reason)
 	case out.headerWritten:
 		out.abort(q, reason)
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -92,15 +92,10 @@
 // function returned ends that.
 func (r *run) styleStreams(e ends) (restore func()) {
 	var mu sync.Mutex
-	draw := func(attempt string, end time.Time) standin.Ending {
+	draw := func(string, time.Time) standin.Ending {
 		mu.Lock()
-		ending := e.endings[e.random.IntN(len(e.endings))]()
-		mu.Unlock()
-		// Nobody can go on where the time of the caller ends.
-		if ending.IsInOrder() && !r.ledger.isShortened(attempt, end) {
-			return standin.Ending{}
-		}
-		return ending
+		defer mu.Unlock()
+		return e.endings[e.random.IntN(len(e.endings))]()
 	}
 	for _, id := range r.engines {
 		r.deployment.Servers[id].SetStreams(streamTime, draw)
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -71,15 +71,6 @@
 	l.sent[attempt] = time.Now()
 }
 
-// isShortened reports whether the time left of an attempt that ends at a time is well shorter
-// than that of its caller.
-func (l *ledger) isShortened(attempt string, end time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sent, known := l.sent[attempt]
-	return known && sent.Add(callerTimeout-wholeSlack).After(end)
-}
-
 // tally counts the requests of an entry.
 type tally struct{ sent, lost int }
 
