--- a/internal/state/fleet/configuration.go
+++ b/internal/state/fleet/configuration.go
@@ -85,11 +85,14 @@
 	}
 }
 
-// WithAccount adds an account and its keys.
+// WithAccount adds an account and its keys. An empty key is none: it is that of a request
+// without a key.
 func WithAccount(a Account, keys ...string) ConfigurationOption {
 	return func(c *Configuration) {
 		for _, k := range keys {
-			c.accounts[k] = a
+			if k != "" {
+				c.accounts[k] = a
+			}
 		}
 	}
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -149,7 +149,7 @@
 	}
 	OperatorRowMalformed = Event{
 		705, "operatorRowMalformed", slog.LevelError,
-		"A row of the operators can't be read; what was known before stays in force.",
+		"A row of the operators can't be read, or fields of it. What was known before stays in force, or the fields have their defaults.",
 	}
 	StoreLost = Event{
 		706, "storeLost", slog.LevelWarn,
