Accounts: an empty list of keys is not an absent one

Hypotheses: entries go on with the configuration before, or they have the newest one and believe that it needs no key. fleetConfigurationInForce and the tenant header tell: the servers get these requests without a tenant, which only a configuration that needs no key lets through.

Cause: a configuration counted as one that needs keys if it held any (Keyed was len(accounts) > 0), so that a tenant without keys left nothing behind. The same for "tenants": [], and after a restart, since the newest configuration alone decides it.

Fix: what needs a key is a property of its own, of the configuration (WithKeyed, set where tenants are there at all) and of the request (keyed).

Looked at and sound: limits of bodies (a default bounds them), splits and services without an element or name (503), engines without models (no endpoint is usable), rate limits (a flag of their own), zero digests of secrets (refused by the check of the text).

Two tests that build requests of an account by hand state that these are keyed.

--- a/internal/gateway/backpressure_test.go
+++ b/internal/gateway/backpressure_test.go
@@ -80,7 +80,7 @@
 		g := newGateway(clock, WithConfirmation(func() time.Duration { return confirmed }, revocation),
 			WithVersionBound(8*time.Second, func(TargetVersion) {}))
 		g.ApplyConfiguration(keyed(1, "key"), nil)
-		q := &request{account: "shop", head: RequestHead{Key: "key"}, service: g.Configuration().Services()["s"]}
+		q := &request{account: "shop", keyed: true, head: RequestHead{Key: "key"}, service: g.Configuration().Services()["s"]}
 		choice := choose(endpoint, clock.at, test.permit)
 		test.happen(g, clock)
 		require.Equal(t, test.reason, g.staleReason(q, choice), test.name)
--- a/internal/gateway/confirmation_test.go
+++ b/internal/gateway/confirmation_test.go
@@ -98,7 +98,7 @@
 	}, 5*time.Second))
 	g.ApplyConfiguration(keyed, nil)
 	takesEffect = true
-	require.Equal(t, reasonRevoked, g.staleReason(&request{account: "shop", head: RequestHead{Key: "key"}, service: service}, placement.Choice{Candidate: placement.Candidate{ID: "e"}}))
+	require.Equal(t, reasonRevoked, g.staleReason(&request{account: "shop", keyed: true, head: RequestHead{Key: "key"}, service: service}, placement.Choice{Candidate: placement.Candidate{ID: "e"}}))
 }
 
 // A confirmation that arrives while a summary is built must not make the age
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,7 @@
 type request struct {
 	head              RequestHead
 	account           string
+	keyed             bool // it may run only under a key of the configuration
 	route             *fleet.Route
 	service           *fleet.Service
 	traffic           *serviceTraffic
@@ -206,7 +207,7 @@
 		out.reject(q.head.ID, http.StatusUnauthorized, "unknown key")
 		return false
 	}
-	q.account = account.Name()
+	q.account, q.keyed = account.Name(), true
 	q.priority = account.Priority(q.route)
 	return g.keyUsable(q, out)
 }
@@ -214,9 +215,6 @@
 // keyUsable refuses a request with a key if the confirmation of the configuration is
 // too old to rule out that the key was revoked.
 func (g *Gateway) keyUsable(q *request, out *responseWriter) bool {
-	if q.account == "" {
-		return true
-	}
 	age, fresh := g.fresh()
 	if !fresh {
 		out.refuse(q.head.ID, http.StatusServiceUnavailable, reasonUnconfirmed, unavailableRetryAfter, "age", age)
@@ -332,7 +330,7 @@
 // may. One that may have run was sent while its key was valid, which holds for its further
 // attempts too: a revocation applies to the requests that callers send after it.
 func (g *Gateway) keyReason(q *request) string {
-	if q.account == "" || q.mayHaveRun {
+	if !q.keyed || q.mayHaveRun {
 		return ""
 	}
 	// The age is read before the configuration. In the other order, the confirmation
--- a/internal/state/fleet/configuration.go
+++ b/internal/state/fleet/configuration.go
@@ -61,6 +61,7 @@
 	services map[string]*Service
 	retained map[string]*Service // services that it dropped while requests were in progress
 	accounts map[string]Account  // by key
+	keyed    bool                // requests need a key, whether or not an account has one
 	limits   Limits
 }
 
@@ -85,10 +86,16 @@
 	}
 }
 
-// WithAccount adds an account and its keys. An empty key is none: it is that of a request
-// without a key.
+// WithKeyed makes requests need a key. Until an account has one, none is allowed.
+func WithKeyed() ConfigurationOption {
+	return func(c *Configuration) { c.keyed = true }
+}
+
+// WithAccount adds an account and its keys, of which there may be none, and makes requests
+// need a key. An empty key is none: it is that of a request without a key.
 func WithAccount(a Account, keys ...string) ConfigurationOption {
 	return func(c *Configuration) {
+		c.keyed = true
 		for _, k := range keys {
 			if k != "" {
 				c.accounts[k] = a
@@ -170,5 +177,5 @@
 	return a, found
 }
 
-// Keyed reports whether requests need a key at all.
-func (c *Configuration) Keyed() bool { return len(c.accounts) > 0 }
+// Keyed reports whether requests need a key at all. They do also where no account has one.
+func (c *Configuration) Keyed() bool { return c.keyed }
