Keys: none is accepted while the newest configuration can't be read

Where the operators' newest configuration could not be read as a whole, the one before stayed in force, and counted as confirmed with each reading of the table. A key that the newest one takes away would have been accepted for good.

Cause: a confirmation says how old the copy of the table is, not that what it holds was understood. Fix: an entry that can't read the newest configuration refuses requests with a key as not confirmed (503, not run) where revocation has a bound, and confirms nothing to other entries. Requests without a key go on.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -157,7 +157,10 @@
 }
 
 func (e *Entry) applyOperator(rows map[string]watch.Row) {
-	e.decodeOperatorTable(rows, func(o platform.OperatorTable) { e.gateway.ApplyConfiguration(o.Configuration, o.Versions) })
+	e.decodeOperatorTable(rows, func(o platform.OperatorTable) {
+		e.gateway.SetUnreadable(o.Unreadable)
+		e.gateway.ApplyConfiguration(o.Configuration, o.Versions)
+	})
 	e.decodeEndpoints()
 	e.gateway.TableChanged()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,7 @@
 	drain        *drain
 	placed       atomic.Bool  // placement has the list of endpoints
 	readyAt      atomic.Int64 // boottime nanoseconds of the end of a wait for the times of target versions
+	unreadable   atomic.Bool  // the newest configuration can't be read, the one in force is older
 	lastOutage   atomic.Int64 // boottime nanoseconds of the last time the store was unreachable
 	active       atomic.Int64
 	// loadsStale is set while placement lacks the latest load of other entries.
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -49,6 +49,12 @@
 	g.updatePlacement(&next, g.activeByDomain(g.now()))
 }
 
+// SetUnreadable sets whether the operators' newest configuration can't be read. It may take
+// keys away, so none is accepted then where revocation has a bound, and no other entry gets a
+// confirmation of the configuration in force. It must be called before the copy of the
+// operators' table that it follows from counts as confirmed.
+func (g *Gateway) SetUnreadable(unreadable bool) { g.unreadable.Store(unreadable) }
+
 // droppedServices returns the services that a configuration drops, and those dropped before
 // that have requests in progress.
 func (g *Gateway) droppedServices(old, c *fleet.Configuration) []*fleet.Service {
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -91,6 +91,9 @@
 // one.
 func (g *Gateway) summary(now time.Duration) *nodev1.EntrySummary {
 	confirmedAt := g.confirmedAt()
+	if g.unreadable.Load() {
+		confirmedAt = 0
+	}
 	v := g.snapshot.Load()
 	operator, endpoints := g.tableState(nodev1.Table_TABLE_OPERATOR), g.tableState(nodev1.Table_TABLE_ENDPOINTS)
 	m := &nodev1.EntrySummary{
--- a/internal/gateway/watching.go
+++ b/internal/gateway/watching.go
@@ -41,10 +41,13 @@
 // it is recent enough for requests with a key.
 func (g *Gateway) fresh() (age time.Duration, fresh bool) {
 	age, known := g.age()
-	if !known {
-		return age, g.revocationBound == 0
+	switch {
+	case g.revocationBound == 0:
+		return age, true
+	case !known || g.unreadable.Load():
+		return age, false
 	}
-	return age, g.revocationBound == 0 || age < g.revocationBound-revocationMargin
+	return age, age < g.revocationBound-revocationMargin
 }
 
 // age returns how long ago the store confirmed the configuration in force, to this
