Entry: an empty idempotency key is malformed

A request whose header Idempotency-Key was there and empty was taken for one without a key: it ran without a claim, and each send of it could run. It is refused as not run now, like other malformed keys. TestEmptyKeyIsRefused got 200 before.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -60,6 +60,7 @@
 	header      []*nodev1.Header
 	body        []byte
 	key         string
+	hasKey      bool // an idempotency key was sent, which may be empty
 	claim       claims.Request
 	idempotent  bool
 	fingerprint digest.Digest // identifies the request among the suspects
@@ -69,7 +70,7 @@
 
 // keyed reports whether the request needs a claim: it has an idempotency key and is
 // not idempotent according to its service.
-func (q *request) keyed() bool { return q.key != "" && !q.idempotent }
+func (q *request) keyed() bool { return q.hasKey && !q.idempotent }
 
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	out := &responseWriter{writer: w, requestID: e.nextRequestID(), outcome: OutcomeUnknown}
@@ -139,12 +140,18 @@
 // mayBeRepeat reports whether, according to the headers alone, an earlier send of the
 // request may have run.
 func mayBeRepeat(r *http.Request) bool {
-	if r.Header.Get(HeaderIdempotencyKey) == "" {
+	if !hasIdempotencyKey(r) {
 		return false
 	}
 	return !claims.NewRequest("", "", "", claims.Key{}, digest.Digest{}, sendNumbers(r)).NoEarlierRun()
 }
 
+// hasIdempotencyKey reports whether a request has the header of a key. An empty one is
+// malformed; without a key, each send of the request could run.
+func hasIdempotencyKey(r *http.Request) bool {
+	return len(r.Header.Values(HeaderIdempotencyKey)) > 0
+}
+
 func sendNumbers(r *http.Request) claims.RequestOption {
 	return claims.WithSend(headerNumber(r, HeaderSend), headerNumber(r, HeaderNotRun))
 }
@@ -188,6 +195,7 @@
 		path:       path,
 		body:       body,
 		key:        r.Header.Get(HeaderIdempotencyKey),
+		hasKey:     hasIdempotencyKey(r),
 		idempotent: service.Idempotent(r.Method, path),
 		deadline:   time.Now().Add(requestTimeout(r, service.RequestTimeout())),
 	}
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -99,6 +99,15 @@
 	require.Zero(t, s.runsOfBody("malformed"))
 }
 
+// An empty key was taken for none, so that each send of the request could run.
+func TestEmptyKeyIsRefused(t *testing.T) {
+	s := newSystem(t, shortWork)
+	f := s.send(0, testRequest{method: http.MethodPost, body: "empty", noKey: true})
+	require.Equal(t, http.StatusBadRequest, f.status)
+	require.Equal(t, entry.OutcomeNotRun, f.outcome)
+	require.Zero(t, s.runsOfBody("empty"))
+}
+
 // TestEntryKilledWithClaimOpen kills the entry while a keyed request runs. A repeat
 // through the other entry must not run the request again.
 func TestEntryKilledWithClaimOpen(t *testing.T) {
--- a/internal/entry/system_test.go
+++ b/internal/entry/system_test.go
@@ -164,6 +164,7 @@
 	method string
 	body   string
 	key    string
+	noKey  bool // the header of the key is there and empty
 	send   int
 	notRun int
 }
@@ -189,7 +190,7 @@
 	require.NoError(s.t, err)
 	r.Header.Set(entry.HeaderAccount, account)
 	r.Header.Set(entry.HeaderTimeout, "10000")
-	if t.key != "" {
+	if t.key != "" || t.noKey {
 		r.Header.Set(entry.HeaderIdempotencyKey, t.key)
 	}
 	if t.send > 0 {
