Gateway: a bound for the bytes of all bodies that an entry holds

One response without end was cut off before in bounded time and memory.

Bodies are read in blocks that are taken as they come, without copies. A refused caller gets its 503 while it sends: the rest of its body is discarded, since closing the connection reset it and lost the response. The start of a response that can't be kept is passed on at once.

Also: a head has 256 lines at most, counted from its first byte; the end of a request's time ends a write that its caller does not read, which held the request, its connections and its slot for 5 s more.

--- a/internal/fleetprocess/entry.go
+++ b/internal/fleetprocess/entry.go
@@ -133,6 +133,7 @@
 		gateway.WithAgents(s.PeerAddressOfEndpoint, s.RegionOf),
 		gateway.WithConfirmation(e.tables.operator.Table().Confirmed, s.RevocationBound()),
 		gateway.WithVersionBound(s.VersionBound(), e.recordTargetVersion),
+		gateway.WithMemory(s.MemoryBytes()),
 		gateway.WithRetries(s.RetryRatio(), s.RetryReserve()),
 		gateway.WithMaxTTL(s.MaxAddressTTL()))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,12 +164,12 @@
 	q.limit.begin()
 	isTimeout := !success && q.pastEndpointDeadline(g.now()) // made because the time left is over, and whole
 	body, err := readStart(q, response)
+	if errors.Is(err, errFull) || errors.Is(err, errNoMemory) {
+		return g.forwardLarge(ctx, q, response, body, out)
+	}
 	if err != nil {
 		return g.interrupted(ctx, q, err, true)
 	}
-	if len(body) > maxBufferedResponse {
-		return g.forwardLarge(ctx, q, response, body, out)
-	}
 	if !isTimeout && q.mayBeCut(g.now(), response) {
 		return g.endedWithTime(ctx, q)
 	}
@@ -185,11 +185,11 @@
 	return result{outcome: placement.Succeeded, responded: true}
 }
 
-// readStart reads the body of a response until it is larger than maxBufferedResponse. A
-// success without any byte of a body counts as broken off if nothing frames the body: the
-// fields that do so may be lost.
-func readStart(q *request, response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse+1))
+// readStart reads the body of a response. The error is errFull if it is larger than
+// maxBufferedResponse, or errNoMemory if the entry can't hold it. A success without any byte
+// of a body counts as broken off if nothing frames the body: the fields that do so may be lost.
+func readStart(q *request, response *http.Response) (blocks, error) {
+	body, err := q.held.read(response.Body, response.ContentLength, maxBufferedResponse+1)
 	success := response.StatusCode < http.StatusMultipleChoices
 	if err == nil && success && len(body) == 0 && q.method != http.MethodHead && unframed(response) {
 		err = io.ErrUnexpectedEOF
@@ -206,10 +206,12 @@
 	return false
 }
 
-// forwardLarge forwards a response that is too large to be buffered first.
-func (g *Gateway) forwardLarge(ctx context.Context, q *request, response *http.Response, head []byte, out *responseWriter) result {
+// forwardLarge forwards a response that is too large to be buffered first, until the time of
+// the request is over.
+func (g *Gateway) forwardLarge(ctx context.Context, q *request, response *http.Response, head blocks, out *responseWriter) result {
+	defer out.endWritesWith(ctx)()
 	out.writeHeader(response.StatusCode, response.Header, response.ContentLength)
-	if out.write(head) != nil {
+	if out.writeBlocks(head) != nil {
 		return result{outcome: placement.Cancelled, reason: "caller disconnected"}
 	}
 	if _, err := io.Copy(out, response.Body); err != nil {
@@ -234,6 +236,7 @@
 // the caller's response header with the first event, so that a stream that breaks off
 // before any event can be replaced entirely.
 func (g *Gateway) forwardStream(ctx context.Context, q *request, c *placement.Choice, response *http.Response, out *responseWriter) result {
+	defer out.endWritesWith(ctx)()
 	events := eventReader{resumed: out.headerWritten}
 	buf := make([]byte, 4<<10)
 	last := time.Duration(0) // time of the last event from this endpoint, 0 before the first
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,7 @@
 	unreadable   atomic.Bool  // the newest configuration can't be read, the one in force is older
 	lastOutage   atomic.Int64 // boottime nanoseconds of the last time the store was unreachable
 	active       atomic.Int64
+	memory       memory // for bodies
 	// loadsStale is set while placement lacks the latest load of other entries.
 	loadsStale atomic.Bool
 	rate       rateMeter
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -454,7 +454,7 @@
 // Requests that differ in any field have different fingerprints, also where the fields put
 // together are the same text.
 func TestFingerprint(t *testing.T) {
-	f := fingerprint("shop", "POST", "/draft/", []byte("x"))
-	require.Equal(t, f, fingerprint("shop", "POST", "/draft/", []byte("x")))
+	f := fingerprint("shop", "POST", "/draft/", blocks{[]byte("x")})
+	require.Equal(t, f, fingerprint("shop", "POST", "/draft/", blocks{[]byte("x")}))
 	require.NotEqual(t, f, fingerprint("shop", "POST", "/draft/x", nil))
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -19,6 +19,12 @@
 // WithMetrics sets the metrics to update.
 func WithMetrics(m *telemetry.Metrics) Option { return func(g *Gateway) { g.metrics = m } }
 
+// WithMemory sets the memory of the process in bytes, of which bodies take a part at most; 0
+// stands for no limit.
+func WithMemory(bytes int64) Option {
+	return func(g *Gateway) { g.memory.limit = int64(memoryFraction * float64(bytes)) }
+}
+
 // WithPeers sets the function that sends datagrams and the peer addresses to start
 // with.
 func WithPeers(seeds []string, send func(address string, m *nodev1.Datagram) error) Option {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -30,6 +29,8 @@
 	// unavailableRetryAfter is the Retry-After of an entry that has no configuration
 	// yet, or none that was confirmed recently enough.
 	unavailableRetryAfter = 700 * time.Millisecond
+	// memoryRetryAfter is the time in which some large bodies are sent and answered.
+	memoryRetryAfter = time.Second
 )
 
 // request is a caller's request in progress.
@@ -44,7 +45,8 @@
 	target            string
 	host              string
 	header            http.Header
-	body              []byte
+	body              blocks
+	held              holding // of the memory for bodies
 	priority          int
 	arrived           time.Duration
 	configuration     int64         // version in force when it arrived
@@ -71,13 +73,15 @@
 }
 
 // fingerprint identifies a request across its repeats.
-func fingerprint(account, method, target string, body []byte) uint64 {
+func fingerprint(account, method, target string, body blocks) uint64 {
 	h := fnv.New64a()
 	for _, part := range []string{account, method, target} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	h.Write(body)
+	for _, block := range body {
+		h.Write(block)
+	}
 	return h.Sum64()
 }
 
@@ -107,6 +111,7 @@
 	ctx, cancel := g.drain.requestContext(r.Context(), remaining)
 	defer cancel()
 	defer q.traffic.requests.Add(-1)
+	defer q.held.release()
 	// A caller that does not read the response must not block the request forever.
 	// Setting the deadline fails only for the writers of tests.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeGrace))
@@ -138,6 +143,7 @@
 		host:    r.Host,
 		header:  r.Header,
 		arrived: out.arrived,
+		held:    holding{memory: &g.memory},
 
 		configuration: v.version(),
 	}
@@ -159,6 +165,7 @@
 	q.setDeadline()
 	g.drain.shorten(q)
 	if !g.readBody(q, v.configuration.Limits(), out, r) {
+		q.held.release()
 		q.traffic.requests.Add(-1)
 		return nil
 	}
@@ -233,6 +240,10 @@
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
 	}
+	if !q.held.state(r.ContentLength) {
+		out.refuseBody(q, r, bound)
+		return false
+	}
 	control := http.NewResponseController(out.w)
 	if r.ContentLength != 0 {
 		// Without its own deadline, a body could take as long as the caller likes. Setting
@@ -241,11 +252,15 @@
 		_ = control.SetReadDeadline(time.Now().Add(timeout))
 		defer g.drain.interruptRead(control)()
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bound+1))
+	body, err := q.held.read(r.Body, r.ContentLength, bound+1)
 	switch {
-	case int64(len(body)) > bound:
+	case body.size() > bound:
 		out.reject(q.head.ID, http.StatusRequestEntityTooLarge, "body is too large")
 		return false
+	case errors.Is(err, errNoMemory):
+		q.held.release()
+		out.refuseBody(q, r, bound)
+		return false
 	case err != nil:
 		// The deadline stays: net/http would wait for the rest of the body before it writes
 		// the response.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -129,6 +130,15 @@
 	return err
 }
 
+func (a *responseWriter) writeBlocks(body blocks) error {
+	for _, block := range body {
+		if err := a.write(block); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Write implements io.Writer. A failed write marks the response as aborted.
 func (a *responseWriter) Write(data []byte) (int, error) {
 	n, err := a.w.Write(data)
@@ -139,6 +149,18 @@
 	return n, err
 }
 
+// endWritesWith makes the end of an attempt's context end a write that its caller does not
+// read: what an endpoint has sent by then is of no use any more. After a withdrawal the
+// response may go on at another endpoint.
+func (a *responseWriter) endWritesWith(ctx context.Context) (release func() bool) {
+	control := http.NewResponseController(a.w)
+	return context.AfterFunc(ctx, func() {
+		if !errors.Is(context.Cause(ctx), errWithdrawn) {
+			_ = control.SetWriteDeadline(time.Now()) // fails only for the writers of tests
+		}
+	})
+}
+
 // flush sends what was written. If it fails, the next write returns the error.
 func (a *responseWriter) flush() {
 	if err := http.NewResponseController(a.w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -165,8 +187,8 @@
 
 // forward writes a complete response of an endpoint, whatever its status.
 func (a *responseWriter) forward(q *request, f *bufferedResponse) {
-	a.writeHeader(f.status, f.header, int64(len(f.body)))
-	if err := a.write(f.body); err != nil {
+	a.writeHeader(f.status, f.header, f.body.size())
+	if err := a.writeBlocks(f.body); err != nil {
 		a.callerGone(q, "caller disconnected")
 		return
 	}
@@ -195,6 +217,20 @@
 	a.refuse(q.head.ID, http.StatusServiceUnavailable, reason, retryAfter, append(args, "spent", q.sinceFirstAttempt)...)
 }
 
+// refuseBody refuses a request whose body can't be held. The response is sent before the body
+// has come, of which at most a number of bytes are then discarded: a connection that is closed
+// while its caller sends is reset, and the response with it.
+func (a *responseWriter) refuseBody(q *request, r *http.Request, most int64) {
+	control := http.NewResponseController(a.w)
+	_ = control.EnableFullDuplex() // fails only for the writers of tests, as does the deadline
+	a.w.Header().Set("Connection", "close")
+	a.refuse(q.head.ID, http.StatusServiceUnavailable, errNoMemory.Error(), memoryRetryAfter, "held", a.gateway.memory.used.Load())
+	a.flush()
+	_ = control.SetReadDeadline(time.Now().Add(a.gateway.bodyTimeout))
+	defer a.gateway.drain.interruptRead(control)()
+	_, _ = io.CopyN(io.Discard, r.Body, most) // the caller may leave, or go on for longer
+}
+
 // reject reports that the request is not allowed.
 func (a *responseWriter) reject(id string, status int, reason string) {
 	a.writeStatus(status)
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -39,7 +39,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   blocks
 }
 
 // sequence decides after each attempt of a request whether another one follows.
--- a/internal/transport/endpoints/bounds.go
+++ b/internal/transport/endpoints/bounds.go
@@ -15,9 +15,10 @@
 
 // Bounds of what is read of an endpoint. The time is that of the exchange's context.
 const (
-	// maxHead is the size of a head in bytes. A head of many short lines takes a hundred
-	// times its size in memory.
-	maxHead = 16 << 10
+	// maxHead is the size of a head in bytes, maxHeadLines that in lines: one of many short
+	// lines takes a hundred times its size in memory.
+	maxHead      = 16 << 10
+	maxHeadLines = 256
 	// maxBefore is the number of bytes that may come before the head of the own answer:
 	// interim answers, and answers of other requests.
 	maxBefore = 64 << 10
@@ -29,8 +30,32 @@
 
 // boundedReader reads from a connection until its allowance is used up.
 type boundedReader struct {
-	from net.Conn
-	left int64 // bytes
+	from  net.Conn
+	left  int64 // bytes
+	lines lineCounter
+}
+
+// lineCounter counts the lines of a head up to its end, a line without text.
+type lineCounter struct {
+	lines int
+	text  bool // the current line has some
+	ended bool
+}
+
+// add counts the lines of the next bytes.
+func (l *lineCounter) add(data []byte) {
+	for _, c := range data {
+		switch {
+		case l.ended:
+			return
+		case c == '\n':
+			l.lines++
+			l.ended = !l.text
+			l.text = false
+		case c != '\r':
+			l.text = true
+		}
+	}
 }
 
 const unbounded = math.MaxInt64
@@ -44,8 +69,13 @@
 		p = p[:b.left]
 	}
 	n, err := b.from.Read(p)
-	if b.left != unbounded {
-		b.left -= int64(n)
+	if b.left == unbounded {
+		return n, err
+	}
+	b.left -= int64(n)
+	b.lines.add(p[:n])
+	if b.lines.lines > maxHeadLines {
+		return 0, ErrTooLong
 	}
 	return n, err
 }
@@ -54,7 +84,9 @@
 func (x *Exchange) nextHead(request *http.Request, limit int64) (response *http.Response, taken int64, err error) {
 	c := x.conn
 	buffered := int64(c.reader.Buffered())
-	c.bounded.left = limit
+	c.bounded.left, c.bounded.lines = limit, lineCounter{}
+	begun, _ := c.reader.Peek(int(buffered)) // what is buffered is there
+	c.bounded.lines.add(begun)
 	response, err = http.ReadResponse(c.reader, request)
 	taken = limit - c.bounded.left + buffered - int64(c.reader.Buffered())
 	c.bounded.left = unbounded
--- a/internal/transport/endpoints/bounds_test.go
+++ b/internal/transport/endpoints/bounds_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -192,3 +193,51 @@
 		require.Equal(t, test.reused, reused, test.name)
 	}
 }
+
+// A head has at most so many lines, whatever part of it arrives when; those of the body after
+// it do not count.
+func TestLinesOfHead(t *testing.T) {
+	const (
+		interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
+		start   = "HTTP/1.1 200 OK\r\nId: mine\r\n"
+		empty   = "\n"
+	)
+	body := strings.Repeat(empty, 2*maxHeadLines)
+	fields := func(n int) string { return strings.Repeat("a:\r\n", n) }
+	length := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+	for _, test := range []struct {
+		name  string
+		parts []string
+		fails bool
+	}{
+		{"body of short lines", []string{start + length + body}, false},
+		{"end of the head apart", []string{start + strings.TrimSuffix(length, "\r\n"), "\r\n" + body}, false},
+		{"interim answer before", []string{interim + start, length + body}, false},
+		{"interim answer and a part of a line", []string{interim + strings.TrimSuffix(start, "\r\n"), "\r\n" + length + body}, false},
+		{"as many lines as may be", []string{start + fields(maxHeadLines-4) + length + body}, false},
+		{"too many lines", []string{start + fields(maxHeadLines) + length + body}, true},
+		{"too many lines in parts", []string{start + fields(maxHeadLines/2), fields(maxHeadLines / 2), fields(2), length + body}, true},
+		{"too many lines after a part of a line", []string{interim + start + "a: b", "\r\n" + fields(maxHeadLines), length + body}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				for _, part := range test.parts {
+					if _, err := io.WriteString(c, part); err != nil {
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+			got, _, err := exchange(t.Context(), NewPool(), address, nil)
+			if test.fails {
+				require.ErrorIs(t, err, ErrTooLong)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, body, got)
+		})
+	}
+}
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -340,12 +340,12 @@
 // new one, on which no answer to an earlier request can arrive.
 const NewConnection = time.Duration(-1)
 
-// Send writes the request and reads the head of its answer. match reports which answer
+// Send writes the request, whose body is in parts, and reads the head of its answer. match reports which answer
 // belongs to the request; those of others are read to their end and dropped. One that
 // names no request is taken only as the first on a new connection, one that names several
 // not at all. The error wraps ErrNotSent where
 // nothing was written. The end of ctx closes the connection.
-func (x *Exchange) Send(ctx context.Context, head Head, body []byte, match func(http.Header) Match) (*http.Response, error) {
+func (x *Exchange) Send(ctx context.Context, head Head, body [][]byte, match func(http.Header) Match) (*http.Response, error) {
 	// The callback may run after End has given the connection up.
 	c := x.conn
 	x.stop = context.AfterFunc(ctx, func() { c.net.Close() })
@@ -393,19 +393,25 @@
 	return nil, eris.Wrap(ErrTooLong, "before the answer")
 }
 
-func (x *Exchange) write(head Head, body []byte) error {
+func (x *Exchange) write(head Head, body [][]byte) error {
 	var b strings.Builder
 	b.Grow(1024)
+	size := 0
+	for _, part := range body {
+		size += len(part)
+	}
 	b.WriteString(head.Method + " " + head.Target + " HTTP/1.1\r\nHost: " + head.Host + "\r\n")
-	if len(body) > 0 || head.Method == http.MethodPost || head.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	if size > 0 || head.Method == http.MethodPost || head.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	if err := head.Header.Write(&b); err != nil {
 		return eris.Wrap(ErrNotSent, err.Error())
 	}
 	b.WriteString("\r\n")
-	if len(body) < concurrentBody {
-		b.Write(body)
+	if size < concurrentBody {
+		for _, part := range body {
+			b.Write(part)
+		}
 		body = nil
 	}
 	n, err := io.WriteString(x.conn.net, b.String())
@@ -423,11 +429,16 @@
 
 // writeBody writes a long body while the answer is read. The exchange may end, and give
 // the connection up, before the writing has begun.
-func (x *Exchange) writeBody(c net.Conn, body []byte) {
+func (x *Exchange) writeBody(c net.Conn, body [][]byte) {
 	written := make(chan error, 1)
 	x.written = written
 	go func() {
-		_, err := c.Write(body)
+		var err error
+		for _, part := range body {
+			if _, err = c.Write(part); err != nil {
+				break
+			}
+		}
 		written <- err
 	}()
 }
--- a/internal/transport/endpoints/endpoints_test.go
+++ b/internal/transport/endpoints/endpoints_test.go
@@ -69,7 +69,7 @@
 		return "", false, err
 	}
 	defer x.End()
-	response, err := x.Send(ctx, Head{Method: "POST", Target: "/a", Host: "h", Header: http.Header{}}, body, mine)
+	response, err := x.Send(ctx, Head{Method: "POST", Target: "/a", Host: "h", Header: http.Header{}}, [][]byte{body[:len(body)/2], body[len(body)/2:]}, mine)
 	if err != nil {
 		return "", x.Reused(), err
 	}
@@ -237,7 +237,7 @@
 	address := serve(t, answers(whole))
 	x, err := NewPool().Begin(t.Context(), address, time.Second)
 	require.NoError(t, err)
-	require.NoError(t, x.write(Head{Method: "POST", Target: "/a", Host: "h", Header: http.Header{}}, make([]byte, concurrentBody)))
+	require.NoError(t, x.write(Head{Method: "POST", Target: "/a", Host: "h", Header: http.Header{}}, [][]byte{make([]byte, concurrentBody)}))
 	x.End()
 	require.Error(t, <-x.written)
 }
