Agent: answers without end take a part of its memory

Found with the report of bytes without end: an agent has 152 MB and several calls in progress. Four transfers of chunks, the polls of peers, and reads of staged chunks could each take a message of up to 32 MB or an answer of 1 MB, tables 32 MB.

Cause: the bounds were those of the largest message that any process of the system sends. What peers send ahead on a call for control is 256 KB instead of 4 MB. Manifests of peers were fetched with a client that reads heads of 10 MB; it reads 64 KB now.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/primrosetally/primrosetally/internal/transport/chunks"
 	"github.com/primrosetally/primrosetally/internal/transport/entries"
 	"github.com/primrosetally/primrosetally/internal/transport/nodes"
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 	"github.com/primrosetally/primrosetally/platform"
 )
 
@@ -40,6 +42,7 @@
 	engine    *platform.Engine
 	replica   *replica.Replica
 	pool      *nodes.Pool
+	manifests *http.Client
 	conn      *entries.Conn
 	tables    *tableCache
 	fleet     atomic.Pointer[fleet.Configuration]
@@ -62,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	a := &Agent{process: newProcess(s, logger), engine: platform.NewEngine(s.EndpointAddress()), pool: newPeerPool(), conn: conn}
+	a := &Agent{process: newProcess(s, logger), engine: platform.NewEngine(s.EndpointAddress()), pool: newPeerPool(), manifests: newManifestClient(), conn: conn}
 	a.tables = newTableCache(a)
 	self := a.memberAt(s.PeerAddress(), s.FailureDomain())
 	a.replica = replica.New(self, a.callbacks(),
@@ -112,7 +115,29 @@
 )
 
 func newPeerPool() *nodes.Pool {
-	return nodes.NewPool(nodes.WithIdle(peerIdleTimeout), nodes.WithPing(peerPingAfter, peerPingTimeout))
+	return nodes.NewPool(nodes.WithIdle(peerIdleTimeout), nodes.WithPing(peerPingAfter, peerPingTimeout), nodes.WithMaxMessages(maxPeerMessage, maxChunkMap))
+}
+
+// An agent has little memory, and several calls in progress at a time: what peers send without
+// end must not take it.
+const (
+	// maxPeerMessage is above the largest chunk that an endpoint can be given, in bytes.
+	maxPeerMessage = platform.MaxChunk + 64<<10
+	// maxChunkMap is above the map of the largest manifest, in bytes.
+	maxChunkMap = 64 << 10
+	// maxTableCopy bounds a copy of a table, in bytes: the rows of some thousand endpoints. A
+	// larger one is read from the store, in pages.
+	maxTableCopy = 4 << 20
+)
+
+// newManifestClient returns the client with which manifests are fetched from peers.
+func newManifestClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+		IdleConnTimeout:        peerIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: tcp.MaxHead,
+	}}
 }
 
 // receive handles the datagrams that entries send to agents.
@@ -280,7 +305,7 @@
 		PeerManifest: func(ctx context.Context, p member.Member, name string, version int64) (*model.Manifest, error) {
 			ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 			defer cancel()
-			return chunks.Manifest(ctx, http.DefaultClient, p.Address(), name, version)
+			return chunks.Manifest(ctx, a.manifests, p.Address(), name, version)
 		},
 		ChunkMap: func(ctx context.Context, p member.Member, m *model.Manifest) (swarm.Bitmap, int, error) {
 			return chunks.Map(ctx, a.pool.AgentControl(p.Address()), m)
--- a/internal/fleetprocess/tablecache.go
+++ b/internal/fleetprocess/tablecache.go
@@ -56,7 +56,7 @@
 	}
 	c.operator = a.newWatcher(platform.TableOperator, a.applyOperator, watch.WithLongPollTimeout(0))
 	c.endpoints = a.newWatcher(platform.TableEndpoints, a.applyEndpoints, watch.WithLongPollTimeout(0))
-	c.client = entries.NewClient(entries.WithRegion(a.settings.Region(), c.setRegionEntries))
+	c.client = entries.NewClient(entries.WithRegion(a.settings.Region(), c.setRegionEntries), entries.WithMaxMessage(maxTableCopy))
 	return c
 }
 
--- a/internal/replica/bounds_test.go
+++ b/internal/replica/bounds_test.go
@@ -28,7 +28,7 @@
 		ListStaged: func(context.Context, string) ([]int, error) {
 			return []int{-1, math.MinInt, 1, 2, math.MaxInt, 1, 1, 1}, nil
 		},
-		ReadStaged: func(context.Context, string, int) ([]byte, error) {
+		ReadStaged: func(context.Context, string, int, int64) ([]byte, error) {
 			reads++
 			return []byte("wrong"), nil
 		},
@@ -44,7 +44,7 @@
 	const content = "abcdef"
 	m := manifest(t, 2, content)
 	r := New(agent(1), Callbacks{
-		ReadStaged: func(context.Context, string, int) ([]byte, error) { return []byte(content), nil },
+		ReadStaged: func(context.Context, string, int, int64) ([]byte, error) { return []byte(content), nil },
 	})
 	r.staging = stagingState{manifest: m, staged: []bool{true}, index: map[digest.Digest]int{m.Chunk(0).Digest(): 0}}
 	r.uploads = swarm.NewUploadLimiter(m.Size(), swarm.WithSlots(uploadSlots))
--- a/internal/replica/endpoint_test.go
+++ b/internal/replica/endpoint_test.go
@@ -286,7 +286,7 @@
 			}
 			return list, nil
 		},
-		ReadStaged: func(ctx context.Context, _ string, chunk int) ([]byte, error) {
+		ReadStaged: func(ctx context.Context, _ string, chunk int, _ int64) ([]byte, error) {
 			e.onRead(chunk)
 			if err := e.keep(ctx, "read", func() {}); err != nil {
 				return nil, err
--- a/internal/replica/exchange.go
+++ b/internal/replica/exchange.go
@@ -194,7 +194,7 @@
 		uploads.Release(remaining, false)
 		return chunks.Refuse(maxLinkWait)
 	}
-	data, err := r.callbacks.ReadStaged(ctx, staging.manifest.Name(), i)
+	data, err := r.callbacks.ReadStaged(ctx, staging.manifest.Name(), i, size)
 	if err != nil || int64(len(data)) < offset {
 		uploads.Release(remaining, false)
 		return connect.NewError(connect.CodeNotFound, swarm.ErrMissing)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -74,9 +74,10 @@
 	// ListStaged lists the indexes of the staged chunks, of any version.
 	ListStaged func(ctx context.Context, model string) ([]int, error)
 	// Stage writes a chunk into the endpoint's staging area, ReadStaged reads it back. The
-	// error of Stage wraps ErrRejected if the chunk will not be written any more.
+	// error of Stage wraps ErrRejected if the chunk will not be written any more. A staged chunk
+	// of more bytes than most is an error.
 	Stage      func(ctx context.Context, model string, chunk int, data []byte) error
-	ReadStaged func(ctx context.Context, model string, chunk int) ([]byte, error)
+	ReadStaged func(ctx context.Context, model string, chunk int, most int64) ([]byte, error)
 	// Load gives the endpoint an order. The error wraps ErrRejected, or is that of the
 	// order's Check, if the order was not accepted and will not be; any other error says
 	// that it may be accepted later.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -136,7 +136,7 @@
 	next.copyVerified(previous)
 	require.Equal(t, []bool{true, false, false}, next.staged)
 	staged := []string{"a", "corrupt", "c"}
-	r := New(agent(1), Callbacks{ReadStaged: func(_ context.Context, _ string, i int) ([]byte, error) { return []byte(staged[i]), nil }})
+	r := New(agent(1), Callbacks{ReadStaged: func(_ context.Context, _ string, i int, _ int64) ([]byte, error) { return []byte(staged[i]), nil }})
 	r.staging = stagingState{manifest: next.manifest, staged: []bool{true, true, true}}
 	require.False(t, r.verifyAll(t.Context(), target{model: "m", version: 2}))
 	require.Equal(t, []bool{true, false, true}, r.staging.staged)
@@ -257,7 +257,7 @@
 func TestStagedChunksWithInvalidIndex(t *testing.T) {
 	r := New(agent(1), Callbacks{
 		ListStaged: func(context.Context, string) ([]int, error) { return []int{-1, 0, 7}, nil },
-		ReadStaged: func(context.Context, string, int) ([]byte, error) { return []byte("a"), nil },
+		ReadStaged: func(context.Context, string, int, int64) ([]byte, error) { return []byte("a"), nil },
 	})
 	s := stagingState{manifest: manifest(t, 2, "a", "b"), staged: make([]bool, 2)}
 	require.NoError(t, r.verifyStaged(t.Context(), target{model: "m", version: 2}, s))
--- a/internal/replica/verify.go
+++ b/internal/replica/verify.go
@@ -66,8 +66,9 @@
 }
 
 func (r *Replica) chunkIntact(ctx context.Context, model string, m *model.Manifest, chunk int) bool {
-	data, err := r.callbacks.ReadStaged(ctx, model, chunk)
-	return err == nil && digest.Of(data) == m.Chunk(chunk).Digest()
+	c := m.Chunk(chunk)
+	data, err := r.callbacks.ReadStaged(ctx, model, chunk, c.Size())
+	return err == nil && digest.Of(data) == c.Digest()
 }
 
 // verifyInTime verifies every chunk within maxVerifyTime.
--- a/internal/transport/chunks/chunks.go
+++ b/internal/transport/chunks/chunks.go
@@ -61,9 +61,13 @@
 	return body, nil
 }
 
+// MaxManifest bounds a manifest that another agent sends, in bytes. It is above the largest one
+// that the platform's origin can serve.
+const MaxManifest = 2 << 20
+
 // Manifest requests a manifest from an agent; it is nil where the agent has none.
 func Manifest(ctx context.Context, client connect.HTTPClient, address, name string, version int64) (*model.Manifest, error) {
-	service := nodev1connect.NewReplicaServiceClient(tcp.NewBounded(client.Do), "http://"+address, connect.WithReadMaxBytes(tcp.MaxMessage))
+	service := nodev1connect.NewReplicaServiceClient(tcp.NewBounded(MaxManifest, client.Do), "http://"+address, connect.WithReadMaxBytes(MaxManifest))
 	answer, err := service.FetchManifest(ctx, connect.NewRequest(&nodev1.FetchManifestRequest{Model: name, Version: version}))
 	if err != nil || len(answer.Msg.GetManifest()) == 0 {
 		return nil, err
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -80,9 +80,10 @@
 
 // Client fetches rows from entries. It is safe for concurrent use.
 type Client struct {
-	http   *http.Client
-	region string
-	learn  func(entries []string)
+	http       *http.Client
+	region     string
+	learn      func(entries []string)
+	maxMessage int // bytes
 }
 
 // ClientOption sets a property of a Client.
@@ -94,10 +95,14 @@
 	return func(c *Client) { c.region, c.learn = region, learn }
 }
 
+// WithMaxMessage bounds an answer, in bytes; the default is tcp.MaxMessage. A copy that does not
+// fit is to be read from the store, in pages.
+func WithMaxMessage(n int) ClientOption { return func(c *Client) { c.maxMessage = n } }
+
 // NewClient returns a client.
 func NewClient(options ...ClientOption) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{learn: func([]string) {}}
+	c := &Client{learn: func([]string) {}, maxMessage: tcp.MaxMessage}
 	c.http = &http.Client{Transport: &http.Transport{
 		DialContext:            dialer.DialContext,
 		IdleConnTimeout:        idleConnTimeout,
@@ -156,8 +161,8 @@
 func (c *Client) service(address string) nodev1connect.EntryServiceClient {
 	// The rows stay uncompressed: entries of one region are near each other, and
 	// compressing costs each more processor time than the bytes cost the link.
-	return nodev1connect.NewEntryServiceClient(tcp.NewBounded(c.http.Do), "http://"+address,
-		connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(tcp.MaxMessage))
+	return nodev1connect.NewEntryServiceClient(tcp.NewBounded(c.maxMessage, c.http.Do), "http://"+address,
+		connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(c.maxMessage))
 }
 
 // Entries fetches the addresses of entries of the own region from an entry.
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -35,8 +35,10 @@
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerHost = 64
 	bufferSize          = 64 << 10 // bytes
-	pingAfter           = 15 * time.Second
-	pingTimeout         = 5 * time.Second
+	// maxUnread bounds what a peer sends ahead of its reader on one call for control, in bytes.
+	maxUnread   = 256 << 10
+	pingAfter   = 15 * time.Second
+	pingTimeout = 5 * time.Second
 )
 
 // plainBytes keeps the answers of agents uncompressed. Weights do not compress,
@@ -46,12 +48,13 @@
 
 // Pool returns clients by peer address. It is safe for concurrent use.
 type Pool struct {
-	data    *http.Client
-	control *http.Client
-	options []connect.ClientOption
-	agents  sync.Map // address to nodev1connect.AgentServiceClient over data
-	reports sync.Map // address to nodev1connect.AgentServiceClient over control
-	nodes   sync.Map // address to nodev1connect.NodeServiceClient over control
+	maxReport int // bytes
+	data      *http.Client
+	control   *http.Client
+	options   []connect.ClientOption
+	agents    sync.Map // address to nodev1connect.AgentServiceClient over data
+	reports   sync.Map // address to nodev1connect.AgentServiceClient over control
+	nodes     sync.Map // address to nodev1connect.NodeServiceClient over control
 }
 
 type config struct {
@@ -59,6 +62,8 @@
 	idle        time.Duration
 	pingAfter   time.Duration
 	pingTimeout time.Duration
+	maxMessage  int // bytes
+	maxReport   int // bytes
 	options     []connect.ClientOption
 }
 
@@ -81,6 +86,12 @@
 	return func(c *config) { c.pingAfter, c.pingTimeout = after, timeout }
 }
 
+// WithMaxMessages bounds a message of a peer, and a report or chunk map of an agent, in bytes;
+// the default is tcp.MaxMessage for both.
+func WithMaxMessages(message, report int) Option {
+	return func(c *config) { c.maxMessage, c.maxReport = message, report }
+}
+
 // WithClientOptions adds options, such as interceptors, to every client.
 func WithClientOptions(options ...connect.ClientOption) Option {
 	return func(c *config) { c.options = append(c.options, options...) }
@@ -88,15 +99,16 @@
 
 // NewPool returns an empty pool.
 func NewPool(options ...Option) *Pool {
-	c := config{dialTimeout: defaultDialTimeout, idle: idleConnTimeout, pingAfter: pingAfter, pingTimeout: pingTimeout}
+	c := config{dialTimeout: defaultDialTimeout, idle: idleConnTimeout, pingAfter: pingAfter, pingTimeout: pingTimeout, maxMessage: tcp.MaxMessage, maxReport: tcp.MaxMessage}
 	for _, o := range options {
 		o(&c)
 	}
 	dialer := &net.Dialer{Timeout: c.dialTimeout}
 	return &Pool{
-		data:    &http.Client{Transport: newTransport(dialer)},
-		control: &http.Client{Transport: newControlTransport(dialer, c)},
-		options: append([]connect.ClientOption{connect.WithReadMaxBytes(tcp.MaxMessage)}, c.options...),
+		maxReport: c.maxReport,
+		data:      &http.Client{Transport: newTransport(dialer)},
+		control:   &http.Client{Transport: newControlTransport(dialer, c)},
+		options:   append([]connect.ClientOption{connect.WithReadMaxBytes(c.maxMessage)}, c.options...),
 	}
 }
 
@@ -123,7 +135,11 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: tcp.MaxHead,
 		Protocols:              &protocols,
-		HTTP2:                  &http.HTTP2Config{SendPingTimeout: c.pingAfter, PingTimeout: c.pingTimeout},
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:           c.pingAfter,
+			PingTimeout:               c.pingTimeout,
+			MaxReceiveBufferPerStream: maxUnread,
+		},
 	}
 }
 
@@ -139,20 +155,20 @@
 // Agent returns the client for attempts, orders and chunks of the agent that
 // listens at address.
 func (p *Pool) Agent(address string) nodev1connect.AgentServiceClient {
-	return p.agentClient(&p.agents, p.data, address)
+	return p.agentClient(&p.agents, p.data, address, plainBytes)
 }
 
 // AgentControl returns the client for the reports and chunk maps of the agent that
 // listens at address.
 func (p *Pool) AgentControl(address string) nodev1connect.AgentServiceClient {
-	return p.agentClient(&p.reports, p.control, address)
+	return p.agentClient(&p.reports, p.control, address, plainBytes, connect.WithReadMaxBytes(p.maxReport))
 }
 
-func (p *Pool) agentClient(known *sync.Map, client *http.Client, address string) nodev1connect.AgentServiceClient {
+func (p *Pool) agentClient(known *sync.Map, client *http.Client, address string, more ...connect.ClientOption) nodev1connect.AgentServiceClient {
 	if c, ok := known.Load(address); ok {
 		return c.(nodev1connect.AgentServiceClient)
 	}
-	options := append(p.options[:len(p.options):len(p.options)], plainBytes)
+	options := append(p.options[:len(p.options):len(p.options)], more...)
 	c := nodev1connect.NewAgentServiceClient(client, "http://"+address, options...)
 	kept, _ := known.LoadOrStore(address, c)
 	return kept.(nodev1connect.AgentServiceClient)
