Gateway: the confirmation of the next configuration is no outage of the store

Fix: an outage is recorded only if no version was confirmed; and the last confirmations of the versions before are kept, since that a version was the newest at a time stays true. A key that the next version takes away is refused by its bound all the same: the confirmation is older than the acknowledgement.

--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -7,14 +7,37 @@
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 )
 
+// maxEarlierVersions bounds the versions whose last confirmations are kept.
+const maxEarlierVersions = 8
+
+// confirmation is the last time at which a version of the configuration was the newest in
+// force. It holds for that time also once there are newer ones.
+type confirmation struct {
+	version int64
+	at      time.Duration
+}
+
 // confirmed returns the last time at which, according to a peer, the given version was the
 // newest in force, 0 for never.
 func (p *peers) confirmed(version int64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.confirmedVersion != version {
-		return 0
+	if p.confirmedVersion == version {
+		return p.confirmedAt
+	}
+	for _, c := range p.earlierVersions {
+		if c.version == version {
+			return c.at
+		}
 	}
+	return 0
+}
+
+// lastConfirmed returns the last time at which, according to a peer, it had the newest version
+// from the store, whichever that was; 0 for never.
+func (p *peers) lastConfirmed() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.confirmedAt
 }
 
@@ -30,6 +53,10 @@
 		return // it has read a store that came back from an older copy
 	}
 	at := time.Duration(m.GetEcho()) - boottime.AgeFromMicros(m.GetConfirmedAgeUs())
+	if m.GetConfigurationVersion() > p.confirmedVersion && p.confirmedAt > 0 {
+		p.earlierVersions = append(p.earlierVersions, confirmation{version: p.confirmedVersion, at: p.confirmedAt})
+		p.earlierVersions = p.earlierVersions[max(len(p.earlierVersions)-maxEarlierVersions, 0):]
+	}
 	if at > p.confirmedAt || m.GetConfigurationVersion() > p.confirmedVersion {
 		p.confirmedAt = at
 		p.confirmedVersion = m.GetConfigurationVersion()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -92,6 +92,7 @@
 	broadcastSentAt   time.Duration // last round to all peers
 	confirmedVersion  int64         // configuration version of the most recent confirmation
 	confirmedAt       time.Duration
+	earlierVersions   []confirmation         // last confirmations of the versions before, oldest first
 	confirmedWeights  []*nodev1.NamedWeights // newest target versions of weights at that confirmation
 	fetches           map[nodev1.Table]*fetchState
 }
--- a/internal/gateway/watching.go
+++ b/internal/gateway/watching.go
@@ -63,10 +63,12 @@
 	return time.Duration(g.lastOutage.Load())
 }
 
-// recordOutage records an outage of the store if no entry has had a recent
-// confirmation of the configuration.
+// recordOutage records an outage of the store if no entry has had a recent confirmation of a
+// configuration. One of a version that this entry has not fetched yet shows that the store is
+// there, too.
 func (g *Gateway) recordOutage(now time.Duration) {
-	if age, known := g.age(); known && age > outageAge {
+	confirmedAt := max(g.confirmedAt(), g.peers.lastConfirmed())
+	if confirmedAt > 0 && now-confirmedAt > outageAge {
 		g.lastOutage.Store(int64(now))
 	}
 }
