--- a/internal/gateway/wholestream.go
+++ b/internal/gateway/wholestream.go
@@ -36,8 +36,8 @@
 // its endpoint, which stops work at the end of its time left. One that says that this time is
 // over was made then.
 func (q *request) mayBeCut(now time.Duration, r *http.Response) bool {
-	isTimeout := r.StatusCode == http.StatusGatewayTimeout
-	return q.pastEndpointDeadline(now) && r.ContentLength < 0 && q.method != http.MethodHead && !isTimeout
+	hasEnd := r.ContentLength >= 0 || q.method == http.MethodHead || r.StatusCode == http.StatusGatewayTimeout
+	return q.pastEndpointDeadline(now) && !hasEnd
 }
 
 // endedWithTime returns the result of an attempt whose endpoint ended its response in good
