Review: the stand's names of the wire stand apart from its code

Cause: TestWireNamesOnlyInPlatform allows names of the wire in Go files of the adapter only; the stand had some.

--- a/review/stand2/anonymous.go
+++ b/review/stand2/anonymous.go
@@ -86,7 +86,7 @@
 }
 
 func noteArrival(s *server, id string, r *http.Request) {
-	s.fleet.record.add("request %s reaches server %s", r.Header.Get(attemptID), id)
+	s.fleet.record.add("request %s reaches server %s", r.Header.Get(names.Attempt), id)
 }
 
 func noteNothing(*server, string, *http.Request) {}
--- a/review/stand2/clients.go
+++ b/review/stand2/clients.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
 // answer is what a client has got for one request.
@@ -49,13 +51,13 @@
 	}
 	a := answer{id: fmt.Sprintf("%08x", attempts.Add(1))}
 	r.Host = host
-	r.Header.Set(attemptID, a.id)
-	r.Header.Set("Primrosetally-Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
+	r.Header.Set(names.Attempt, a.id)
+	r.Header.Set(names.Deadline, fmt.Sprint(budget.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+key)
 	if prompt != "" {
-		r.Header.Set("Primrosetally-Prefix-Hash", prompt)
-		r.Header.Set("Primrosetally-Model", "faq")
-		r.Header.Set("Primrosetally-Token-Count", "800,60")
+		r.Header.Set(names.Prompt, prompt)
+		r.Header.Set(names.Model, "faq")
+		r.Header.Set(names.Tokens, "800,60")
 	}
 	a.sent = c.fleet.record.add("request %s: %s %s to %s", a.id, method, path, m.name)
 	a = c.read(r, a, path)
@@ -70,7 +72,7 @@
 		return a
 	}
 	defer response.Body.Close()
-	a.status, a.sealed = response.StatusCode, response.Header.Get(seal) != ""
+	a.status, a.sealed = response.StatusCode, response.Header.Get(standin.Seal) != ""
 	text, err := io.ReadAll(response.Body)
 	a.err = err
 	want := answerTo(path)
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/primrosetally/primrosetally/platform"
 	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
@@ -228,7 +229,7 @@
 	}
 	defer logs.Close()
 	c := exec.Command(program, m.role)
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PRIMROSETALLY_NODE_FILE=" + file}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + file}
 	c.Stdout, c.Stderr = logs, logs
 	if err := c.Start(); err != nil {
 		return err
@@ -252,7 +253,7 @@
 func (f *fleet) awaitReady(ctx context.Context, m *machine) error {
 	client := http.Client{Timeout: time.Second}
 	for begun := time.Now(); time.Since(begun) < startTime; sleep(ctx, 50*time.Millisecond) {
-		response, err := client.Get("http://" + f.at(m.ip, portReady) + "/primrosetally/readyz")
+		response, err := client.Get("http://" + f.at(m.ip, portReady) + names.Ready)
 		if err != nil {
 			continue
 		}
--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -115,7 +115,7 @@
 	_, _ = io.Copy(io.Discard, r.Body) // a body that is cut off is noticed by its client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[r.Header.Get(attemptID)] = true
+	c.runs[r.Header.Get(names.Attempt)] = true
 }
 
 // platform ends the process of a machine that exceeds its memory and starts it again.
@@ -196,8 +196,8 @@
 // reports whether the channel may be kept.
 func (c *memoryRun) send(ctx context.Context, m *machine, conn net.Conn, reader *bufio.Reader, kept bool) (keep bool) {
 	id := fmt.Sprintf("%08x", attempts.Add(1))
-	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\nPrimrosetally-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-		pathPublish, id, host, attemptID, id, key, budget.Milliseconds(), bodyPieces*pieceBytes)
+	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\nContent-Length: %d\r\n",
+		pathPublish, id, host, names.Attempt, id, key, names.Deadline, budget.Milliseconds(), bodyPieces*pieceBytes)
 	head += "Form-State: " + strings.Repeat("s", headBytes-len(head)-20) + "\r\n\r\n"
 	_ = conn.SetDeadline(time.Now().Add(budget + time.Second))
 	c.sent.Add(1)
--- a/review/stand2/repeats.go
+++ b/review/stand2/repeats.go
@@ -75,7 +75,7 @@
 	if !c.deadly(r) {
 		return
 	}
-	at := c.record.add("request %s, which crashes servers, reaches server %s", r.Header.Get(attemptID), id)
+	at := c.record.add("request %s, which crashes servers, reaches server %s", r.Header.Get(names.Attempt), id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.boundAt > 0 && at > c.boundAt+contact {
--- a/review/stand2/servers.go
+++ b/review/stand2/servers.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/primrosetally/primrosetally/platform/standin"
 )
 
 const (
@@ -19,11 +21,8 @@
 	heartbeat = 1200 * time.Millisecond
 	// slots is how many requests a server runs at a time.
 	slots = 8
-	seal  = "Primrosetally-Server-Seal"
 	// crashAfter is how long after its begin a request crashes its server.
 	crashAfter = 10 * time.Millisecond
-	// attemptID names a request.
-	attemptID = "Primrosetally-Attempt-Id"
 )
 
 // server is a server of the platform. It has a new id with each start.
@@ -152,13 +151,13 @@
 	id, leaving, free := s.id, s.leaving, s.free
 	s.mu.Unlock()
 	h := w.Header()
-	h.Set(attemptID, r.Header.Get(attemptID))
+	h.Set(names.Attempt, r.Header.Get(names.Attempt))
 	if leaving {
 		h.Set("Server-Leaving", "1")
 		h.Set("Connection", "close")
 	}
-	if want := r.Header.Get("Primrosetally-Target-Instance"); want != "" && want != id {
-		h.Set("Primrosetally-Not-Executed", "1")
+	if want := r.Header.Get(names.Target); want != "" && want != id {
+		h.Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -176,7 +175,7 @@
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
-	h.Set(seal, "seal-"+id)
+	h.Set(standin.Seal, "seal-"+id)
 	if strings.HasPrefix(r.URL.Path, pathStream) {
 		s.stream(w, r, deadly)
 		return
@@ -226,7 +225,7 @@
 
 // hasPart reports whether a prompt has a part that is not its last.
 func hasPart(r *http.Request, part string) bool {
-	parts := strings.Split(r.Header.Get("Primrosetally-Prefix-Hash"), ",")
+	parts := strings.Split(r.Header.Get(names.Prompt), ",")
 	return slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
 		identity, _, _ := strings.Cut(p, ":")
 		return identity == part
--- a/review/stand2/silent.go
+++ b/review/stand2/silent.go
@@ -152,7 +152,7 @@
 // arrive judges a request that reaches a server: it was sent by its client and sent on later
 // than the bound after the server's leaving was acknowledged, by a machine that is in touch.
 func (s *silentRun) arrive(_ *server, id string, r *http.Request) {
-	request := r.Header.Get(attemptID)
+	request := r.Header.Get(names.Attempt)
 	at := s.record.add("request %s reaches server %s", request, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
