--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -215,20 +216,24 @@
 	}
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		c.countLost(ctx, m, id, kept)
+		c.countLost(ctx, m, id, kept, err)
 		return false
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		c.countLost(ctx, m, id, kept)
+		c.countLost(ctx, m, id, kept, err)
 		return false
 	}
 	c.answered.Add(1)
 	return !response.Close
 }
 
-// countLost counts a request of a kept channel that a server has run and that got no answer.
-func (c *memoryRun) countLost(ctx context.Context, m *machine, id string, kept bool) {
+// countLost counts a request of a kept channel that a server has run and whose channel was ended
+// without an answer. One whose client has waited for too long is not counted.
+func (c *memoryRun) countLost(ctx context.Context, m *machine, id string, kept bool, err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.runs[id] && ctx.Err() == nil {
