Transport: an answer that is reset during the upload is not taken for whole

Callers saw: after a long upload, status 200 and a part of the body as a complete answer. The endpoint had answered without a length before it had read the upload, and reset the connection.

Cause: the kernel reports a reset once, to the call that meets it first. While the body is written that is the write; the next read sees the same end as after an orderly close, and an answer without a length ends with its connection. Every client that writes and reads at once has this, those of net/http too. Ruled out: the reading of bodies (lengths and chunks show the cut in each try), kept connections (new ones fail as often).

The clients of endpoints, of engines, of pkg/caller and of the command call did pass the part on.

Change: all clients have connections of tcp.Conn. At the end that a read sees it ends the write in progress, waits for it, and returns io.EOF only if no call on the connection has failed. No time is waited and no goroutine added. An answer whose side was ended in good order stays whole, before and after the end of the upload, whether the rest of that is read or not.

--- a/internal/command/caller.go
+++ b/internal/command/caller.go
@@ -77,7 +77,8 @@
 	defer func() { _ = shown.Shutdown(context.WithoutCancel(ctx)) }()
 	_, span := shown.Tracing().StartClient(ctx, telemetry.SpanCaller, r.Header)
 	defer span.End()
-	answer, err := http.DefaultClient.Do(r)
+	client := http.Client{Transport: newTransport()}
+	answer, err := client.Do(r)
 	if err != nil {
 		return e.fail(statusFailed, err)
 	}
--- a/internal/command/target.go
+++ b/internal/command/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -12,9 +13,13 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 	"github.com/primrosetally/primrosetally/pkg/adminv1/adminv1connect"
 )
 
+// dialTimeout bounds the time to connect to an entry.
+const dialTimeout = 30 * time.Second
+
 // operatorTimeout bounds one call of the administration API.
 const operatorTimeout = 30 * time.Second
 
@@ -50,7 +55,7 @@
 }
 
 func (t *target) transport() (string, *http.Transport, error) {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := newTransport()
 	if t.caFile == "" {
 		return "http", transport, nil
 	}
@@ -66,6 +71,14 @@
 	return "https", transport, nil
 }
 
+// newTransport returns the default transport of net/http over connections that tell an orderly
+// end from a reset: what an entry answers to a long request is printed as whole only if it is.
+func newTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = tcp.Dial(&net.Dialer{Timeout: dialTimeout})
+	return transport
+}
+
 func sendToken(token string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -133,7 +133,7 @@
 // newManifestClient returns the client with which manifests are fetched from peers.
 func newManifestClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+		DialContext:            tcp.Dial(&net.Dialer{Timeout: fetchTimeout}),
 		IdleConnTimeout:        peerIdleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: tcp.MaxHead,
--- a/internal/transport/endpoints/endpoints.go
+++ b/internal/transport/endpoints/endpoints.go
@@ -76,14 +76,14 @@
 }
 
 type conn struct {
-	net     net.Conn
+	net     *tcp.Conn
 	bounded *boundedReader
 	reader  *bufio.Reader // from bounded
 	since   time.Time     // of the last end of an exchange
 	keep    time.Duration
 }
 
-func newConn(n net.Conn) *conn {
+func newConn(n *tcp.Conn) *conn {
 	bounded := &boundedReader{from: n, left: unbounded}
 	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBuffer), keep: defaultIdle}
 }
@@ -163,7 +163,7 @@
 	}}
 	n, err := dialer.DialContext(ctx, "tcp", address)
 	if err == nil {
-		return newConn(n), nil
+		return newConn(tcp.NewConn(n)), nil
 	}
 	if errors.Is(err, unix.ECONNREFUSED) {
 		return nil, errors.Join(ErrRefused, eris.Wrapf(ErrNotSent, "connect: %v", err))
@@ -236,11 +236,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.net.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -104,7 +104,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c := &Client{learn: func([]string) {}, maxMessage: tcp.MaxMessage}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcp.Dial(dialer),
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: tcp.MaxHead,
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -114,7 +114,7 @@
 
 func newTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcp.Dial(dialer),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
@@ -130,7 +130,7 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcp.Dial(dialer),
 		IdleConnTimeout:        c.idle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: tcp.MaxHead,
--- a/internal/transport/objects/objects.go
+++ b/internal/transport/objects/objects.go
@@ -96,7 +96,7 @@
 func New(baseURL string, options ...Option) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcp.Dial(dialer),
 		MaxIdleConnsPerHost:    idleConnsAHost,
 		IdleConnTimeout:        idleConnTimeout,
 		ResponseHeaderTimeout:  headerTimeout,
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -55,7 +55,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcp.Dial(dialer),
 		MaxIdleConnsPerHost:    idleConnsAHost,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
--- a/internal/transport/tcp/tcp.go
+++ b/internal/transport/tcp/tcp.go
@@ -1,9 +1,10 @@
-// Package tcp sets options of connections that package net has none for, and bounds that
-// all clients have in common.
+// Package tcp has what all clients have in common: options of connections that package net has
+// none for, bounds, and connections that tell an orderly end from a reset.
 //
 // # Usage
 //
 //	dialer := &net.Dialer{Control: tcp.UserTimeout(time.Second)}
+//	transport := &http.Transport{DialContext: tcp.Dial(dialer), MaxResponseHeaderBytes: tcp.MaxHead}
 package tcp
 
 import (
