Callers' client: a status that is none of HTTP's is no answer

Programs that use pkg/caller, and the command call, got a status of 000 (099, 101, 600, 999) that an entry had sent as the answer of the service, with ErrUnknown never set.

Cause: the check stood in three places behind the clients; pkg/caller and call had none. Ruled out: the client of net/http, which takes any three digits by design.

Change: the rule stands once, protocol/http1.FinalStatus, for endpoints, entry and transport/once, the client that engines, tables and pkg/caller share; call uses that client too and so never repeats a request by itself. A table's answer with such a status was unknown before and is now.

--- a/internal/command/caller.go
+++ b/internal/command/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/primrosetally/primrosetally/internal/entry"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
+	"github.com/primrosetally/primrosetally/internal/transport/once"
 )
 
 // secretVariable is the environment variable of the account's secret.
@@ -77,8 +78,7 @@
 	defer func() { _ = shown.Shutdown(context.WithoutCancel(ctx)) }()
 	_, span := shown.Tracing().StartClient(ctx, telemetry.SpanCaller, r.Header)
 	defer span.End()
-	client := http.Client{Transport: newTransport()}
-	answer, err := client.Do(r)
+	answer, err := once.NewClient(newTransport()).Do(ctx, r)
 	if err != nil {
 		return e.fail(statusFailed, err)
 	}
--- a/internal/command/caller_test.go
+++ b/internal/command/caller_test.go
@@ -11,6 +11,27 @@
 	"github.com/primrosetally/primrosetally/internal/standin"
 )
 
+// A call prints no answer whose status is none of HTTP's.
+func TestCallWithOddStatus(t *testing.T) {
+	for _, test := range []struct {
+		status string
+		want   int
+		out    string
+	}{
+		{"000 Trouble", statusFailed, ""},
+		{"999 Trouble", statusFailed, ""},
+		{"201 Created", statusOK, "seat"},
+	} {
+		peer, err := standin.NewPeer(standin.PeerAnswer{Text: "HTTP/1.1 " + test.status + "\r\nOutcome: answered\r\nContent-Length: 4\r\n\r\nseat"})
+		require.NoError(t, err)
+		var out, failure bytes.Buffer
+		status := Run([]string{"call", "bookings", "--entry", peer.Address(), "--account", "shop-1", "--data", "x"}, &out, &failure)
+		peer.Close()
+		require.Equal(t, test.want, status, "%s: %s", test.status, failure.String())
+		require.Equal(t, test.out, out.String())
+	}
+}
+
 // A call prints an answer as whole only if its entry has ended it in good order.
 func TestCallDuringUpload(t *testing.T) {
 	const (
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/primrosetally/primrosetally/internal/coordination/routing"
 	"github.com/primrosetally/primrosetally/internal/coordination/serving"
 	"github.com/primrosetally/primrosetally/internal/coordination/suspects"
+	"github.com/primrosetally/primrosetally/internal/protocol/http1"
 	"github.com/primrosetally/primrosetally/internal/protocol/nodev1"
 	"github.com/primrosetally/primrosetally/internal/state/digest"
 	"github.com/primrosetally/primrosetally/internal/telemetry"
@@ -180,7 +180,7 @@
 		r.overloaded = v.NotRun.GetReason() == serving.ErrBusy.Error()
 		r.report = v.NotRun.GetReport()
 	case *nodev1.AttemptPart_Started:
-		if status := v.Started.GetStatus(); status < http.StatusOK || status > maxStatus {
+		if status := v.Started.GetStatus(); !http1.FinalStatus(int(status)) {
 			r.kind, r.reason = resultUnknown, fmt.Sprintf("status %03d is none of a final answer", status)
 			return
 		}
@@ -200,10 +200,6 @@
 	}
 }
 
-// maxStatus is the largest status of HTTP. Writing one that is not a final answer's panics, or
-// is no answer in the protocol.
-const maxStatus = 599
-
 // relayData forwards a part of the body. A part that arrives before the response header
 // is dropped and counted.
 func (e *Entry) relayData(data []byte, out *responseWriter, r *attemptResult) {
--- a/internal/transport/endpoints/exchange.go
+++ b/internal/transport/endpoints/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/primrosetally/primrosetally/internal/protocol/http1"
 )
 
 // Exchange is one request and its answer on a connection of its own.
@@ -77,14 +79,6 @@
 // Where such an answer ends is unknown, so nothing after its head is read as an answer.
 var errStatus = eris.New("answer has no status of a final answer")
 
-// validStatus reports whether a status is that of a final answer.
-func validStatus(status int) bool {
-	return status >= http.StatusOK && status <= maxStatus
-}
-
-// maxStatus is the largest status of HTTP.
-const maxStatus = 599
-
 // isInterim reports whether another head follows the one of an answer: HTTP allows any number
 // of interim answers before the final one, also without a request for them. They have no body.
 func isInterim(r *http.Response) bool {
@@ -126,7 +120,7 @@
 		if isInterim(response) {
 			continue
 		}
-		if !validStatus(response.StatusCode) {
+		if !http1.FinalStatus(response.StatusCode) {
 			return nil, eris.Wrapf(errStatus, "%03d", response.StatusCode)
 		}
 		m := match(response.Header)
--- a/internal/transport/engines/engines.go
+++ b/internal/transport/engines/engines.go
@@ -218,20 +218,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrUnknown, "%v", err)
 	}
-	if !finalStatus(response.StatusCode) {
-		response.Body.Close()
-		return nil, eris.Wrapf(ErrUnknown, "status %03d is none of a final answer", response.StatusCode)
-	}
 	return &Response{status: response.StatusCode, header: response.Header, body: response.Body}, nil
 }
 
-// finalStatus reports whether a status is one of HTTP for a final answer. Writing another one
-// to a caller panics, or is no answer in the protocol.
-func finalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
-
-// maxStatus is the largest status of HTTP.
-const maxStatus = 599
-
 func (c *Client) getJSON(ctx context.Context, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/internal/transport/engines/status_test.go
+++ b/internal/transport/engines/status_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/primrosetally/primrosetally/internal/standin"
 	"github.com/primrosetally/primrosetally/internal/transport/engines"
 )
 
@@ -36,3 +37,31 @@
 		})
 	}
 }
+
+// A status that HTTP doesn't name is that of an answer all the same, also after an interim one.
+func TestStatusOfAnswer(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	for _, test := range []struct {
+		before, line string
+		status       int
+	}{
+		{"", "200 OK", 200},
+		{interim, "200 OK", 200},
+		{"", "299 Any", 299},
+		{"", "418 Teapot", 418},
+		{interim + interim, "599 Any", 599},
+	} {
+		t.Run(test.line, func(t *testing.T) {
+			peer, err := standin.NewPeer(standin.PeerAnswer{Text: test.before + "HTTP/1.1 " + test.line + "\r\nContent-Length: 2\r\n\r\nok"})
+			require.NoError(t, err)
+			t.Cleanup(peer.Close)
+			response, err := engines.New("http://"+peer.Address()).Do(t.Context(), engines.NewRequest(http.MethodGet, "/faq"))
+			require.NoError(t, err)
+			defer response.Body().Close()
+			require.Equal(t, test.status, response.Status())
+			body, err := io.ReadAll(response.Body())
+			require.NoError(t, err)
+			require.Equal(t, "ok", string(body))
+		})
+	}
+}
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -28,6 +28,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/primrosetally/primrosetally/internal/protocol/http1"
 	"github.com/primrosetally/primrosetally/internal/transport/tcp"
 )
 
@@ -35,8 +36,8 @@
 // received nothing of the request.
 var ErrNotSent = eris.New("request not sent")
 
-// ErrNoAnswer is returned when a connection was had and no answer came over it.
-// The peer may have acted on the request.
+// ErrNoAnswer is returned when a connection was had and no answer came over it, or
+// one with a status that is none of HTTP's. The peer may have acted on the request.
 var ErrNoAnswer = eris.New("no answer to the request")
 
 const (
@@ -75,13 +76,16 @@
 	ctx, connected := Track(ctx)
 	forbidReplay(r)
 	response, err := c.http.Do(r.WithContext(ctx))
-	if err == nil {
-		return response, nil
-	}
-	if !connected() {
+	switch {
+	case err != nil && !connected():
 		return nil, eris.Wrapf(ErrNotSent, "%v", err)
+	case err != nil:
+		return nil, eris.Wrapf(ErrNoAnswer, "%v", err)
+	case !http1.FinalStatus(response.StatusCode):
+		response.Body.Close()
+		return nil, eris.Wrapf(ErrNoAnswer, "status %03d is none of a final answer", response.StatusCode)
 	}
-	return nil, eris.Wrapf(ErrNoAnswer, "%v", err)
+	return response, nil
 }
 
 // Track returns a context for one request of any client of net/http, and a
