Transport: what the clients have in common stands once

Exchange.Send had fifty lines of which a third judged an answer. Change: tcp.NewTransport; readAnswer, matchOf and discardForeign out of Send. No behaviour changes.

--- a/internal/fleetprocess/agent.go
+++ b/internal/fleetprocess/agent.go
@@ -132,12 +132,9 @@
 
 // newManifestClient returns the client with which manifests are fetched from peers.
 func newManifestClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:            tcp.Dial(&net.Dialer{Timeout: fetchTimeout}),
-		IdleConnTimeout:        peerIdleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-	}}
+	transport := tcp.NewTransport(&net.Dialer{Timeout: fetchTimeout})
+	transport.IdleConnTimeout = peerIdleTimeout
+	return &http.Client{Transport: transport}
 }
 
 // receive handles the datagrams that entries send to agents.
--- a/internal/transport/endpoints/cuthead_test.go
+++ b/internal/transport/endpoints/cuthead_test.go
@@ -50,7 +50,7 @@
 				name := test.name + ", reset " + strconv.FormatBool(reset) + ", kept " + strconv.FormatBool(kept)
 				t.Run(name, func(t *testing.T) {
 					for at := range len(test.text) - test.last {
-						requireCut(t, test.text[:at], reset, kept)
+						requireBroken(t, test.text[:at], reset, kept)
 					}
 				})
 			}
@@ -58,8 +58,9 @@
 	}
 }
 
-// requireCut requires that an answer counts as one that may have run and is not whole.
-func requireCut(t *testing.T, text string, reset, kept bool) {
+// requireBroken requires that an answer counts as one that may have run and is not whole, and that
+// its connection is not used again.
+func requireBroken(t *testing.T, text string, reset, kept bool) {
 	t.Helper()
 	address := serve(t, func(c net.Conn, r *bufio.Reader) {
 		if kept {
--- a/internal/transport/endpoints/exchange.go
+++ b/internal/transport/endpoints/exchange.go
@@ -108,7 +108,11 @@
 	if err := x.write(head, body); err != nil {
 		return nil, err
 	}
-	request := &http.Request{Method: head.Method}
+	return x.readAnswer(&http.Request{Method: head.Method}, match)
+}
+
+// readAnswer reads up to the head of the own answer.
+func (x *Exchange) readAnswer(request *http.Request, match func(http.Header) Match) (*http.Response, error) {
 	left := int64(maxBefore)
 	others := x.reused // answers to other requests may come on the connection
 	for left > 0 {
@@ -120,15 +124,9 @@
 		if isInterim(response) {
 			continue
 		}
-		if !http1.FinalStatus(response.StatusCode) {
-			return nil, eris.Wrapf(errStatus, "%03d", response.StatusCode)
-		}
-		m := match(response.Header)
-		if m == Ambiguous {
-			return nil, errAmbiguous
-		}
-		if m == Unnamed && others {
-			return nil, errUnnamed
+		m, err := matchOf(response, match, others)
+		if err != nil {
+			return nil, err
 		}
 		if m != Foreign {
 			x.answer = response
@@ -137,18 +135,44 @@
 			return response, nil
 		}
 		others = true
-		n, err := io.CopyN(io.Discard, response.Body, left)
-		left -= n
-		if err != nil && err != io.EOF {
-			return nil, eris.Wrap(err, "answer of another request")
-		}
-		if response.Close {
-			return nil, eris.New("answer of another request closed the connection")
+		n, err := discardForeign(response, left)
+		if err != nil {
+			return nil, err
 		}
+		left -= n
 	}
 	return nil, eris.Wrap(ErrTooLong, "before the answer")
 }
 
+// matchOf returns to which request a final answer belongs. Others is set if answers to other
+// requests may come on its connection.
+func matchOf(response *http.Response, match func(http.Header) Match, others bool) (Match, error) {
+	if !http1.FinalStatus(response.StatusCode) {
+		return Foreign, eris.Wrapf(errStatus, "%03d", response.StatusCode)
+	}
+	m := match(response.Header)
+	switch {
+	case m == Ambiguous:
+		return m, errAmbiguous
+	case m == Unnamed && others:
+		return m, errUnnamed
+	}
+	return m, nil
+}
+
+// discardForeign reads the body of an answer of another request, and returns its length if another
+// answer may follow it. One that is longer than most is left where it is.
+func discardForeign(response *http.Response, most int64) (int64, error) {
+	n, err := io.CopyN(io.Discard, response.Body, most)
+	if err != nil && err != io.EOF {
+		return n, eris.Wrap(err, "answer of another request")
+	}
+	if response.Close {
+		return n, eris.New("answer of another request closed the connection")
+	}
+	return n, nil
+}
+
 func (x *Exchange) write(head Head, body [][]byte) error {
 	var b strings.Builder
 	b.Grow(1024)
--- a/internal/transport/endpoints/fieldnames_test.go
+++ b/internal/transport/endpoints/fieldnames_test.go
@@ -62,40 +62,13 @@
 		} {
 			t.Run(test.name+", "+answer.name, func(t *testing.T) {
 				for _, kept := range []bool{false, true} {
-					requireNoAnswer(t, answer.text, kept)
+					requireBroken(t, answer.text, false, kept)
 				}
 			})
 		}
 	}
 }
 
-// requireNoAnswer requires that a text is none, and that its connection is not used again.
-func requireNoAnswer(t *testing.T, text string, kept bool) {
-	t.Helper()
-	list := []string{text}
-	if kept {
-		list = []string{whole, text}
-	}
-	address := serve(t, func(c net.Conn, r *bufio.Reader) {
-		for _, text := range list {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			_, _ = io.WriteString(c, text)
-		}
-	})
-	p := NewPool()
-	if kept {
-		_, _, err := exchange(t.Context(), p, address, nil)
-		require.NoError(t, err)
-	}
-	body, reused, err := exchange(t.Context(), p, address, nil)
-	require.Equal(t, kept, reused)
-	require.Error(t, err, "%q: body %q", text, body)
-	require.NotErrorIs(t, err, ErrNotSent, "it may have run")
-	require.Zero(t, p.host(address).open)
-}
-
 // A name is checked also where its line comes in parts.
 func TestOddFieldNameInParts(t *testing.T) {
 	const text = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length : 2\r\n\r\nok"
--- a/internal/transport/entries/rows.go
+++ b/internal/transport/entries/rows.go
@@ -101,14 +101,9 @@
 
 // NewClient returns a client.
 func NewClient(options ...ClientOption) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{learn: func([]string) {}, maxMessage: tcp.MaxMessage}
-	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:            tcp.Dial(dialer),
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-	}}
+	transport := tcp.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.IdleConnTimeout = idleConnTimeout
+	c := &Client{http: &http.Client{Transport: transport}, learn: func([]string) {}, maxMessage: tcp.MaxMessage}
 	for _, o := range options {
 		o(c)
 	}
--- a/internal/transport/nodes/nodes.go
+++ b/internal/transport/nodes/nodes.go
@@ -113,15 +113,12 @@
 }
 
 func newTransport(dialer *net.Dialer) *http.Transport {
-	return &http.Transport{
-		DialContext:            tcp.Dial(dialer),
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-		ReadBufferSize:         bufferSize,
-		WriteBufferSize:        bufferSize,
-	}
+	t := tcp.NewTransport(dialer)
+	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	t.IdleConnTimeout = idleConnTimeout
+	t.ReadBufferSize = bufferSize
+	t.WriteBufferSize = bufferSize
+	return t
 }
 
 // newControlTransport returns a transport that uses HTTP/2 alone. It pings a
@@ -129,18 +126,15 @@
 func newControlTransport(dialer *net.Dialer, c config) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		DialContext:            tcp.Dial(dialer),
-		IdleConnTimeout:        c.idle,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-		Protocols:              &protocols,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:           c.pingAfter,
-			PingTimeout:               c.pingTimeout,
-			MaxReceiveBufferPerStream: maxUnread,
-		},
+	t := tcp.NewTransport(dialer)
+	t.IdleConnTimeout = c.idle
+	t.Protocols = &protocols
+	t.HTTP2 = &http.HTTP2Config{
+		SendPingTimeout:           c.pingAfter,
+		PingTimeout:               c.pingTimeout,
+		MaxReceiveBufferPerStream: maxUnread,
 	}
+	return t
 }
 
 // ServerProtocols returns the protocols that a listener for the processes of the
--- a/internal/transport/objects/objects.go
+++ b/internal/transport/objects/objects.go
@@ -94,15 +94,10 @@
 
 // New returns a client of the store at baseURL, which may have a path.
 func New(baseURL string, options ...Option) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:            tcp.Dial(dialer),
-		MaxIdleConnsPerHost:    idleConnsAHost,
-		IdleConnTimeout:        idleConnTimeout,
-		ResponseHeaderTimeout:  headerTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-	}
+	transport := tcp.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.MaxIdleConnsPerHost = idleConnsAHost
+	transport.IdleConnTimeout = idleConnTimeout
+	transport.ResponseHeaderTimeout = headerTimeout
 	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), http: &http.Client{Transport: transport}}
 	for _, o := range options {
 		o(c)
--- a/internal/transport/once/once.go
+++ b/internal/transport/once/once.go
@@ -56,13 +56,11 @@
 // or HTTP/2.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            dial(dialer),
-		MaxIdleConnsPerHost:    idleConnsAHost,
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: tcp.MaxHead,
-	}
+	t := tcp.NewTransport(dialer)
+	t.DialContext = dial(dialer)
+	t.MaxIdleConnsPerHost = idleConnsAHost
+	t.IdleConnTimeout = idleConnTimeout
+	return t
 }
 
 // NewClient returns a client over the transport.
--- a/internal/transport/tcp/tcp.go
+++ b/internal/transport/tcp/tcp.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	dialer := &net.Dialer{Control: tcp.UserTimeout(time.Second)}
-//	transport := &http.Transport{DialContext: tcp.Dial(dialer), MaxResponseHeaderBytes: tcp.MaxHead}
+//	client := &http.Client{Transport: tcp.NewTransport(dialer)}
 package tcp
 
 import (
