http1: the scanner of heads by one function a part

Cause: read as a newcomer, one function judged line ends, names and folded values in nested switches, and some comments paraphrased. Change: endLine, startLine, nextOfName and nextOfFold; wording. The case of a reset after an orderly end that was not read yet has a test. No behaviour changes.

--- a/internal/protocol/http1/head.go
+++ b/internal/protocol/http1/head.go
@@ -7,17 +7,17 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrFieldName is the error of a head or trailer with a field whose name is none: no character,
-// or one that is not allowed, such as a blank or a control byte. Two readers of such a field
-// differ in what it says, and where it is one of those that frame the body, in where that ends.
+// ErrFieldName is the error of a head or trailer with a field whose name HTTP does not allow: it is
+// empty, or holds a blank, a control byte or another character that no name has. Two readers of
+// such a field differ in what it says, and if it frames the body, in where that ends.
 var ErrFieldName = eris.New("name of a field is malformed")
 
 // HeadScanner checks the names of the fields of an answer's head in the bytes that were sent. A
-// parser may hide an odd name: that of net/http takes blanks within one, and appends a line that
-// begins with a blank to the value before it.
+// parser may hide a malformed name: that of net/http takes blanks within one, and appends a line
+// that begins with a blank to the value before it.
 //
-// HTTP allows such a line only as a part of a value. One that reads as a field of its own, a name
-// and a colon after the blank, is an odd name here; a gateway may reject either.
+// HTTP allows such a line only as a part of a value, and lets a gateway reject it. One that reads as
+// a field of its own, a name and a colon after the blank, counts as a malformed name.
 //
 // The zero value is ready to use.
 type HeadScanner struct {
@@ -73,70 +73,90 @@
 
 // next reads a byte and returns false if it makes the name of a field malformed.
 func (s *HeadScanner) next(c byte) bool {
-	lineStarts := s.state == atLineStart || s.state == atLineEnd
-	switch {
-	case c == '\n' && s.state != inName:
-		s.lines++
-		s.state = atLineStart
-		if lineStarts {
-			s.state = atEnd
-		}
-		return true
-	case s.state <= inReason:
+	if c == '\n' {
+		return s.endLine()
+	}
+	switch s.state {
+	case inProtocol, inStatus, inReason:
 		s.nextOfStatusLine(c)
-		return true
-	case s.state == inValue:
-		return true
+	case atLineStart:
+		return s.startLine(c)
+	case atLineEnd:
+		return false
+	case inName:
+		return s.nextOfName(c)
+	case inFoldBlank, inFoldToken:
+		return s.nextOfFold(c)
 	}
-	return s.nextOfField(c)
+	return true
+}
+
+// endLine ends a line, and the head if the line is empty.
+func (s *HeadScanner) endLine() bool {
+	if s.state == inName {
+		return false // no colon
+	}
+	empty := s.state == atLineStart || s.state == atLineEnd
+	s.lines++
+	s.state = atLineStart
+	if empty {
+		s.state = atEnd
+	}
+	return true
 }
 
 // nextOfStatusLine reads a byte of the status line.
 func (s *HeadScanner) nextOfStatusLine(c byte) {
+	isDigit := c >= '0' && c <= '9'
 	switch {
 	case s.state == inProtocol && c == ' ':
 		s.state = inStatus
-	case s.state != inStatus || c == ' ' && s.digits == 0:
-	case c < '0' || c > '9' || s.digits == statusDigits:
-		s.state = inReason
-	default:
+	case s.state != inStatus:
+		return
+	case c == ' ' && s.digits == 0:
+		return // more than one blank before the status
+	case isDigit && s.digits < statusDigits:
 		s.status = 10*s.status + int(c-'0')
 		s.digits++
+	default:
+		s.state = inReason
 	}
 }
 
-// nextOfField reads a byte of a line up to its value, and returns false if that makes the name
-// malformed.
-func (s *HeadScanner) nextOfField(c byte) bool {
-	blank := c == ' ' || c == '\t'
-	switch s.state {
-	case atLineStart:
-		switch {
-		case c == '\r':
-			s.state = atLineEnd
-		case blank:
-			s.state = inFoldBlank
-		default:
-			s.state = inName
-			return isTokenByte(c)
-		}
-	case atLineEnd:
-		return false
-	case inName:
-		if c == ':' {
-			s.state = inValue
-			return true
-		}
+// startLine reads the first byte of a line after the status line.
+func (s *HeadScanner) startLine(c byte) bool {
+	switch c {
+	case '\r':
+		s.state = atLineEnd
+	case ' ', '\t':
+		s.state = inFoldBlank
+	default:
+		s.state = inName
 		return isTokenByte(c)
-	case inFoldBlank, inFoldToken:
-		switch {
-		case c == ':':
-			return false
-		case isTokenByte(c):
-			s.state = inFoldToken
-		case !blank || s.state == inFoldToken:
-			s.state = inValue
-		}
+	}
+	return true
+}
+
+// nextOfName reads a byte of a name, or the colon after it.
+func (s *HeadScanner) nextOfName(c byte) bool {
+	if c == ':' {
+		s.state = inValue
+		return true
+	}
+	return isTokenByte(c)
+}
+
+// nextOfFold reads a byte of a line that goes on with a value, as long as it could be the name of a
+// field: a colon shows that it is.
+func (s *HeadScanner) nextOfFold(c byte) bool {
+	isBlank := c == ' ' || c == '\t'
+	switch {
+	case c == ':':
+		return false
+	case isTokenByte(c):
+		s.state = inFoldToken
+	case s.state == inFoldToken || !isBlank:
+		s.state = inValue
 	}
 	return true
 }
--- a/internal/transport/endpoints/bounds.go
+++ b/internal/transport/endpoints/bounds.go
@@ -30,8 +30,8 @@
 	drainTime  = 20 * time.Millisecond
 )
 
-// boundedReader reads from a connection until its allowance is used up. While that has a bound,
-// a head is read, which is checked.
+// boundedReader reads from a connection until its allowance is used up. Only heads have an
+// allowance, and are checked as they are read.
 type boundedReader struct {
 	from net.Conn
 	left int64 // bytes
@@ -53,8 +53,8 @@
 		return n, err
 	}
 	b.left -= int64(n)
-	if odd := b.check(p[:n]); odd != nil {
-		return 0, odd
+	if malformed := b.check(p[:n]); malformed != nil {
+		return 0, malformed
 	}
 	return n, err
 }
--- a/internal/transport/once/conn.go
+++ b/internal/transport/once/conn.go
@@ -15,7 +15,7 @@
 	net.Conn
 
 	mu       sync.Mutex
-	awaiting bool // a head, or the rest of one
+	awaiting bool // the next bytes belong to a head
 	head     http1.HeadScanner
 }
 
@@ -31,7 +31,7 @@
 	}
 }
 
-// expectHead is called before a request is written: the next bytes are the head of its answer.
+// expectHead must be called before a request is written. The next bytes are the head of its answer.
 func (c *conn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -41,8 +41,8 @@
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if odd := c.check(p[:n]); odd != nil {
-		return 0, odd
+	if malformed := c.check(p[:n]); malformed != nil {
+		return 0, malformed
 	}
 	return n, err
 }
--- a/internal/transport/tcp/conn_test.go
+++ b/internal/transport/tcp/conn_test.go
@@ -67,6 +67,12 @@
 			reset(t, peer)
 			require.Error(t, <-written)
 		}},
+		{"write meets it after an end that was not read", func(t *testing.T, own *tcp.Conn, peer *net.TCPConn) {
+			require.NoError(t, peer.CloseWrite())
+			reset(t, peer)
+			_, err := own.Write([]byte("late"))
+			require.Error(t, err)
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			own, peer := pair(t)
@@ -117,7 +123,7 @@
 // while the request was still written.
 func TestClientOfNetHTTP(t *testing.T) {
 	const tries = 20
-	client := http.Client{Transport: &http.Transport{DialContext: tcp.Dial(&net.Dialer{})}}
+	client := http.Client{Transport: tcp.NewTransport(&net.Dialer{})}
 	for range tries {
 		peer, err := standin.NewPeer(standin.PeerAnswer{Text: "HTTP/1.1 200 OK\r\n\r\npart", Pause: 20 * time.Millisecond, End: standin.PeerResets})
 		require.NoError(t, err)
